--- /dev/null
+++ b/estate/service.go
@@ -0,0 +1,52 @@
+package estate
+
+// ServiceKind tells generations from plain calls.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	ServiceGeneration ServiceKind = "generation"
+	ServiceCall       ServiceKind = "call"
+)
+
+// Objective is what recovery optimizes for.
+type Objective string
+
+// The recovery objectives.
+const (
+	// ObjectiveLatency lowers the time until a broken generation continues.
+	ObjectiveLatency Objective = "latency"
+	// ObjectiveCost lowers recomputed tokens and cross-region bytes.
+	ObjectiveCost Objective = "cost"
+)
+
+// Service is one named service offered to client accounts.
+type Service struct {
+	Name string      `json:"name"`
+	Kind ServiceKind `json:"kind"`
+	// Models lists the models of a generation service.
+	Models []string `json:"models,omitempty"`
+	// Operations lists the operations of a call service.
+	Operations []Operation `json:"operations,omitempty"`
+	Recovery   Recovery    `json:"recovery,omitzero"`
+	// Deadline bounds a request that states no deadline.
+	Deadline Duration `json:"deadline"`
+}
+
+// Recovery is the recovery policy of a generation service.
+type Recovery struct {
+	Objective Objective `json:"objective,omitempty"`
+	// GracePeriod keeps a keyed generation running after its caller left.
+	GracePeriod Duration `json:"grace_period,omitzero"`
+}
+
+// Operation is one operation of a call service.
+type Operation struct {
+	Name string `json:"name"`
+	// Idempotent operations may be retried and hedged.
+	Idempotent bool `json:"idempotent"`
+	// ChecksKeys means that the backend servers deduplicate by key themselves.
+	ChecksKeys bool `json:"checks_keys,omitempty"`
+	// ClaimRetention is how long a claimed key is remembered.
+	ClaimRetention Duration `json:"claim_retention,omitzero"`
+}
--- /dev/null
+++ b/event/call.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of calls and quarantines, numbered from 3000.
+var ()
+
+var callEvents = []Definition{}
--- /dev/null
+++ b/event/definition.go
@@ -0,0 +1,17 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Definition describes one numbered event.
+type Definition struct {
+	// Number identifies the event.
+	Number int
+	// Name is a short identifier in snake case.
+	Name string
+	// Level is the severity at which it is logged.
+	Level zerolog.Level
+	// Meaning says in one sentence what happened.
+	Meaning string
+	// Action says what an operator should do, "none" when nothing.
+	Action string
+}
--- /dev/null
+++ b/event/routing.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of admission, routing and limits, numbered from 4000.
+var ()
+
+var routingEvents = []Definition{}
--- /dev/null
+++ b/fault/codes_platform.go
@@ -0,0 +1,20 @@
+package fault
+
+import "net/http"
+
+// Failures of calls to the platform.
+const (
+	PlatformConflict    Code = "platform_conflict"
+	PlatformUnavailable Code = "platform_unavailable"
+	PlatformRateLimited Code = "platform_rate_limited"
+	PlatformAnswerLost  Code = "platform_answer_lost"
+	PlatformValueSize   Code = "platform_value_size"
+)
+
+var platformDefinitions = map[Code]Definition{
+	PlatformConflict:    {http.StatusConflict, "the object changed since it was read", "read it again"},
+	PlatformUnavailable: {http.StatusServiceUnavailable, "the platform did not take the call", "retry later; check the platform"},
+	PlatformRateLimited: {http.StatusTooManyRequests, "the platform's or our own rate limit was reached", "retry later"},
+	PlatformAnswerLost:  {http.StatusBadGateway, "the platform's answer was lost: the write may have been applied", "read the object back"},
+	PlatformValueSize:   {http.StatusRequestEntityTooLarge, "the value is over the platform's size limit", "split the value"},
+}
--- /dev/null
+++ b/rollinghash/rollinghash.go
@@ -0,0 +1,32 @@
+// Package rollinghash computes the running hash over the tokens of an answer.
+// Two answers with the same hash at the same offset are taken as equal so far.
+package rollinghash
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash is the hash over a prefix of an answer. The zero value is the hash of
+// the empty prefix.
+type Hash uint64
+
+// Extend returns the hash of the prefix followed by one more token.
+func (h Hash) Extend(token string) Hash {
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], uint64(h))
+	digest := xxhash.New()
+	_, _ = digest.Write(buffer[:])
+	_, _ = digest.WriteString(token)
+	return Hash(digest.Sum64())
+}
+
+// Of returns the hash of a sequence of tokens.
+func Of(tokens []string) Hash {
+	var hash Hash
+	for _, token := range tokens {
+		hash = hash.Extend(token)
+	}
+	return hash
+}
--- /dev/null
+++ b/serving/guard.go
@@ -0,0 +1,19 @@
+package serving
+
+// Fingerprint identifies the content of a request: the hash of service,
+// model, prompt or body, but not of its idempotency key.
+type Fingerprint uint64
+
+// Guard finds requests that end the servers that run them. It is safe for
+// concurrent use.
+type Guard interface {
+	// Check returns QuarantinedByUs for a quarantined fingerprint. Otherwise
+	// it reports whether the request is a suspect that must run isolated.
+	Check(fingerprint Fingerprint) (isolated bool, err error)
+	// Started records that a request runs on a server.
+	Started(fingerprint Fingerprint, requestID, server string)
+	// Ended records that it left the server without harm.
+	Ended(fingerprint Fingerprint, requestID, server string)
+	// ServerDied makes every request in flight on the server a suspect.
+	ServerDied(server string)
+}
