--- /dev/null
+++ b/estate/load.go
@@ -0,0 +1,31 @@
+package estate
+
+import "github.com/wisteriahaven/wisteriahaven/document"
+
+// Load reads the configuration in a file of JSON with comments and checks it
+// whole. The error is document.Problems, each with its path and line.
+func Load(path string) (Configuration, error) {
+	parsed, err := document.Load(path)
+	if err != nil {
+		return Configuration{}, err
+	}
+	return decode(parsed)
+}
+
+// Parse is Load for data in memory; file appears in problems only.
+func Parse(file string, data []byte) (Configuration, error) {
+	parsed, err := document.Parse(file, data)
+	if err != nil {
+		return Configuration{}, err
+	}
+	return decode(parsed)
+}
+
+func decode(parsed *document.Document) (Configuration, error) {
+	var configuration Configuration
+	problems := parsed.Decode(&configuration)
+	if len(problems) == 0 {
+		problems = parsed.Locate(Validate(&configuration))
+	}
+	return configuration, problems.Err()
+}
