Run the whole path thin: entry instances, stand-ins, client and demo

Cause: nothing served a request yet. Change: HTTP transports towards callers, engines and services, a configuration kept as head and chunks in the object API, stand-ins for engine, service, object API and instance list, a client that continues a broken answer, and a demo that kills an engine and an entry instance. Conclusion: routing, limits, cursors and claims are still simple; each is replaced behind its interface.

--- /dev/null
+++ b/cmd/wisteriahaven-bench/experiments.go
@@ -0,0 +1,6 @@
+package main
+
+import "github.com/wisteriahaven/wisteriahaven/experiment"
+
+// experiments lists every experiment, one a line in the order of their names.
+var experiments = []experiment.Experiment{}
--- /dev/null
+++ b/cmd/wisteriahaven-bench/main.go
@@ -0,0 +1,56 @@
+// Command wisteriahaven-bench runs the stand-ins, the demo and the
+// experiments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes.
+const (
+	exitMissed = 1
+	exitUsage  = 2
+)
+
+// arguments is the command line.
+type arguments struct {
+	Demo       *demoCommand       `arg:"subcommand:demo" help:"run an example estate, break it, and check every answer"`
+	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run an experiment and print its figures and targets"`
+}
+
+// Description is printed above the help.
+func (arguments) Description() string {
+	return "wisteriahaven-bench runs stand-ins, the demo and experiments on this machine.\n" +
+		"Exit codes: 0 all is right, 1 a check failed or a target was missed, 2 wrong usage."
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return "wisteriahaven-bench 0.1.0" }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var parsed arguments
+	parser := arg.MustParse(&parsed)
+	switch {
+	case parsed.Demo != nil:
+		os.Exit(parsed.Demo.run(ctx))
+	case parsed.Experiment != nil:
+		os.Exit(parsed.Experiment.run(ctx))
+	default:
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+}
+
+// fail prints an error and returns the exit code.
+func fail(err error) int {
+	_, _ = fmt.Fprintln(os.Stderr, err)
+	return exitMissed
+}
--- /dev/null
+++ b/configstore/versioned_head.go
@@ -0,0 +1,63 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// versionedHead is a head as read from the platform; version zero means that
+// there is none yet.
+type versionedHead struct {
+	Head
+	version uint64
+}
+
+func currentHead(ctx context.Context, store platform.Store) (versionedHead, error) {
+	object, err := store.Get(ctx, HeadKey)
+	if fault.HasCode(err, fault.NotFound) {
+		return versionedHead{}, nil
+	}
+	if err != nil {
+		return versionedHead{}, notApplied(err)
+	}
+	head, err := DecodeHead(object.Value)
+	return versionedHead{Head: head, version: object.Version}, err
+}
+
+// condition guards the replacement of this head.
+func (h versionedHead) condition() platform.Condition {
+	if h.version == 0 {
+		return platform.IfAbsent()
+	}
+	return platform.IfVersion(h.version)
+}
+
+// appliedAt returns the revision at which a command was applied.
+func (h versionedHead) appliedAt(commandID string) (uint64, bool) {
+	if h.version != 0 && h.CommandID == commandID {
+		return h.version, true
+	}
+	for _, applied := range h.Recent {
+		if applied.CommandID == commandID {
+			return applied.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// next returns the head that follows this one.
+func (h versionedHead) next(commandID string, chunks []Chunk) Head {
+	var recent []Applied
+	if h.version != 0 {
+		recent = append(recent, Applied{CommandID: h.CommandID, Revision: h.version})
+	}
+	recent = append(recent, h.Recent...)
+	return Head{CommandID: commandID, Recent: recent[:min(len(recent), recentCommands)], Chunks: chunks}
+}
+
+func conflict(read, current uint64) error {
+	return fault.New(fault.CommandConflict, fmt.Sprintf("read revision %d, the current one is %d", read, current))
+}
--- /dev/null
+++ b/demo/calls.go
@@ -0,0 +1,52 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/wisteriahaven/wisteriahaven/client"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+)
+
+// callCount is the number of keys each operation is called with.
+const callCount = 5
+
+// callsRunOnce sends non-idempotent calls and counts their runs at the
+// backend servers.
+func (d *Demo) callsRunOnce(ctx context.Context) Result {
+	result := Result{Scenario: "calls run at most once"}
+	addresses := d.estate.CallerAddresses()[1:]
+	for _, service := range d.estate.Configuration.Services {
+		if service.Kind != estate.ServiceCall {
+			continue
+		}
+		for _, operation := range service.Operations {
+			for i := range callCount {
+				key := fmt.Sprintf("%s-%s-%d", service.Name, operation.Name, i)
+				call := client.Call{Service: service.Name, Operation: operation.Name, IdempotencyKey: key, Body: []byte("{}")}
+				_, err := d.client(i, addresses).Call(ctx, call)
+				result.Answers++
+				if err != nil {
+					result.Failures = append(result.Failures, key+": "+err.Error())
+				}
+			}
+		}
+	}
+	for key, runs := range d.runs() {
+		if runs > 1 {
+			result.Failures = append(result.Failures, fmt.Sprintf("%s ran %d times", key, runs))
+		}
+	}
+	return result
+}
+
+// runs counts the runs of each key over all servers.
+func (d *Demo) runs() map[string]int {
+	total := make(map[string]int)
+	for _, server := range d.estate.Services {
+		for key, runs := range server.Runs() {
+			total[key] += runs
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry assembles one entry instance: its transports, the serving path
+// and its background duties.
+package entry
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/wisteriahaven/wisteriahaven/duty"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// dumpedDecisions bounds the decisions in a dump.
+const dumpedDecisions = 100
+
+// Dump is the state of one instance.
+type Dump struct {
+	Instance   string             `json:"instance"`
+	DataCentre string             `json:"data_centre"`
+	Region     string             `json:"region"`
+	Ready      bool               `json:"ready"`
+	Stopping   bool               `json:"stopping"`
+	InFlight   int                `json:"in_flight"`
+	Revision   uint64             `json:"revision"`
+	Duties     []duty.Status      `json:"duties"`
+	Decisions  []serving.Decision `json:"decisions"`
+}
+
+// Dump returns the state of the instance.
+func (e *Entry) Dump() Dump {
+	dump := Dump{
+		Instance:   e.settings.Instance,
+		DataCentre: e.settings.DataCentre,
+		Region:     e.settings.Region,
+		Ready:      e.Ready(),
+		Stopping:   e.stopping.Load(),
+		InFlight:   e.callers.InFlight(),
+		Duties:     append(e.duties.Status(), e.serve.Status()...),
+		Decisions:  e.recorder.Recent(dumpedDecisions),
+	}
+	if current := e.follower.Current(); current != nil {
+		dump.Revision = current.Revision
+	}
+	return dump
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/control/configuration"
+	"github.com/wisteriahaven/wisteriahaven/duty"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/serving/admission"
+	"github.com/wisteriahaven/wisteriahaven/serving/call"
+	"github.com/wisteriahaven/wisteriahaven/serving/explain"
+	"github.com/wisteriahaven/wisteriahaven/serving/generation"
+	"github.com/wisteriahaven/wisteriahaven/serving/guard"
+	"github.com/wisteriahaven/wisteriahaven/serving/routing"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/transport/caller"
+	"github.com/wisteriahaven/wisteriahaven/transport/engine"
+	"github.com/wisteriahaven/wisteriahaven/transport/service"
+)
+
+// keptDecisions bounds the decisions kept for explanations.
+const keptDecisions = 8192
+
+// Entry is one running entry instance.
+type Entry struct {
+	settings  settings.Settings
+	logger    zerolog.Logger
+	metrics   metrics.Registry
+	duties    *duty.Group
+	serve     *duty.Group
+	store     platform.Store
+	follower  *configuration.Follower
+	recorder  *explain.Recorder
+	callers   *caller.Server
+	operators *operatorServer
+	addresses Addresses
+	stopping  atomic.Bool
+}
+
+// Addresses are the addresses the instance listens on.
+type Addresses struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+}
+
+// New builds an entry instance that does not run yet.
+func New(s settings.Settings, logger zerolog.Logger) *Entry {
+	logger = logger.With().Str("instance", s.Instance).Logger()
+	e := &Entry{
+		settings: s,
+		logger:   logger,
+		metrics:  metrics.NewRegistry(),
+		duties:   duty.NewGroup(context.Background(), logger),
+		serve:    duty.NewGroup(context.Background(), logger),
+		store:    httpstore.New(s.Platform.ObjectAPI),
+		recorder: explain.NewRecorder(keptDecisions),
+	}
+	e.follower = configuration.NewFollower(e.store, logger)
+	e.assemble()
+	return e
+}
+
+// assemble joins the parts of the serving path.
+func (e *Entry) assemble() {
+	place := routing.Place{DataCentre: e.settings.DataCentre, Region: e.settings.Region}
+	router := routing.New(e.follower, place)
+	admitter := admission.New(e.follower)
+	requestGuard := guard.Open{}
+	generator := generation.New(generation.Parts{
+		Router:   router,
+		Admitter: admitter,
+		Guard:    requestGuard,
+		Recorder: e.recorder,
+		Engines:  engine.NewClient(),
+	})
+	calls := call.New(call.Parts{
+		Router:   router,
+		Admitter: admitter,
+		Recorder: e.recorder,
+		Services: service.NewClient(),
+	})
+	e.callers = caller.NewServer(e.callerOptions(), caller.Backends{
+		Authenticator: admitter,
+		Configuration: e.follower,
+		Generator:     generator,
+		Caller:        calls,
+	}, e.logger)
+	e.operators = newOperatorServer(e)
+}
+
+func (e *Entry) callerOptions() caller.Options {
+	return caller.Options{
+		BodyBytes:   e.settings.Limits.BodyBytes,
+		HeaderBytes: e.settings.Limits.HeaderBytes,
+		IdleTimeout: e.settings.Limits.IdleTimeout.Std(),
+	}
+}
+
+// Start listens on the instance's addresses and starts its duties.
+func (e *Entry) Start() error {
+	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
+	if err != nil {
+		return fault.Wrap(fault.SettingsInvalid, "entry", "listen.callers", err)
+	}
+	operators, err := net.Listen("tcp", e.settings.Listen.Operators)
+	if err != nil {
+		_ = callers.Close()
+		return fault.Wrap(fault.SettingsInvalid, "entry", "listen.operators", err)
+	}
+	e.addresses = Addresses{Callers: callers.Addr().String(), Operators: operators.Addr().String()}
+	e.duties.Go("configuration", e.follower.Run)
+	e.serve.Go("callers", func(context.Context) { _ = e.callers.Serve(callers) })
+	e.serve.Go("operators", func(context.Context) { _ = e.operators.serve(operators) })
+	event.Log(e.logger, event.ProcessStarted).
+		Str("callers", e.addresses.Callers).
+		Str("operators", e.addresses.Operators).
+		Send()
+	return nil
+}
+
+// Addresses returns the addresses the instance listens on.
+func (e *Entry) Addresses() Addresses { return e.addresses }
+
+// Ready reports whether the instance can serve.
+func (e *Entry) Ready() bool {
+	return !e.stopping.Load() && e.follower.Current() != nil
+}
+
+// Stop is a planned stop: the instance becomes unready, closes its listeners,
+// lets every running request finish and ends. When the context ends first,
+// the remaining requests are cut.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	event.Log(e.logger, event.ProcessStopping).Int("in_flight", e.callers.InFlight()).Send()
+	err := e.callers.Shutdown(ctx)
+	e.close()
+	event.Log(e.logger, event.ProcessStopped).Send()
+	return err
+}
+
+// Abort ends the instance at once, as a crash would for its callers.
+func (e *Entry) Abort() {
+	e.stopping.Store(true)
+	e.callers.Abort()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = e.callers.Shutdown(ctx)
+	e.close()
+}
+
+// close ends the operator listener and every duty.
+func (e *Entry) close() {
+	e.callers.Abort()
+	e.operators.shutdown()
+	e.duties.Stop()
+	e.serve.Stop()
+}
--- /dev/null
+++ b/estate/lookup.go
@@ -0,0 +1,52 @@
+package estate
+
+import "slices"
+
+// GenerationService returns the service that offers the model: the named one,
+// or the first when no name is given.
+func (c *Configuration) GenerationService(name, model string) (Service, bool) {
+	for _, service := range c.Services {
+		if service.Kind != ServiceGeneration || (name != "" && service.Name != name) {
+			continue
+		}
+		if slices.Contains(service.Models, model) {
+			return service, true
+		}
+	}
+	return Service{}, false
+}
+
+// Operation returns an operation of a call service.
+func (c *Configuration) Operation(service, operation string) (Service, Operation, bool) {
+	for _, candidate := range c.Services {
+		if candidate.Kind != ServiceCall || candidate.Name != service {
+			continue
+		}
+		for _, known := range candidate.Operations {
+			if known.Name == operation {
+				return candidate, known, true
+			}
+		}
+	}
+	return Service{}, Operation{}, false
+}
+
+// Model returns a model by name.
+func (c *Configuration) Model(name string) (Model, bool) {
+	for _, model := range c.Models {
+		if model.Name == name {
+			return model, true
+		}
+	}
+	return Model{}, false
+}
+
+// Region returns the region of a data centre, "" when it is unknown.
+func (c *Configuration) Region(dataCentre string) string {
+	for _, known := range c.DataCentres {
+		if known.Name == dataCentre {
+			return known.Region
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/serving/guard/open.go
@@ -0,0 +1,19 @@
+// Package guard finds requests that end the servers that run them.
+package guard
+
+import "github.com/wisteriahaven/wisteriahaven/serving"
+
+// Open is a serving.Guard that lets every request through.
+type Open struct{}
+
+// Check implements serving.Guard.
+func (Open) Check(serving.Fingerprint) (bool, error) { return false, nil }
+
+// Started implements serving.Guard.
+func (Open) Started(serving.Fingerprint, string, string) {}
+
+// Ended implements serving.Guard.
+func (Open) Ended(serving.Fingerprint, string, string) {}
+
+// ServerDied implements serving.Guard.
+func (Open) ServerDied(string) {}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,97 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// idleStep is the pause of the batch loop when nothing runs.
+const idleStep = time.Millisecond
+
+// batch is the running streams and the queue before them.
+type batch struct {
+	active []*stream
+	queued []*stream
+}
+
+// runBatch produces one token for each active stream at a time.
+func (e *Engine) runBatch(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			timer.Reset(e.step(now))
+		}
+	}
+}
+
+// step runs one batch step and returns the time until the next one.
+func (e *Engine) step(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused || !e.running {
+		return idleStep
+	}
+	e.fillBatch(now)
+	if len(e.batch.active) == 0 {
+		return idleStep
+	}
+	e.batch.active = slices.DeleteFunc(e.batch.active, func(s *stream) bool {
+		return e.advance(s, now)
+	})
+	e.dropExpired(now)
+	return e.tokenTime(len(e.batch.active))
+}
+
+// advance produces a token unless the stream is still in its prefill, and
+// reports whether the stream leaves the batch.
+func (e *Engine) advance(s *stream, now time.Time) bool {
+	if now.Before(s.readyAt) {
+		return false
+	}
+	before := s.after(0).total
+	over := s.produce()
+	e.counters.ComputedTokens += s.after(0).total - before
+	return over || s.after(0).ended
+}
+
+// fillBatch moves queued streams into free slots, highest priority first.
+func (e *Engine) fillBatch(now time.Time) {
+	slices.SortStableFunc(e.batch.queued, func(a, b *stream) int {
+		if order := cmp.Compare(b.request.Priority, a.request.Priority); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.arrived, b.arrived)
+	})
+	for len(e.batch.queued) > 0 && len(e.batch.active) < e.settings.Slots {
+		next := e.batch.queued[0]
+		e.batch.queued = e.batch.queued[1:]
+		e.prefill(next, now)
+		e.batch.active = append(e.batch.active, next)
+	}
+}
+
+// prefill sets the time of the first token from the uncached prompt.
+func (e *Engine) prefill(s *stream, now time.Time) {
+	prompt := len(s.request.Prompt)
+	cached := e.cache.Use(s.request.Prompt)
+	uncached := (prompt-cached)/bytesPerToken + len(s.request.Prefix)
+	e.counters.PromptTokens += prompt / bytesPerToken
+	e.counters.CachedTokens += cached / bytesPerToken
+	s.readyAt = now.Add(time.Duration(uncached) * e.settings.PrefillTimePerToken)
+}
+
+// dropExpired forgets streams that nobody reads.
+func (e *Engine) dropExpired(now time.Time) {
+	for id, s := range e.streams {
+		if s.expired(now, e.settings.StreamRetention) {
+			s.end()
+			delete(e.streams, id)
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/reports.go
@@ -0,0 +1,72 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/engineapi"
+)
+
+// Timing and size of the kept load reports.
+const (
+	reportPeriod = 50 * time.Millisecond
+	keptReports  = 400
+)
+
+// runReports records the load periodically, so that lagging reports can be
+// served.
+func (e *Engine) runReports(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.record(now)
+		}
+	}
+}
+
+func (e *Engine) record(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused {
+		return
+	}
+	e.sequence++
+	e.reports = append(e.reports, e.reportLocked(now))
+	if len(e.reports) > keptReports {
+		e.reports = e.reports[len(e.reports)-keptReports:]
+	}
+}
+
+func (e *Engine) reportLocked(now time.Time) engineapi.LoadReport {
+	return engineapi.LoadReport{
+		BootID:            e.boot,
+		Sequence:          e.sequence,
+		Running:           len(e.batch.active),
+		Queued:            len(e.batch.queued),
+		Slots:             e.settings.Slots,
+		CachedTokens:      e.cache.Tokens(),
+		Leaving:           e.faults.Leaving,
+		ObservedUnixMilli: now.UnixMilli(),
+		Model:             e.orders.Model,
+		Version:           e.orders.Version,
+	}
+}
+
+// laggedReport returns the newest report that is at least as old as the lag.
+func (e *Engine) laggedReport(now time.Time) engineapi.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	limit := now.Add(-e.settings.LoadReportLag).UnixMilli()
+	for i := len(e.reports) - 1; i >= 0; i-- {
+		if e.reports[i].ObservedUnixMilli <= limit {
+			return e.reports[i]
+		}
+	}
+	report := e.reportLocked(now)
+	report.Running, report.Queued = 0, 0
+	return report
+}
--- /dev/null
+++ b/standin/faultnet/conn.go
@@ -0,0 +1,51 @@
+package faultnet
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Conn is a connection under the faults of its listener.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	silent   atomic.Bool
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Read waits for the end of a pause and reads.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.waitForResume()
+	return count, err
+}
+
+// Write waits for the end of a pause and writes; a silent connection drops the
+// bytes and reports success.
+func (c *Conn) Write(data []byte) (int, error) {
+	c.waitForResume()
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// Close closes the connection and ends a wait for the end of a pause.
+func (c *Conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.listener.forget(c)
+	return c.Conn.Close()
+}
+
+func (c *Conn) waitForResume() {
+	gate := c.listener.pauseGate()
+	if gate == nil {
+		return
+	}
+	select {
+	case <-gate:
+	case <-c.closed:
+	}
+}
--- /dev/null
+++ b/standin/faultnet/quiet.go
@@ -0,0 +1,8 @@
+package faultnet
+
+// Quiet is a logger that drops the lines about broken connections, which are
+// wanted here.
+type Quiet struct{}
+
+// Printf implements the HTTP library's logger.
+func (Quiet) Printf(string, ...any) {}
--- /dev/null
+++ b/standin/loopback/estate.go
@@ -0,0 +1,207 @@
+package loopback
+
+import (
+	"context"
+	"path/filepath"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/entry"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/standin/engine"
+	"github.com/wisteriahaven/wisteriahaven/standin/instancelist"
+	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
+	"github.com/wisteriahaven/wisteriahaven/standin/service"
+)
+
+// Times of the start and stop of an estate.
+const (
+	readyTimeout = 20 * time.Second
+	readyPoll    = 5 * time.Millisecond
+	stopTimeout  = 10 * time.Second
+)
+
+// Estate is a running estate.
+type Estate struct {
+	Configuration *estate.Configuration
+	Keys          Keys
+	ObjectAPI     *objectapi.Server
+	InstanceList  *instancelist.Server
+	Engines       map[string]*engine.Engine
+	Services      map[string]*service.Server
+	Entries       []*entry.Entry
+	options       Options
+}
+
+// Start starts the estate and waits until every entry instance is ready.
+func Start(options Options) (*Estate, error) {
+	e := &Estate{
+		options:  options,
+		Engines:  make(map[string]*engine.Engine),
+		Services: make(map[string]*service.Server),
+	}
+	if err := e.start(); err != nil {
+		e.Stop()
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Estate) start() error {
+	configuration, err := estate.Load(filepath.Join(e.options.Directory, "estate.json"))
+	if err != nil {
+		return err
+	}
+	e.Configuration = &configuration
+	if e.Keys, err = loadKeys(e.options.Directory); err != nil {
+		return fault.Wrap(fault.SettingsInvalid, "standin/loopback", "keys.json", err)
+	}
+	if e.ObjectAPI, err = objectapi.Start(objectapi.Settings{WritesPerSecond: 300, ReadsPerSecond: 2000}); err != nil {
+		return err
+	}
+	if e.InstanceList, err = instancelist.Start("", e.options.InstanceListLag); err != nil {
+		return err
+	}
+	if err := e.startBackendServers(); err != nil {
+		return err
+	}
+	if err := e.commit(); err != nil {
+		return err
+	}
+	if err := e.startEntries(); err != nil {
+		return err
+	}
+	return e.waitReady()
+}
+
+// startBackendServers starts each declared server and fills in its address.
+func (e *Estate) startBackendServers() error {
+	for i := range e.Configuration.BackendServers {
+		server := &e.Configuration.BackendServers[i]
+		if server.Model == "" {
+			started, err := service.Start(service.Settings{Name: server.Name})
+			if err != nil {
+				return err
+			}
+			e.Services[server.Name] = started
+			server.Address = started.Address()
+			continue
+		}
+		started, err := engine.Start(e.engineSettings(*server))
+		if err != nil {
+			return err
+		}
+		e.Engines[server.Name] = started
+		server.Address = started.Address()
+	}
+	return nil
+}
+
+func (e *Estate) engineSettings(server estate.BackendServer) engine.Settings {
+	s := e.options.Engine
+	s.Name = server.Name
+	s.Model = server.Model
+	s.Version = server.Version
+	s.Slots = server.Slots
+	s.ChecksFencing = server.ChecksFencing
+	return s
+}
+
+// commit writes the configuration to the platform.
+func (e *Estate) commit() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	store := httpstore.New(e.ObjectAPI.URL())
+	revision, err := configstore.Commit(ctx, store, &estate.Configuration{}, e.Configuration, "initial")
+	e.Configuration.Revision = revision
+	return err
+}
+
+func (e *Estate) startEntries() error {
+	all, err := e.loadSettings()
+	if err != nil {
+		return err
+	}
+	if err := e.assignAddresses(all); err != nil {
+		return err
+	}
+	for _, s := range all {
+		started := entry.New(s, e.options.Logger)
+		if err := started.Start(); err != nil {
+			return err
+		}
+		e.Entries = append(e.Entries, started)
+	}
+	return nil
+}
+
+// loadSettings reads the settings of the instances to run.
+func (e *Estate) loadSettings() ([]settings.Settings, error) {
+	files, err := filepath.Glob(filepath.Join(e.options.Directory, "instances", "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	sort.Strings(files)
+	if e.options.Entries > 0 {
+		files = files[:min(len(files), e.options.Entries)]
+	}
+	all := make([]settings.Settings, 0, len(files))
+	for _, file := range files {
+		s, err := settings.Load(file)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+func (e *Estate) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, instance := range e.Entries {
+		for !instance.Ready() {
+			if time.Now().After(deadline) {
+				return fault.New(fault.ConfigurationUnset, "an entry instance did not become ready")
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// CallerAddresses returns the callers' addresses of all entry instances.
+func (e *Estate) CallerAddresses() []string {
+	addresses := make([]string, 0, len(e.Entries))
+	for _, instance := range e.Entries {
+		addresses = append(addresses, instance.Addresses().Callers)
+	}
+	return addresses
+}
+
+// Stop ends everything.
+func (e *Estate) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, instance := range e.Entries {
+		wait.Go(func() { _ = instance.Stop(ctx) })
+	}
+	wait.Wait()
+	for _, started := range e.Engines {
+		started.Stop()
+	}
+	for _, started := range e.Services {
+		started.Stop()
+	}
+	if e.InstanceList != nil {
+		e.InstanceList.Stop()
+	}
+	if e.ObjectAPI != nil {
+		e.ObjectAPI.Stop()
+	}
+}
--- /dev/null
+++ b/standin/loopback/options.go
@@ -0,0 +1,24 @@
+package loopback
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/standin/engine"
+)
+
+// Options choose what to run.
+type Options struct {
+	// Directory holds estate.json, keys.json and instances/.
+	Directory string
+	// Entries bounds the entry instances; zero runs all.
+	Entries int
+	// Engine gives the speeds of every engine; names, models and slots come
+	// from the estate.
+	Engine engine.Settings
+	// InstanceListLag is how late the platform's list is.
+	InstanceListLag time.Duration
+	// Logger is used by the entry instances.
+	Logger zerolog.Logger
+}
--- /dev/null
+++ b/standin/objectapi/memory.go
@@ -0,0 +1,98 @@
+package objectapi
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// keptChanges bounds the history that a watch can start from.
+const keptChanges = 4096
+
+// memory holds the objects.
+type memory struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]platform.Object
+	changes []platform.Change
+	changed chan struct{}
+}
+
+func newMemory() *memory {
+	return &memory{objects: make(map[string]platform.Object), changed: make(chan struct{})}
+}
+
+func (m *memory) get(key string) (platform.Object, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	object, found := m.objects[key]
+	return object, found
+}
+
+// put writes the value and reports whether the condition held.
+func (m *memory) put(key string, value []byte, condition platform.Condition) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current, exists := m.objects[key]
+	if !condition.Holds(exists, current.Version) {
+		return current.Version, false
+	}
+	m.version++
+	object := platform.Object{Key: key, Value: value, Version: m.version}
+	m.objects[key] = object
+	m.noteLocked(platform.Change{Object: object})
+	return m.version, true
+}
+
+// remove deletes the object and reports whether it existed and the condition
+// held.
+func (m *memory) remove(key string, condition platform.Condition) (exists, held bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current, exists := m.objects[key]
+	if !exists || !condition.Holds(exists, current.Version) {
+		return exists, false
+	}
+	m.version++
+	delete(m.objects, key)
+	m.noteLocked(platform.Change{Object: platform.Object{Key: key, Version: m.version}, Deleted: true})
+	return true, true
+}
+
+func (m *memory) noteLocked(change platform.Change) {
+	m.changes = append(m.changes, change)
+	if len(m.changes) > keptChanges {
+		m.changes = append([]platform.Change(nil), m.changes[len(m.changes)-keptChanges:]...)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) list(prefix string) []platform.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []platform.Object
+	for key, object := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, object)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found
+}
+
+// since returns the changes under a prefix after a version and a channel that
+// closes at the next change.
+func (m *memory) since(prefix string, after uint64) ([]platform.Change, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []platform.Change
+	for _, change := range m.changes {
+		if change.Version > after && strings.HasPrefix(change.Key, prefix) {
+			found = append(found, change)
+		}
+	}
+	return found, m.changed
+}
--- /dev/null
+++ b/standin/objectapi/rate.go
@@ -0,0 +1,35 @@
+package objectapi
+
+import (
+	"sync"
+	"time"
+)
+
+// rate is a token bucket that holds one second's worth of calls.
+type rate struct {
+	mu        sync.Mutex
+	perSecond float64
+	tokens    float64
+	updated   time.Time
+}
+
+func newRate(perSecond float64) *rate {
+	return &rate{perSecond: perSecond, tokens: perSecond, updated: time.Now()}
+}
+
+// take reports whether a call may pass now.
+func (r *rate) take() bool {
+	if r.perSecond == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.tokens = min(r.perSecond, r.tokens+now.Sub(r.updated).Seconds()*r.perSecond)
+	r.updated = now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
--- /dev/null
+++ b/transport/caller/call.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"context"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// handleCall serves one call to a plain service.
+func (s *Server) handleCall(ctx *fasthttp.RequestCtx, requestID string, account estate.ClientAccount, target string) error {
+	service, operation, err := s.findOperation(target)
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithTimeout(s.base, service.Deadline.Std())
+	defer cancel()
+	result, err := s.backends.Caller.Call(running, serving.CallRequest{
+		RequestID: requestID,
+		Key:       string(ctx.Request.Header.Peek(IdempotencyKey)),
+		Account:   account,
+		Service:   service,
+		Operation: operation,
+		Body:      append([]byte(nil), ctx.PostBody()...),
+	})
+	if err != nil {
+		return err
+	}
+	if result.Replayed {
+		ctx.Response.Header.Set(ReplayedHeader, "true")
+	}
+	ctx.SetStatusCode(result.Status)
+	ctx.SetContentType(result.ContentType)
+	ctx.SetBody(result.Body)
+	return nil
+}
+
+// findOperation resolves "service/operation".
+func (s *Server) findOperation(target string) (estate.Service, estate.Operation, error) {
+	configuration := s.backends.Configuration.Current()
+	if configuration == nil {
+		return estate.Service{}, estate.Operation{}, fault.New(fault.ConfigurationUnset, "no configuration is in force").WithExecution(fault.ExecutionNotRun)
+	}
+	serviceName, operationName, _ := strings.Cut(target, "/")
+	service, operation, found := configuration.Operation(serviceName, operationName)
+	if !found {
+		return service, operation, fault.New(fault.UnknownService, "no such operation: "+target).WithExecution(fault.ExecutionNotRun)
+	}
+	return service, operation, nil
+}
--- /dev/null
+++ b/transport/caller/routes.go
@@ -0,0 +1,102 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/engineapi"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// Paths and headers of the caller's interface.
+const (
+	completionsPath  = "/v1/completions"
+	servicesPath     = "/v1/services/"
+	RequestIDHeader  = "X-Request-Id"
+	IdempotencyKey   = "Idempotency-Key"
+	LastEventID      = "Last-Event-ID"
+	ReplayedHeader   = "Idempotent-Replayed"
+	bearerPrefix     = "Bearer "
+	maxKeyBytes      = 256
+	requestIDDigits  = 16
+	retryAfterHeader = "Retry-After"
+)
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	requestID := fmt.Sprintf("%0*x", requestIDDigits, rand.Uint64())
+	ctx.Response.Header.Set(RequestIDHeader, requestID)
+	if nonce := ctx.Request.Header.Peek(engineapi.NonceHeader); len(nonce) > 0 {
+		ctx.Response.Header.SetBytesV(engineapi.NonceHeader, nonce)
+	}
+	if err := s.route(ctx, requestID); err != nil {
+		s.writeError(ctx, requestID, fault.From(err))
+	}
+}
+
+// route sends the request to its handler and returns a typed error when the
+// answer has not begun.
+func (s *Server) route(ctx *fasthttp.RequestCtx, requestID string) error {
+	path := string(ctx.Path())
+	isService := strings.HasPrefix(path, servicesPath)
+	if path != completionsPath && !isService {
+		return fault.New(fault.NotFound, "no such path: "+path)
+	}
+	if !ctx.IsPost() {
+		return fault.New(fault.MethodNotAllowed, "use POST")
+	}
+	if s.stopping.Load() {
+		return fault.New(fault.Stopping, "the instance is stopping").WithExecution(fault.ExecutionNotRun)
+	}
+	account, err := s.authenticate(ctx)
+	if err != nil {
+		return err
+	}
+	if key := ctx.Request.Header.Peek(IdempotencyKey); len(key) > maxKeyBytes {
+		return fault.Invalid(IdempotencyKey, fmt.Sprintf("is longer than %d bytes", maxKeyBytes))
+	}
+	s.inFlight.Add(1)
+	if isService {
+		defer s.inFlight.Add(-1)
+		return s.handleCall(ctx, requestID, account, strings.TrimPrefix(path, servicesPath))
+	}
+	return s.handleCompletion(ctx, requestID, account)
+}
+
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (estate.ClientAccount, error) {
+	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	key, found := strings.CutPrefix(header, bearerPrefix)
+	if !found {
+		return estate.ClientAccount{}, fault.New(fault.Unauthenticated, "the Authorization header has no bearer key").WithExecution(fault.ExecutionNotRun)
+	}
+	return s.backends.Authenticator.Authenticate(key)
+}
+
+// handleProtocolError answers requests that fasthttp could not read.
+func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	failure := fault.Wrap(fault.MalformedBody, "transport/caller", "the request could not be read", err)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		failure = fault.New(fault.BodyTooLarge, fmt.Sprintf("the body is over %d bytes", s.options.BodyBytes))
+	}
+	s.writeError(ctx, "", failure.WithExecution(fault.ExecutionNotRun))
+}
+
+func (s *Server) writeError(ctx *fasthttp.RequestCtx, requestID string, failure *fault.Error) {
+	event.Log(s.logger, event.RequestFailed).
+		Str("request", requestID).
+		Str("code", string(failure.Code)).
+		Str("reason", failure.Error()).
+		Send()
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(failure.Status())
+	ctx.SetContentType("application/json")
+	if failure.RetryAfter > 0 {
+		ctx.Response.Header.Set(retryAfterHeader, retryAfterSeconds(failure.RetryAfter))
+	}
+	ctx.SetBody(encodeError(requestID, failure))
+}
--- /dev/null
+++ b/transport/sse/event.go
@@ -0,0 +1,13 @@
+package sse
+
+// Event is one server-sent event. Its slices are valid until the next read.
+type Event struct {
+	// ID is the event's id field.
+	ID []byte
+	// Name is the event field, empty for an ordinary message.
+	Name []byte
+	// Data is the data field.
+	Data []byte
+	// Comment means that the event is a comment line without data.
+	Comment bool
+}
--- /dev/null
+++ b/transport/sse/exchange.go
@@ -0,0 +1,128 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Sizes of the read buffer and of a whole answer.
+const (
+	readBufferBytes = 16 << 10
+	maxBodyBytes    = 16 << 20
+)
+
+// Exchange is one request with its answer. Reads belong to one goroutine;
+// Close may be called from any.
+type Exchange struct {
+	conn     net.Conn
+	response *fasthttp.Response
+	lines    *bufio.Reader
+	stop     func() bool
+	id       []byte
+	name     []byte
+	data     []byte
+}
+
+// Post opens a connection to the address, sends the request and waits for the
+// answer's header. Cancelling the context closes the connection at any time,
+// also while the answer is read. sent is false when no byte can have reached
+// the server. Errors are those of the network.
+func Post(ctx context.Context, dialer *net.Dialer, address string, request *fasthttp.Request) (exchange *Exchange, sent bool, err error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	exchange, err = send(conn, request)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, true, err
+	}
+	exchange.stop = stop
+	return exchange, true, nil
+}
+
+func send(conn net.Conn, request *fasthttp.Request) (*Exchange, error) {
+	writer := bufio.NewWriter(conn)
+	if err := request.Write(writer); err != nil {
+		return nil, err
+	}
+	if err := writer.Flush(); err != nil {
+		return nil, err
+	}
+	response := &fasthttp.Response{StreamBody: true}
+	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	if err := response.ReadLimitBody(reader, maxBodyBytes); err != nil {
+		return nil, err
+	}
+	return &Exchange{conn: conn, response: response, lines: bufio.NewReaderSize(bodyReader(response), readBufferBytes)}, nil
+}
+
+// bodyReader returns the body of an answer, which has no stream when empty.
+func bodyReader(response *fasthttp.Response) io.Reader {
+	if stream := response.BodyStream(); stream != nil {
+		return stream
+	}
+	return bytes.NewReader(response.Body())
+}
+
+// Status returns the HTTP status of the answer.
+func (e *Exchange) Status() int { return e.response.StatusCode() }
+
+// Header returns a header field of the answer, "" when it is absent.
+func (e *Exchange) Header(name string) string {
+	return string(e.response.Header.Peek(name))
+}
+
+// Body reads the rest of the answer whole.
+func (e *Exchange) Body() ([]byte, error) {
+	return io.ReadAll(io.LimitReader(e.lines, maxBodyBytes))
+}
+
+// Next returns the next event. It returns io.EOF when the answer ends and a
+// network error when the connection breaks.
+func (e *Exchange) Next() (Event, error) {
+	e.id, e.name, e.data = e.id[:0], e.name[:0], e.data[:0]
+	comment := false
+	for {
+		line, err := e.lines.ReadSlice('\n')
+		if err != nil {
+			return Event{}, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && (comment || len(e.data) > 0 || len(e.name) > 0):
+			return Event{ID: e.id, Name: e.name, Data: e.data, Comment: comment && len(e.data) == 0}, nil
+		case len(line) > 0 && line[0] == ':':
+			comment = true
+		default:
+			e.field(line)
+		}
+	}
+}
+
+// field stores one "name: value" line of an event.
+func (e *Exchange) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	value = bytes.TrimPrefix(value, []byte{' '})
+	switch string(name) {
+	case "id":
+		e.id = append(e.id[:0], value...)
+	case "event":
+		e.name = append(e.name[:0], value...)
+	case "data":
+		e.data = append(e.data, value...)
+	}
+}
+
+// Close ends the connection.
+func (e *Exchange) Close() {
+	e.stop()
+	_ = e.conn.Close()
+}
