--- a/cmd/wisteriahaven-bench/main.go
+++ b/cmd/wisteriahaven-bench/main.go
@@ -21,6 +21,8 @@
 // arguments is the command line.
 type arguments struct {
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run an example estate, break it, and check every answer"`
+	Standins   *standinsCommand   `arg:"subcommand:standins" help:"run the stand-ins of an example estate on its declared addresses"`
+	Load       *loadCommand       `arg:"subcommand:load" help:"send a bounded load of generations and calls to loopback addresses"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run an experiment and print its figures and targets"`
 }
 
@@ -41,6 +43,10 @@
 	switch {
 	case parsed.Demo != nil:
 		os.Exit(parsed.Demo.run(ctx))
+	case parsed.Standins != nil:
+		os.Exit(parsed.Standins.run(ctx))
+	case parsed.Load != nil:
+		os.Exit(parsed.Load.run(ctx))
 	case parsed.Experiment != nil:
 		os.Exit(parsed.Experiment.run(ctx))
 	default:
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,59 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wisteriahaven/wisteriahaven/client"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// Bounds of the recorded times.
+const (
+	maxRecorded     = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Report is what the callers of a run saw.
+type Report struct {
+	Complete int
+	Tokens   int
+	Resumes  int
+	// Failures counts failed generations by code.
+	Failures map[fault.Code]int
+	// FirstToken and LongestGap hold microseconds.
+	FirstToken *hdrhistogram.Histogram
+	LongestGap *hdrhistogram.Histogram
+
+	mu sync.Mutex
+}
+
+func newReport() *Report {
+	return &Report{
+		Failures:   make(map[fault.Code]int),
+		FirstToken: hdrhistogram.New(1, maxRecorded, histogramDigits),
+		LongestGap: hdrhistogram.New(1, maxRecorded, histogramDigits),
+	}
+}
+
+// add records one finished generation.
+func (r *Report) add(answer client.Answer, firstToken time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Tokens += len(answer.Tokens)
+	r.Resumes += answer.Resumes
+	if err != nil {
+		r.Failures[fault.From(err).Code]++
+		return
+	}
+	r.Complete++
+	record(r.FirstToken, firstToken)
+	record(r.LongestGap, answer.LongestGap)
+}
+
+// record adds a time, cut to the histogram's range.
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	_ = histogram.RecordValue(min(max(value.Microseconds(), 1), maxRecorded))
+}
--- a/standin/loopback/addresses.go
+++ b/standin/loopback/addresses.go
@@ -71,6 +71,7 @@
 		}
 		all[i].Platform.ObjectAPI = e.ObjectAPI.URL()
 		all[i].Platform.InstanceList = e.InstanceList.URL()
+		all[i].Platform.WeightStore = e.WeightStore.URL()
 	}
 	e.InstanceList.Set(listed)
 }
--- a/standin/loopback/estate.go
+++ b/standin/loopback/estate.go
@@ -4,6 +4,7 @@
 	"context"
 	"path/filepath"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/wisteriahaven/wisteriahaven/standin/instancelist"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
 	"github.com/wisteriahaven/wisteriahaven/standin/service"
+	"github.com/wisteriahaven/wisteriahaven/standin/weightstore"
 )
 
 // Times of the start and stop of an estate.
@@ -26,6 +28,12 @@
 	stopTimeout  = 10 * time.Second
 )
 
+// Rates of the platform's object API.
+const (
+	platformWritesPerSecond = 300
+	platformReadsPerSecond  = 2000
+)
+
 // Estate is a running estate.
 type Estate struct {
 	Configuration *estate.Configuration
@@ -35,24 +43,53 @@
 	Engines       map[string]*engine.Engine
 	Services      map[string]*service.Server
 	Entries       []*entry.Entry
+	WeightStore   *weightstore.Server
 	options       Options
+	settings      []settings.Settings
 }
 
-// Start starts the estate and waits until every entry instance is ready.
-func Start(options Options) (*Estate, error) {
-	e := &Estate{
+// StartStandins starts the estate without entry instances, on the addresses
+// that the example's files declare.
+func StartStandins(options Options) (*Estate, error) {
+	options.DeclaredAddresses = true
+	e := newEstate(options)
+	if err := e.startStandins(); err != nil {
+		e.Stop()
+		return nil, err
+	}
+	return e, nil
+}
+
+func newEstate(options Options) *Estate {
+	return &Estate{
 		options:  options,
 		Engines:  make(map[string]*engine.Engine),
 		Services: make(map[string]*service.Server),
 	}
-	if err := e.start(); err != nil {
+}
+
+// Start starts the estate and waits until every entry instance is ready.
+func Start(options Options) (*Estate, error) {
+	e := newEstate(options)
+	err := e.startStandins()
+	if err == nil {
+		err = e.startEntries()
+	}
+	if err == nil {
+		err = e.waitReady()
+	}
+	if err != nil {
 		e.Stop()
 		return nil, err
 	}
 	return e, nil
 }
 
-func (e *Estate) start() error {
+func (e *Estate) startStandins() error {
+	var err error
+	if e.settings, err = e.loadSettings(); err != nil {
+		return err
+	}
 	configuration, err := estate.Load(filepath.Join(e.options.Directory, "estate.json"))
 	if err != nil {
 		return err
@@ -61,22 +98,41 @@
 	if e.Keys, err = loadKeys(e.options.Directory); err != nil {
 		return fault.Wrap(fault.SettingsInvalid, "standin/loopback", "keys.json", err)
 	}
-	if e.ObjectAPI, err = objectapi.Start(objectapi.Settings{WritesPerSecond: 300, ReadsPerSecond: 2000}); err != nil {
-		return err
-	}
-	if e.InstanceList, err = instancelist.Start("", e.options.InstanceListLag); err != nil {
+	if err := e.startPlatform(); err != nil {
 		return err
 	}
 	if err := e.startBackendServers(); err != nil {
 		return err
 	}
-	if err := e.commit(); err != nil {
+	return e.commit()
+}
+
+// startPlatform starts the object API, the instance list and the weight store.
+func (e *Estate) startPlatform() error {
+	declared := e.settings[0].Platform
+	var err error
+	e.ObjectAPI, err = objectapi.Start(objectapi.Settings{
+		Address:         e.address(declared.ObjectAPI),
+		WritesPerSecond: platformWritesPerSecond,
+		ReadsPerSecond:  platformReadsPerSecond,
+	})
+	if err != nil {
 		return err
 	}
-	if err := e.startEntries(); err != nil {
+	e.InstanceList, err = instancelist.Start(e.address(declared.InstanceList), e.options.InstanceListLag)
+	if err != nil {
 		return err
 	}
-	return e.waitReady()
+	e.WeightStore, err = weightstore.Start(weightstore.Settings{Address: e.address(declared.WeightStore)})
+	return err
+}
+
+// address returns the address of a declared URL, or "" for a free port.
+func (e *Estate) address(declared string) string {
+	if !e.options.DeclaredAddresses {
+		return ""
+	}
+	return strings.TrimPrefix(declared, "http://")
 }
 
 // startBackendServers starts each declared server and fills in its address.
@@ -84,7 +140,7 @@
 	for i := range e.Configuration.BackendServers {
 		server := &e.Configuration.BackendServers[i]
 		if server.Model == "" {
-			started, err := service.Start(service.Settings{Name: server.Name})
+			started, err := service.Start(service.Settings{Name: server.Name, Address: e.address(server.Address)})
 			if err != nil {
 				return err
 			}
@@ -105,6 +161,7 @@
 func (e *Estate) engineSettings(server estate.BackendServer) engine.Settings {
 	s := e.options.Engine
 	s.Name = server.Name
+	s.Address = e.address(server.Address)
 	s.Model = server.Model
 	s.Version = server.Version
 	s.Slots = server.Slots
@@ -123,14 +180,10 @@
 }
 
 func (e *Estate) startEntries() error {
-	all, err := e.loadSettings()
-	if err != nil {
-		return err
-	}
-	if err := e.assignAddresses(all); err != nil {
+	if err := e.assignAddresses(e.settings); err != nil {
 		return err
 	}
-	for _, s := range all {
+	for _, s := range e.settings {
 		started := entry.New(s, e.options.Logger)
 		if err := started.Start(); err != nil {
 			return err
@@ -198,6 +251,9 @@
 	for _, started := range e.Services {
 		started.Stop()
 	}
+	if e.WeightStore != nil {
+		e.WeightStore.Stop()
+	}
 	if e.InstanceList != nil {
 		e.InstanceList.Stop()
 	}
--- a/standin/loopback/options.go
+++ b/standin/loopback/options.go
@@ -12,6 +12,9 @@
 type Options struct {
 	// Directory holds estate.json, keys.json and instances/.
 	Directory string
+	// DeclaredAddresses uses the addresses of the example's files in place of
+	// free ports.
+	DeclaredAddresses bool
 	// Entries bounds the entry instances; zero runs all.
 	Entries int
 	// Engine gives the speeds of every engine; names, models and slots come
