Decide the orders lease and the orders to engines

Cause: nothing replaced a dead engine's role, and a paused holder of orders could act beside a new one.

--- /dev/null
+++ b/decision/lease/input.go
@@ -0,0 +1,39 @@
+package lease
+
+// Input is what a Machine is told: Tick, ReadAnswer, CallFailed, Written,
+// Conflict or Resign. An answer carries the number of its call; the answer to a
+// call that already counts as lost is ignored.
+type Input interface{ isInput() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// ReadAnswer is the lease object as it was read.
+type ReadAnswer struct {
+	Call    uint64
+	Found   bool
+	Version uint64
+	Record  Record
+}
+
+// CallFailed means that a call has no answer; a write may have been applied.
+type CallFailed struct{ Call uint64 }
+
+// Written means that the write was applied and gave the version.
+type Written struct {
+	Call    uint64
+	Version uint64
+}
+
+// Conflict means that the write's condition did not hold.
+type Conflict struct{ Call uint64 }
+
+// Resign asks to give the lease up.
+type Resign struct{}
+
+func (Tick) isInput()       {}
+func (ReadAnswer) isInput() {}
+func (CallFailed) isInput() {}
+func (Written) isInput()    {}
+func (Conflict) isInput()   {}
+func (Resign) isInput()     {}
--- /dev/null
+++ b/decision/lease/machine_test.go
@@ -0,0 +1,270 @@
+package lease_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/lease"
+	"github.com/wisteriahaven/wisteriahaven/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.ApplyWithChecks(casesInCI)
+	os.Exit(m.Run())
+}
+
+// object is the lease object in a platform that versions it.
+type object struct {
+	found   bool
+	version uint64
+	record  lease.Record
+}
+
+func (o *object) write(w lease.Write) lease.Input {
+	if o.found != (w.IfVersion != 0) || (o.found && o.version != w.IfVersion) {
+		return lease.Conflict{Call: w.Call}
+	}
+	o.found, o.record = true, w.Record
+	o.version++
+	return lease.Written{Call: w.Call, Version: o.version}
+}
+
+// answer carries a call out.
+func (o *object) answer(call lease.Output) lease.Input {
+	if write, ok := call.(lease.Write); ok {
+		return o.write(write)
+	}
+	return o.read(call.(lease.Read))
+}
+
+func (o *object) read(r lease.Read) lease.Input {
+	return lease.ReadAnswer{Call: r.Call, Found: o.found, Version: o.version, Record: o.record}
+}
+
+// candidate is one machine with a clock of its own and calls under way.
+type candidate struct {
+	machine *lease.Machine
+	offset  time.Duration
+	rate    float64
+	pending []lease.Output
+	answers []lease.Input
+}
+
+func (c *candidate) local(now time.Duration) time.Duration {
+	return c.offset + time.Duration(float64(now)*c.rate)
+}
+
+// world is the system under test: candidates, the platform and true time.
+type world struct {
+	now        time.Duration
+	platform   object
+	candidates []*candidate
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{platform: object{version: 1}}
+	names := []string{"a", "b", "c"}
+	// Over one duration of 15 s these rates drift by at most 0.6 s, which is
+	// inside the clock bound of 1 s.
+	rates := []float64{0.98, 1, 1.02}
+	for _, name := range names {
+		w.candidates = append(w.candidates, &candidate{
+			machine: lease.New(lease.DefaultSettings(name)),
+			offset:  time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second,
+			rate:    rapid.SampledFrom(rates).Draw(t, "rate"),
+		})
+	}
+	return w
+}
+
+func (w *world) pick(t *rapid.T) *candidate {
+	return w.candidates[rapid.IntRange(0, len(w.candidates)-1).Draw(t, "candidate")]
+}
+
+func (w *world) step(c *candidate, input lease.Input) {
+	c.pending = append(c.pending, c.machine.Step(c.local(w.now), input)...)
+}
+
+// execute runs the oldest pending call at the platform and queues its answer.
+func (w *world) execute(c *candidate) {
+	if len(c.pending) == 0 {
+		return
+	}
+	call := c.pending[0]
+	c.pending = c.pending[1:]
+	c.answers = append(c.answers, w.platform.answer(call))
+}
+
+// deliver gives the candidate its oldest answer, or loses it.
+func (w *world) deliver(c *candidate, lose bool) {
+	if len(c.answers) == 0 {
+		return
+	}
+	answer := c.answers[0]
+	c.answers = c.answers[1:]
+	if lose {
+		answer = lease.CallFailed{Call: callOf(answer)}
+	}
+	w.step(c, answer)
+}
+
+// cycle lets a candidate work without failures.
+func (w *world) cycle(c *candidate) {
+	w.step(c, lease.Tick{})
+	for len(c.pending) > 0 || len(c.answers) > 0 {
+		w.execute(c)
+		w.deliver(c, false)
+	}
+}
+
+// act makes one random move.
+func (w *world) act(t *rapid.T) {
+	c := w.pick(t)
+	switch rapid.IntRange(0, 15).Draw(t, "action") {
+	case 0, 1, 2, 3, 4:
+		w.now += time.Duration(rapid.IntRange(1, 6000).Draw(t, "ms")) * time.Millisecond
+	case 5, 6, 7, 8, 9:
+		w.cycle(c)
+	case 10:
+		w.step(c, lease.Tick{})
+	case 11:
+		w.execute(c)
+	case 12:
+		w.deliver(c, false)
+	case 13:
+		w.deliver(c, true)
+	case 14:
+		w.refuse(c)
+	default:
+		if rapid.IntRange(0, 9).Draw(t, "resigns") == 0 {
+			w.step(c, lease.Resign{})
+		}
+	}
+}
+
+// refuse lets a pending call fail before it reaches the platform.
+func (w *world) refuse(c *candidate) {
+	if len(c.pending) == 0 {
+		return
+	}
+	call := c.pending[0]
+	c.pending = c.pending[1:]
+	w.step(c, lease.CallFailed{Call: numberOf(call)})
+}
+
+func numberOf(call lease.Output) uint64 {
+	if write, ok := call.(lease.Write); ok {
+		return write.Call
+	}
+	return call.(lease.Read).Call
+}
+
+func callOf(answer lease.Input) uint64 {
+	switch a := answer.(type) {
+	case lease.Written:
+		return a.Call
+	case lease.Conflict:
+		return a.Call
+	default:
+		return a.(lease.ReadAnswer).Call
+	}
+}
+
+// check is the property: at any true time at most one candidate is a valid
+// holder, and its fencing number is not above the platform's version.
+func (w *world) check(t *rapid.T) {
+	holders := 0
+	for _, c := range w.candidates {
+		fencing, valid := c.machine.Held(c.local(w.now))
+		if !valid {
+			continue
+		}
+		holders++
+		if fencing > w.platform.version {
+			t.Fatalf("fencing number %d is above the platform's version %d", fencing, w.platform.version)
+		}
+	}
+	if holders > 1 {
+		t.Fatalf("%d candidates hold the lease", holders)
+	}
+}
+
+// Size of the property test.
+const (
+	casesInCI    = 5000
+	stepsPerCase = 200
+)
+
+func TestAtMostOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range stepsPerCase {
+			w.act(t)
+			w.check(t)
+		}
+	})
+}
+
+// TestLeaseIsTakenAfterTheHolderDies checks progress: a live candidate takes
+// over within two durations.
+func TestLeaseIsTakenAfterTheHolderDies(t *testing.T) {
+	platform := object{version: 1}
+	first := lease.New(lease.DefaultSettings("first"))
+	second := lease.New(lease.DefaultSettings("second"))
+	drive(first, &platform, 0, 30*time.Second)
+	if _, valid := first.Held(30 * time.Second); !valid {
+		t.Fatal("the first candidate does not hold the lease")
+	}
+	end := 30*time.Second + 2*lease.DefaultDuration
+	drive(second, &platform, 30*time.Second, end)
+	if _, valid := second.Held(end); !valid {
+		t.Fatal("the second candidate did not take over")
+	}
+}
+
+// TestResignedLeaseIsTakenAtOnce checks that a planned stop hands over without
+// the wait.
+func TestResignedLeaseIsTakenAtOnce(t *testing.T) {
+	platform := object{version: 1}
+	first := lease.New(lease.DefaultSettings("first"))
+	second := lease.New(lease.DefaultSettings("second"))
+	drive(first, &platform, 0, 10*time.Second)
+	run(first, &platform, 10*time.Second, lease.Resign{})
+	if !first.Resigned() {
+		t.Fatal("the first candidate did not resign")
+	}
+	drive(second, &platform, 10*time.Second, 11*time.Second)
+	if _, valid := second.Held(11 * time.Second); !valid {
+		t.Fatal("the second candidate did not take the released lease")
+	}
+}
+
+func drive(m *lease.Machine, platform *object, from, to time.Duration) {
+	for now := from; now <= to; now += 500 * time.Millisecond {
+		run(m, platform, now, lease.Tick{})
+	}
+}
+
+// run feeds one input and answers every call at once.
+func run(m *lease.Machine, platform *object, now time.Duration, input lease.Input) {
+	outputs := m.Step(now, input)
+	for len(outputs) > 0 {
+		outputs = append(outputs[1:], m.Step(now, platform.answer(outputs[0]))...)
+	}
+}
+
+// TestLateAnswerIsIgnored checks that the answer to a write that counts as
+// lost does not extend the validity of a later write.
+func TestLateAnswerIsIgnored(t *testing.T) {
+	m := lease.New(lease.DefaultSettings("first"))
+	m.Step(0, lease.Tick{})
+	write := m.Step(0, lease.ReadAnswer{Call: 1})[0].(lease.Write)
+	m.Step(4*time.Second, lease.Tick{})
+	m.Step(4*time.Second, lease.Written{Call: write.Call, Version: 9})
+	if _, valid := m.Held(4 * time.Second); valid {
+		t.Fatal("a late answer made the candidate a holder")
+	}
+}
--- /dev/null
+++ b/decision/lease/settings.go
@@ -0,0 +1,37 @@
+package lease
+
+import "time"
+
+// Settings of a Machine.
+type Settings struct {
+	// Holder names this candidate. Two incarnations of an instance need
+	// different names.
+	Holder string
+	// Duration is how long a lease is valid after a renewal was sent.
+	Duration time.Duration
+	// RenewEvery is the time between renewals and between reads.
+	RenewEvery time.Duration
+	// ClockBound is how far two clocks drift apart over one Duration.
+	ClockBound time.Duration
+	// CallTimeout is when an outstanding call counts as lost.
+	CallTimeout time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultDuration    = 15 * time.Second
+	DefaultRenewEvery  = 5 * time.Second
+	DefaultClockBound  = time.Second
+	DefaultCallTimeout = 3 * time.Second
+)
+
+// DefaultSettings returns the settings for a candidate.
+func DefaultSettings(holder string) Settings {
+	return Settings{
+		Holder:      holder,
+		Duration:    DefaultDuration,
+		RenewEvery:  DefaultRenewEvery,
+		ClockBound:  DefaultClockBound,
+		CallTimeout: DefaultCallTimeout,
+	}
+}
--- /dev/null
+++ b/decision/orders/order.go
@@ -0,0 +1,14 @@
+package orders
+
+import "github.com/wisteriahaven/wisteriahaven/engineapi"
+
+// Order is one order to one engine with its reason.
+type Order struct {
+	Server string
+	// Kind is OrderLoad or OrderUnload.
+	Kind    engineapi.OrderKind
+	Wish    Assignment
+	Fencing uint64
+	// Reason explains the order in one line.
+	Reason string
+}
--- a/estate/validate_services.go
+++ b/estate/validate_services.go
@@ -107,6 +107,12 @@
 }
 
 func (v *validator) engine(path string, server BackendServer, service Service) {
+	if server.Spare {
+		if server.Model != "" || server.Version != "" {
+			v.problems.Add(path+".model", "a spare server has no model of its own")
+		}
+		return
+	}
 	model, declared := v.names.models[server.Model]
 	v.reference(path+".model", "model", server.Model, declared)
 	if !declared {
--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -2,19 +2,35 @@
 // the command line gives one.
 package fixedseed
 
-import "flag"
+import (
+	"flag"
+	"strconv"
+)
 
 // defaultSeed is the seed of every run without -rapid.seed.
 const defaultSeed = "1"
 
 // Apply fixes the seed of rapid. Call it from TestMain before m.Run.
 func Apply() {
-	flag.Parse()
+	setUnlessGiven("rapid.seed", defaultSeed)
+}
+
+// ApplyWithChecks fixes the seed and the number of cases of rapid.
+func ApplyWithChecks(checks int) {
+	Apply()
+	setUnlessGiven("rapid.checks", strconv.Itoa(checks))
+}
+
+// setUnlessGiven sets a flag that the command line does not give.
+func setUnlessGiven(name, value string) {
+	if !flag.Parsed() {
+		flag.Parse()
+	}
 	given := false
 	flag.Visit(func(f *flag.Flag) {
-		given = given || f.Name == "rapid.seed"
+		given = given || f.Name == name
 	})
 	if !given {
-		_ = flag.Set("rapid.seed", defaultSeed)
+		_ = flag.Set(name, value)
 	}
 }
