Give orders to engines under a lease and replace dead ones

Cause: the decisions on orders had no duty that carries them out. Change: control/orders holds the lease of a data centre, observes the engines and orders spares to load what dead engines served; stand-in engines load through the rate-limited weight store.

--- /dev/null
+++ b/control/orders/lease_keeper.go
@@ -0,0 +1,95 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/lease"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// leasePrefix is the prefix of the lease objects' keys.
+const leasePrefix = "lease/orders/"
+
+// leaseKeeper runs a lease machine against the platform. It belongs to one
+// goroutine; calls to the platform run in others and come back over answers.
+type leaseKeeper struct {
+	key     string
+	store   platform.Store
+	machine *lease.Machine
+	started time.Time
+	answers chan lease.Input
+}
+
+func newLeaseKeeper(dataCentre string, store platform.Store, settings lease.Settings) *leaseKeeper {
+	return &leaseKeeper{
+		key:     leasePrefix + dataCentre,
+		store:   store,
+		machine: lease.New(settings),
+		started: time.Now(),
+		answers: make(chan lease.Input, 1),
+	}
+}
+
+// now returns the local monotonic time.
+func (k *leaseKeeper) now() time.Duration { return time.Since(k.started) }
+
+// held returns the fencing number when the lease is valid.
+func (k *leaseKeeper) held() (uint64, bool) { return k.machine.Held(k.now()) }
+
+// step feeds one input and starts the calls that come out.
+func (k *leaseKeeper) step(ctx context.Context, input lease.Input) {
+	for _, output := range k.machine.Step(k.now(), input) {
+		go k.call(ctx, output)
+	}
+}
+
+// call makes one platform call and hands its answer back.
+func (k *leaseKeeper) call(ctx context.Context, output lease.Output) {
+	answer := k.exchange(ctx, output)
+	select {
+	case k.answers <- answer:
+	case <-ctx.Done():
+	}
+}
+
+func (k *leaseKeeper) exchange(ctx context.Context, output lease.Output) lease.Input {
+	if write, ok := output.(lease.Write); ok {
+		return k.write(ctx, write)
+	}
+	return k.read(ctx, output.(lease.Read).Call)
+}
+
+func (k *leaseKeeper) read(ctx context.Context, call uint64) lease.Input {
+	object, err := k.store.Get(ctx, k.key)
+	if fault.HasCode(err, fault.NotFound) {
+		return lease.ReadAnswer{Call: call}
+	}
+	answer := lease.ReadAnswer{Call: call, Found: true, Version: object.Version}
+	if err != nil || json.Unmarshal(object.Value, &answer.Record) != nil {
+		return lease.CallFailed{Call: call}
+	}
+	return answer
+}
+
+func (k *leaseKeeper) write(ctx context.Context, write lease.Write) lease.Input {
+	value, err := json.Marshal(write.Record)
+	if err != nil {
+		return lease.CallFailed{Call: write.Call}
+	}
+	condition := platform.IfAbsent()
+	if write.IfVersion != 0 {
+		condition = platform.IfVersion(write.IfVersion)
+	}
+	version, err := k.store.Put(ctx, k.key, value, condition)
+	switch {
+	case err == nil:
+		return lease.Written{Call: write.Call, Version: version}
+	case fault.HasCode(err, fault.PlatformConflict):
+		return lease.Conflict{Call: write.Call}
+	default:
+		return lease.CallFailed{Call: write.Call}
+	}
+}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/wisteriahaven/wisteriahaven/control/orders"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 )
@@ -17,6 +18,7 @@
 	Stopping   bool               `json:"stopping"`
 	InFlight   int                `json:"in_flight"`
 	Revision   uint64             `json:"revision"`
+	Orders     orders.Status      `json:"orders"`
 	Duties     []duty.Status      `json:"duties"`
 	Decisions  []serving.Decision `json:"decisions"`
 }
@@ -30,6 +32,7 @@
 		Ready:      e.Ready(),
 		Stopping:   e.stopping.Load(),
 		InFlight:   e.callers.InFlight(),
+		Orders:     e.orders.Status(),
 		Duties:     append(e.duties.Status(), e.serve.Status()...),
 		Decisions:  e.recorder.Recent(dumpedDecisions),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/control/configuration"
+	"github.com/wisteriahaven/wisteriahaven/control/orders"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -41,6 +42,7 @@
 	recorder  *explain.Recorder
 	callers   *caller.Server
 	operators *operatorServer
+	orders    *orders.Keeper
 	addresses Addresses
 	stopping  atomic.Bool
 }
@@ -93,6 +95,7 @@
 		Generator:     generator,
 		Caller:        calls,
 	}, e.logger)
+	e.orders = e.newOrdersKeeper()
 	e.operators = newOperatorServer(e)
 }
 
@@ -117,6 +120,7 @@
 	}
 	e.addresses = Addresses{Callers: callers.Addr().String(), Operators: operators.Addr().String()}
 	e.duties.Go("configuration", e.follower.Run)
+	e.duties.Go("orders", e.orders.Run)
 	e.serve.Go("callers", func(context.Context) { _ = e.callers.Serve(callers) })
 	e.serve.Go("operators", func(context.Context) { _ = e.operators.serve(operators) })
 	event.Log(e.logger, event.ProcessStarted).
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -35,6 +35,7 @@
 	running  bool
 	paused   bool
 	listener *faultnet.Listener
+	context  context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 }
@@ -81,7 +82,7 @@
 	e.running, e.paused = true, false
 	e.listener = listener
 	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
+	e.context, e.cancel = ctx, cancel
 	server := &fasthttp.Server{Handler: e.handle, Name: "engine", NoDefaultDate: true, Logger: faultnet.Quiet{}}
 	e.wait.Go(func() { _ = server.Serve(listener) })
 	e.wait.Go(func() { e.runBatch(ctx) })
@@ -179,3 +180,10 @@
 	extra := max(0, running-1)
 	return e.settings.TokenTime + time.Duration(extra)*e.settings.TokenTimePerStream
 }
+
+// Assignment returns the model and version that the engine serves.
+func (e *Engine) Assignment() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders.Model + " " + e.orders.Version
+}
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -70,7 +70,7 @@
 		return nil, fasthttp.StatusInternalServerError
 	}
 	defer e.mu.Unlock()
-	if e.faults.RefuseNew || e.faults.Leaving || !e.running {
+	if e.faults.RefuseNew || e.faults.Leaving || !e.running || e.orders.Loading {
 		return nil, fasthttp.StatusServiceUnavailable
 	}
 	if request.Model != e.orders.Model || (request.Version != "" && request.Version != e.orders.Version) {
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,11 +1,21 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
+	"net/url"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/wisteriahaven/wisteriahaven/engineapi"
+	"github.com/wisteriahaven/wisteriahaven/standin/weightstore"
+)
+
+// Times of a load at the weight store.
+const (
+	weightsRetry   = 20 * time.Millisecond
+	weightsTimeout = 10 * time.Second
 )
 
 func (e *Engine) orderState() engineapi.OrderState {
@@ -40,11 +50,46 @@
 	}
 	switch order.Kind {
 	case engineapi.OrderLoad:
-		e.orders.Model, e.orders.Version = order.Model, order.Version
+		e.loadLocked(order.Model, order.Version)
 	case engineapi.OrderUnload:
-		e.orders.Model, e.orders.Version = "", ""
+		e.orders.Model, e.orders.Version, e.orders.Loading = "", "", false
 	case engineapi.OrderRole:
 		e.orders.Role = order.Role
 	}
 	return e.orders, true
 }
+
+// loadLocked starts the load of a model unless the engine has it.
+func (e *Engine) loadLocked(model, version string) {
+	if e.orders.Model == model && e.orders.Version == version {
+		return
+	}
+	e.orders.Model, e.orders.Version = model, version
+	if e.settings.WeightStore == "" || !e.running {
+		return
+	}
+	e.orders.Loading = true
+	ctx := e.context
+	e.wait.Go(func() { e.fetchWeights(ctx, model, version) })
+}
+
+// fetchWeights loads from the weight store until it is let in.
+func (e *Engine) fetchWeights(ctx context.Context, model, version string) {
+	query := url.Values{"model": {model}, "version": {version}}
+	address := e.settings.WeightStore + weightstore.WeightsPath + "?" + query.Encode()
+	for ctx.Err() == nil {
+		status, _, err := fasthttp.GetTimeout(nil, address, weightsTimeout)
+		if err == nil && status == fasthttp.StatusOK {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(weightsRetry):
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.orders.Model == model && e.orders.Version == version {
+		e.orders.Loading = false
+	}
+}
--- a/standin/loopback/estate.go
+++ b/standin/loopback/estate.go
@@ -139,7 +139,7 @@
 func (e *Estate) startBackendServers() error {
 	for i := range e.Configuration.BackendServers {
 		server := &e.Configuration.BackendServers[i]
-		if server.Model == "" {
+		if server.Model == "" && !server.Spare {
 			started, err := service.Start(service.Settings{Name: server.Name, Address: e.address(server.Address)})
 			if err != nil {
 				return err
@@ -166,6 +166,7 @@
 	s.Version = server.Version
 	s.Slots = server.Slots
 	s.ChecksFencing = server.ChecksFencing
+	s.WeightStore = e.WeightStore.URL()
 	return s
 }
 
