--- /dev/null
+++ b/decision/load/slowstart.go
@@ -0,0 +1,12 @@
+package load
+
+import "time"
+
+// SlowStart returns the factor between floor and 1 by which a server's slots
+// count while it is new, so that a cold cache isn't flooded.
+func SlowStart(age, ramp time.Duration, floor float64) float64 {
+	if ramp <= 0 || age >= ramp {
+		return 1
+	}
+	return floor + (1-floor)*max(0, float64(age))/float64(ramp)
+}
