--- a/decision/load/tracker.go
+++ b/decision/load/tracker.go
@@ -37,9 +37,11 @@
 	t.remember(now, -1)
 }
 
-// Reported takes a report. One that is older than the last of the same boot
-// is ignored.
+// Reported takes a report. One that is older than the last is ignored.
 func (t *Tracker) Reported(report Report) {
+	if t.reported && report.Observed < t.report.Observed {
+		return
+	}
 	if t.reported && report.BootID == t.report.BootID && report.Sequence <= t.report.Sequence {
 		return
 	}
--- /dev/null
+++ b/decision/routing/filter/reachable.go
@@ -0,0 +1,14 @@
+package filter
+
+import "github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
+
+// Reachable removes servers of which nothing was heard for too long.
+type Reachable struct{}
+
+// Name implements Filter.
+func (Reachable) Name() string { return "unreachable" }
+
+// Keep implements Filter.
+func (Reachable) Keep(view *snapshot.View, server int) bool {
+	return !view.States.State(server).Unreachable
+}
--- /dev/null
+++ b/decision/routing/pick/doc.go
@@ -0,0 +1,2 @@
+// Package pick chooses one of the scored servers.
+package pick
--- /dev/null
+++ b/decision/routing/snapshot/state.go
@@ -0,0 +1,37 @@
+package snapshot
+
+// State is what changes about a server between two revisions.
+type State struct {
+	// Held is the estimated number of requests at the server.
+	Held int
+	// Capacity is the number of requests it takes at full speed; a new
+	// server's is reduced by its slow start.
+	Capacity float64
+	// Leaving means that the server takes no new work.
+	Leaving bool
+	// BreakerOpen means that the circuit breaker allows no attempt.
+	BreakerOpen bool
+	// Unreachable means that nothing was heard of it for too long.
+	Unreachable bool
+	// OtherVersion means that the server reports another model or version
+	// than the configuration names.
+	OtherVersion bool
+	// Suspects is how many suspect requests run on the server.
+	Suspects int
+}
+
+// Load returns the held requests as a fraction of the capacity.
+func (s State) Load() float64 {
+	return float64(s.Held) / max(s.Capacity, 1)
+}
+
+// StateSource gives the state of a server by its index in the snapshot.
+type StateSource interface {
+	State(server int) State
+}
+
+// States is a StateSource over a slice.
+type States []State
+
+// State implements StateSource.
+func (s States) State(server int) State { return s[server] }
--- a/serving/router.go
+++ b/serving/router.go
@@ -12,8 +12,20 @@
 	PurposeOverlap Purpose = "overlap"
 	PurposeRetry   Purpose = "retry"
 	PurposeHedge   Purpose = "hedge"
+	// PurposeOverflow serves a request that another data centre handed over.
+	PurposeOverflow Purpose = "overflow"
+	// PurposeShift serves a request whose region an operator shifted away.
+	PurposeShift Purpose = "shift"
 )
 
+// Purposes returns every purpose.
+func Purposes() []Purpose {
+	return []Purpose{
+		PurposeFirst, PurposeResume, PurposeOverlap, PurposeRetry,
+		PurposeHedge, PurposeOverflow, PurposeShift,
+	}
+}
+
 // RouteRequest asks for a backend server for one attempt.
 type RouteRequest struct {
 	// RequestID identifies the request in explanations.
