--- /dev/null
+++ b/decision/share/book.go
@@ -0,0 +1,123 @@
+package share
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// AccountReport is what an instance tells the others about one account.
+type AccountReport struct {
+	Account string
+	Reports [Kinds]Report
+}
+
+// weight orders reports by what the others need most: shares and demand.
+func (r AccountReport) weight() int {
+	sum := 0
+	for _, report := range r.Reports {
+		sum += report.Demand + report.Reserved
+	}
+	return sum
+}
+
+// PeerReports are the reports of one member.
+type PeerReports struct {
+	Instance   string
+	DataCentre string
+	HeardAt    time.Duration
+	Heard      bool
+	Accounts   map[string][Kinds]Report
+}
+
+// Account is the input about one account.
+type Account struct {
+	Name   string
+	Limits Amounts
+	Demand Amounts
+}
+
+// Book keeps the shares of one instance of every limit of every account.
+type Book struct {
+	config     Config
+	instance   string
+	dataCentre string
+	random     *rand.Rand
+	holders    map[string]*[Kinds]*Holder
+}
+
+// NewBook returns a book without shares.
+func NewBook(config Config, instance, dataCentre string, random *rand.Rand) *Book {
+	return &Book{
+		config: config, instance: instance, dataCentre: dataCentre,
+		random: random, holders: make(map[string]*[Kinds]*Holder),
+	}
+}
+
+// Shares returns the shares in use of an account.
+func (b *Book) Shares(account string) Amounts {
+	var shares Amounts
+	if held, ok := b.holders[account]; ok {
+		for kind, holder := range held {
+			shares[kind] = holder.Share()
+		}
+	}
+	return shares
+}
+
+// Step moves every share and returns the reports, those that the others need
+// most first, so that a bounded message takes the first ones. Accounts that
+// are not named any more are forgotten.
+func (b *Book) Step(now time.Duration, accounts []Account, peers []PeerReports) []AccountReport {
+	reports := make([]AccountReport, 0, len(accounts))
+	named := make(map[string]bool, len(accounts))
+	for _, account := range accounts {
+		named[account.Name] = true
+		reports = append(reports, b.stepAccount(now, account, peers))
+	}
+	for name := range b.holders {
+		if !named[name] {
+			delete(b.holders, name)
+		}
+	}
+	slices.SortStableFunc(reports, func(a, b AccountReport) int {
+		if order := cmp.Compare(b.weight(), a.weight()); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.Account, b.Account)
+	})
+	return reports
+}
+
+func (b *Book) stepAccount(now time.Duration, account Account, peers []PeerReports) AccountReport {
+	held, ok := b.holders[account.Name]
+	if !ok {
+		held = b.newHolders(account.Name)
+	}
+	result := AccountReport{Account: account.Name}
+	for kind, holder := range held {
+		if account.Limits[kind] == 0 {
+			continue
+		}
+		input := Input{Limit: account.Limits[kind], Demand: account.Demand[kind], Peers: make([]Peer, 0, len(peers))}
+		for _, peer := range peers {
+			input.Peers = append(input.Peers, Peer{
+				Instance: peer.Instance, DataCentre: peer.DataCentre,
+				Report: peer.Accounts[account.Name][kind], HeardAt: peer.HeardAt, Heard: peer.Heard,
+			})
+		}
+		result.Reports[kind] = holder.Step(now, input)
+	}
+	return result
+}
+
+func (b *Book) newHolders(account string) *[Kinds]*Holder {
+	var held [Kinds]*Holder
+	for kind := range held {
+		key := account + "/" + Kind(kind).String()
+		held[kind] = NewHolder(b.config, key, b.instance, b.dataCentre, b.random)
+	}
+	b.holders[account] = &held
+	return &held
+}
--- /dev/null
+++ b/decision/share/divide.go
@@ -0,0 +1,56 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wisteriahaven/wisteriahaven/rendezvous"
+)
+
+// claimant is one instance that takes part in a division.
+type claimant struct {
+	instance string
+	demand   int
+	// part is the result.
+	part int
+}
+
+// divide gives each claimant its demand up to a common level and divides the
+// rest equally. The parts sum to total exactly; what can't be divided goes to
+// the claimants with the highest rendezvous weight for the key.
+func divide(key string, total int, claimants []claimant) {
+	if len(claimants) == 0 || total <= 0 {
+		return
+	}
+	order := make([]*claimant, len(claimants))
+	for i := range claimants {
+		order[i] = &claimants[i]
+	}
+	slices.SortFunc(order, func(a, b *claimant) int {
+		if byDemand := cmp.Compare(a.demand, b.demand); byDemand != 0 {
+			return byDemand
+		}
+		if byWeight := cmp.Compare(rendezvous.Weight(key, a.instance), rendezvous.Weight(key, b.instance)); byWeight != 0 {
+			return byWeight
+		}
+		return cmp.Compare(a.instance, b.instance)
+	})
+	left := total
+	for i, one := range order {
+		one.part = min(one.demand, left/(len(order)-i))
+		left -= one.part
+	}
+	spread(left, order)
+}
+
+// spread divides what is over equally; the claimants at the end of the order
+// get the remainder.
+func spread(left int, order []*claimant) {
+	each, remainder := left/len(order), left%len(order)
+	for i, one := range order {
+		one.part += each
+		if i >= len(order)-remainder {
+			one.part++
+		}
+	}
+}
