--- /dev/null
+++ b/decision/admission/arrival.go
@@ -0,0 +1,19 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+)
+
+// Arrival is a request that asks to run.
+type Arrival struct {
+	ID      string
+	Account estate.ClientAccount
+	Service string
+	// Tokens is the bound on the answer, zero for calls.
+	Tokens   int
+	Priority int
+	// Deadline is when the request must have started.
+	Deadline time.Duration
+}
--- /dev/null
+++ b/decision/admission/config.go
@@ -0,0 +1,28 @@
+package admission
+
+import "time"
+
+// Config bounds what waits.
+type Config struct {
+	// Queued bounds the waiting requests of one service.
+	Queued int
+	// MaxWait is the longest expected wait before load is shed.
+	MaxWait time.Duration
+	// ShareWait is when a client comes back to an account without a share on
+	// this instance: the time in which shares move.
+	ShareWait time.Duration
+	// MinRetry and MaxRetry bound the time told to clients.
+	MinRetry time.Duration
+	MaxRetry time.Duration
+}
+
+// DefaultConfig returns the values used by entry instances.
+func DefaultConfig() Config {
+	return Config{
+		Queued:    256,
+		MaxWait:   10 * time.Second,
+		ShareWait: 2 * time.Second,
+		MinRetry:  time.Second,
+		MaxRetry:  60 * time.Second,
+	}
+}
--- /dev/null
+++ b/decision/admission/entry.go
@@ -0,0 +1,10 @@
+package admission
+
+import "time"
+
+// entry is one request that waits or runs.
+type entry struct {
+	arrival Arrival
+	running bool
+	started time.Duration
+}
