Serve through the routing and admission decisions

The router keeps a load tracker and a breaker for each backend server, polls their load and counts cross-region bytes by client account. Admission divides the limits equally between the seeds until an exchange is joined.

--- a/decision/share/doc.go
+++ b/decision/share/doc.go
@@ -19,5 +19,7 @@
 // When another data centre is cut off, its peers count with the shares they
 // had. Instances then pass shares on only within their own data centre, up to
 // the sum that it held when the cut was noticed. A peer that died is removed
-// by its data centre's membership, not by silence.
+// by its data centre's membership, not by silence. An instance that never
+// counted a peer takes the whole limit at once, so the caller names the members that it
+// knows from settings or lists before they are heard.
 package share
--- a/decision/share/exchange_test.go
+++ b/decision/share/exchange_test.go
@@ -47,6 +47,8 @@
 	loss    float64
 	// cut[a][b] means that reports from data centre a don't reach b.
 	cut map[[2]string]bool
+	// fixed means that membership never removes an instance.
+	fixed bool
 	// above is how long the sum has been above the limit without a break.
 	above    time.Duration
 	maxAbove time.Duration
@@ -140,7 +142,7 @@
 	}
 	var peers []share.Peer
 	for i, other := range x.nodes {
-		if i == index || (silent(i) && heard[other.dataCentre]) {
+		if i == index || (!x.fixed && silent(i) && heard[other.dataCentre]) {
 			continue
 		}
 		peer := n.peers[i]
--- a/decision/share/holder.go
+++ b/decision/share/holder.go
@@ -27,6 +27,7 @@
 	frozen    int
 	lastStep  time.Duration
 	stepped   bool
+	hadPeers  bool
 }
 
 // NewHolder returns a holder without a share. The key names the account and
@@ -50,11 +51,20 @@
 		h.reserved = h.settled
 	}
 	h.stepped, h.lastStep = true, now
+	h.hadPeers = h.hadPeers || len(input.Peers) > 0
+	if !h.hadPeers {
+		h.settled, h.reserved, h.frozen = input.Limit, input.Limit, Unfrozen
+		return h.report(input)
+	}
 	scope := h.scope(now, input)
 	h.shrink(scope, input)
 	h.settle(now, scope)
 	h.give(now, scope)
 	h.reserve(now, scope)
+	return h.report(input)
+}
+
+func (h *Holder) report(input Input) Report {
 	return Report{Demand: input.Demand, Settled: h.settled, Reserved: h.reserved, Frozen: h.frozen}
 }
 
--- a/decision/share/holder_test.go
+++ b/decision/share/holder_test.go
@@ -15,6 +15,7 @@
 		is := is.NewRelaxed(t)
 		dataCentres := rapid.SliceOfN(rapid.SampledFrom([]string{"d1", "d2", "d3"}), 1, 9).Draw(t, "instances")
 		x := newExchange(rapid.IntRange(0, 60).Draw(t, "limit"), rapid.Uint64().Draw(t, "seed"), dataCentres...)
+		x.fixed = true
 		x.loss = float64(rapid.IntRange(0, 4).Draw(t, "loss")) / 10
 		place := rapid.SampledFrom([]string{"d1", "d2", "d3"})
 		t.Repeat(map[string]func(*rapid.T){
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/wisteriahaven/wisteriahaven/control/orders"
+	"github.com/wisteriahaven/wisteriahaven/decision/admission"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/serving"
+	"github.com/wisteriahaven/wisteriahaven/serving/routing"
 )
 
 // dumpedDecisions bounds the decisions in a dump.
@@ -21,6 +23,11 @@
 	Orders     orders.Status      `json:"orders"`
 	Duties     []duty.Status      `json:"duties"`
 	Decisions  []serving.Decision `json:"decisions"`
+	// Queues and Servers are the state of admission and of routing.
+	Queues  []admission.ServiceState `json:"queues"`
+	Servers []routing.ServerStatus   `json:"servers"`
+	// CrossRegionBytes counts answer bytes from other regions by account.
+	CrossRegionBytes map[string]uint64 `json:"cross_region_bytes"`
 }
 
 // Dump returns the state of the instance.
@@ -35,6 +42,10 @@
 		Orders:     e.orders.Status(),
 		Duties:     append(e.duties.Status(), e.serve.Status()...),
 		Decisions:  e.recorder.Recent(dumpedDecisions),
+		Queues:     e.admitter.Services(),
+		Servers:    e.router.Status(),
+
+		CrossRegionBytes: e.router.Traffic().CrossRegionBytes(),
 	}
 	if current := e.follower.Current(); current != nil {
 		dump.Revision = current.Revision
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,8 @@
 	store     platform.Store
 	follower  *configuration.Follower
 	recorder  *explain.Recorder
+	router    *routing.Router
+	admitter  *admission.Controller
 	callers   *caller.Server
 	operators *operatorServer
 	orders    *orders.Keeper
@@ -72,9 +74,7 @@
 
 // assemble joins the parts of the serving path.
 func (e *Entry) assemble() {
-	place := routing.Place{DataCentre: e.settings.DataCentre, Region: e.settings.Region}
-	router := routing.New(e.follower, place)
-	admitter := admission.New(e.follower)
+	router, admitter := e.assembleChoices()
 	requestGuard := guard.Open{}
 	generator := generation.New(generation.Parts{
 		Router:   router,
@@ -99,6 +99,25 @@
 	e.operators = newOperatorServer(e)
 }
 
+// assembleChoices returns what decides who is served and where.
+func (e *Entry) assembleChoices() (*routing.Router, *admission.Controller) {
+	place := routing.Place{DataCentre: e.settings.DataCentre, Region: e.settings.Region}
+	e.router = routing.New(e.follower, routing.Options{Instance: e.settings.Instance, Place: place})
+	others := make([]string, 0, len(e.settings.Seeds))
+	for _, seed := range e.settings.Seeds {
+		if seed.Instance != e.settings.Instance {
+			others = append(others, seed.Instance)
+		}
+	}
+	e.router.SetInstances(len(others) + 1)
+	e.admitter = admission.New(e.follower, e.router, nil, admission.Options{
+		Instance:   e.settings.Instance,
+		DataCentre: e.settings.DataCentre,
+		Others:     others,
+	})
+	return e.router, e.admitter
+}
+
 func (e *Entry) callerOptions() caller.Options {
 	return caller.Options{
 		BodyBytes:   e.settings.Limits.BodyBytes,
@@ -121,6 +140,8 @@
 	e.addresses = Addresses{Callers: callers.Addr().String(), Operators: operators.Addr().String()}
 	e.duties.Go("configuration", e.follower.Run)
 	e.duties.Go("orders", e.orders.Run)
+	e.duties.Go("admission", e.admitter.Run)
+	e.duties.Go("load reports", routing.NewPoller(e.router, e.settings.Intervals.LoadReport.Std(), e.logger).Run)
 	e.serve.Go("callers", func(context.Context) { _ = e.callers.Serve(callers) })
 	e.serve.Go("operators", func(context.Context) { _ = e.operators.serve(operators) })
 	event.Log(e.logger, event.ProcessStarted).
@@ -135,7 +156,7 @@
 
 // Ready reports whether the instance can serve.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.follower.Current() != nil
+	return !e.stopping.Load() && e.follower.Current() != nil && e.admitter.Ready()
 }
 
 // Stop is a planned stop: the instance becomes unready, closes its listeners,
--- a/serving/admission.go
+++ b/serving/admission.go
@@ -19,6 +19,8 @@
 	Service   string
 	// MaxTokens is the caller's bound on the answer, zero for calls.
 	MaxTokens int
+	// Priority orders the requests of one account; higher runs first.
+	Priority int
 }
 
 // Ticket is the permission to run one request.
--- /dev/null
+++ b/serving/admission/controller_test.go
@@ -0,0 +1,171 @@
+package admission_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/share"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+	"github.com/wisteriahaven/wisteriahaven/serving/admission"
+)
+
+// source is a ConfigurationSource and a CapacitySource.
+type source struct {
+	configuration *estate.Configuration
+	capacity      int
+}
+
+func (s *source) Current() *estate.Configuration { return s.configuration }
+
+func (s *source) Capacities() []serving.Capacity {
+	return []serving.Capacity{{Service: "s", Requests: s.capacity}}
+}
+
+func newSource(capacity int, limits estate.AccountLimits) *source {
+	sum := sha256.Sum256([]byte("secret"))
+	account := estate.ClientAccount{Name: "a", KeyHashes: []string{hex.EncodeToString(sum[:])}, Limits: limits}
+	return &source{&estate.Configuration{ClientAccounts: []estate.ClientAccount{account}}, capacity}
+}
+
+func (s *source) request() serving.AdmissionRequest {
+	return serving.AdmissionRequest{Account: s.configuration.ClientAccounts[0], Service: "s"}
+}
+
+func TestAuthentication(t *testing.T) {
+	is := is.New(t)
+	s := newSource(1, estate.AccountLimits{})
+	c := admission.New(s, s, nil, admission.Options{Seed: 1})
+	account, err := c.Authenticate("secret")
+	is.NoErr(err)
+	is.Equal(account.Name, "a")
+	for _, bearer := range []string{"", "wrong", s.configuration.ClientAccounts[0].KeyHashes[0]} {
+		_, err = c.Authenticate(bearer)
+		is.True(fault.HasCode(err, fault.Unauthenticated))
+		is.Equal(fault.From(err).Execution, fault.ExecutionNotRun)
+	}
+	s.configuration = &estate.Configuration{}
+	_, err = c.Authenticate("secret")
+	is.True(fault.HasCode(err, fault.Unauthenticated)) // a removed key ends with the revision
+}
+
+func TestReleaseLetsTheNextRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSource(1, estate.AccountLimits{})
+		c := admission.New(s, s, nil, admission.Options{Seed: 1})
+		first, err := c.Admit(t.Context(), s.request())
+		is.NoErr(err)
+		admitted := make(chan error, 1)
+		go func() {
+			ticket, err := c.Admit(t.Context(), s.request())
+			if err == nil {
+				ticket.Release()
+			}
+			admitted <- err
+		}()
+		synctest.Wait()
+		is.Equal(c.Services()[0].Waiting, 1)
+		first.Release()
+		first.Release()
+		is.NoErr(<-admitted)
+		is.Equal(c.Services()[0].Running, 0)
+	})
+}
+
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSource(1, estate.AccountLimits{})
+		c := admission.New(s, s, nil, admission.Options{Seed: 1})
+		_, err := c.Admit(t.Context(), s.request())
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err = c.Admit(ctx, s.request())
+		is.True(fault.HasCode(err, fault.DeadlinePassed))
+		is.Equal(c.Services()[0].Waiting, 0)
+	})
+}
+
+// exchange joins controllers in one process.
+type exchange struct {
+	mu      sync.Mutex
+	reports map[string]serving.LimitPeer
+}
+
+// side is one controller's end of an exchange.
+type side struct {
+	*exchange
+	name string
+}
+
+func (s side) Period() time.Duration { return time.Second }
+
+func (s side) Publish(reports []share.AccountReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peer := serving.LimitPeer{Instance: s.name, HeardAt: time.Now(), Heard: true, Accounts: make(map[string][share.Kinds]share.Report)}
+	for _, report := range reports {
+		peer.Accounts[report.Account] = report.Reports
+	}
+	s.reports[s.name] = peer
+}
+
+func (s side) LimitPeers() []serving.LimitPeer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []serving.LimitPeer
+	for _, name := range []string{"one", "two"} {
+		if peer, ok := s.reports[name]; name != s.name && ok {
+			peers = append(peers, peer)
+		} else if name != s.name {
+			peers = append(peers, serving.LimitPeer{Instance: name})
+		}
+	}
+	return peers
+}
+
+func TestSharesFollowDemandOverTheExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSource(100, estate.AccountLimits{RequestsInFlight: 8})
+		joined := &exchange{reports: make(map[string]serving.LimitPeer)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var controllers []*admission.Controller
+		for _, name := range []string{"one", "two"} {
+			c := admission.New(s, s, side{joined, name}, admission.Options{Instance: name, Seed: 1})
+			controllers = append(controllers, c)
+			go c.Run(ctx)
+		}
+		is.True(!controllers[0].Ready())
+		time.Sleep(10 * time.Second)
+		is.True(controllers[0].Ready())
+		held, refused := 0, 0
+		for range 20 { // all the demand is at one instance
+			for range 2 {
+				if _, err := controllers[0].Admit(ctx, s.request()); err == nil {
+					held++
+				} else {
+					refused++
+					is.True(fault.HasCode(err, fault.AccountLimit))
+					is.True(fault.From(err).RetryAfter > 0)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		is.Equal(held, 8) // the whole limit and no more
+		is.True(refused > 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/serving/admission/shares.go
@@ -0,0 +1,112 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/share"
+)
+
+// tick is how often deadlines and capacities are looked at.
+const tick = 100 * time.Millisecond
+
+// readyPeriods is the number of exchange periods until the first shares.
+const readyPeriods = 4
+
+// Run keeps deadlines, capacities and shares up to date until the context
+// ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var exchanged time.Duration
+	for {
+		c.step()
+		if c.exchange != nil && c.now()-exchanged >= c.exchange.Period() {
+			exchanged = c.now()
+			c.stepShares()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) step() {
+	capacities := c.capacity.Capacities()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh()
+	now := c.now()
+	for _, capacity := range capacities {
+		c.apply(c.core.SetCapacity(now, capacity.Service, capacity.Requests))
+	}
+	c.apply(c.core.Expire(now))
+}
+
+// refresh sets capacities and equal shares when a new configuration is in
+// force, so that a new account or service is not refused until the next tick.
+func (c *Controller) refresh() {
+	current := c.configuration.Current()
+	if current == nil || current == c.limited {
+		return
+	}
+	c.limited = current
+	for _, capacity := range c.capacity.Capacities() {
+		c.apply(c.core.SetCapacity(c.now(), capacity.Service, capacity.Requests))
+	}
+	if c.exchange != nil {
+		return
+	}
+	for _, account := range current.ClientAccounts {
+		limits := share.LimitsOf(account.Limits)
+		var shares share.Amounts
+		for kind, limit := range limits {
+			key := account.Name + "/" + share.Kind(kind).String()
+			shares[kind] = share.Equal(key, limit, c.options.Instance, c.options.Others)
+		}
+		c.core.SetShares(account.Name, limits, shares)
+	}
+}
+
+// stepShares closes an exchange period: it divides the limits again and
+// publishes this instance's reports.
+func (c *Controller) stepShares() {
+	current := c.configuration.Current()
+	if current == nil {
+		return
+	}
+	peers := c.peers()
+	c.mu.Lock()
+	period := c.exchange.Period()
+	accounts := make([]share.Account, 0, len(current.ClientAccounts))
+	for _, account := range current.ClientAccounts {
+		accounts = append(accounts, share.Account{
+			Name:   account.Name,
+			Limits: share.LimitsOf(account.Limits),
+			Demand: c.core.Demand(account.Name, period),
+		})
+	}
+	reports := c.book.Step(c.now(), accounts, peers)
+	for _, account := range accounts {
+		c.core.SetShares(account.Name, account.Limits, c.book.Shares(account.Name))
+	}
+	c.mu.Unlock()
+	c.exchange.Publish(reports)
+	if c.now() >= readyPeriods*period {
+		c.ready.Store(true)
+	}
+}
+
+func (c *Controller) peers() []share.PeerReports {
+	listed := c.exchange.LimitPeers()
+	peers := make([]share.PeerReports, 0, len(listed))
+	for _, peer := range listed {
+		peers = append(peers, share.PeerReports{
+			Instance: peer.Instance, DataCentre: peer.DataCentre,
+			HeardAt: peer.HeardAt.Sub(c.started), Heard: peer.Heard, Accounts: peer.Accounts,
+		})
+	}
+	return peers
+}
--- a/serving/router.go
+++ b/serving/router.go
@@ -63,6 +63,9 @@
 	// Done reports the end of the attempt to load tracking and the circuit
 	// breaker.
 	Done func(AttemptOutcome)
+	// Transferred counts bytes of the attempt's answer; those that came from
+	// another region are counted for the client account.
+	Transferred func(bytes int)
 }
 
 // AttemptOutcome is how an attempt at a backend server ended.
--- /dev/null
+++ b/serving/routing/server.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/breaker"
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
+	"github.com/wisteriahaven/wisteriahaven/engineapi"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+)
+
+// server is what the instance knows about one backend server beside its
+// declaration.
+type server struct {
+	address string
+	tracker *load.Tracker
+	breaker *breaker.Breaker
+	// since is when the server was first declared, or its last new boot seen.
+	since time.Duration
+	// settled means that the server was there from the start and needs no
+	// slow start.
+	settled bool
+	report  engineapi.LoadReport
+	// reported means that report is set.
+	reported bool
+	// leaving is the mark of the membership.
+	leaving  bool
+	suspects int
+}
+
+// state returns the server's state for a choice.
+func (s *server) state(now time.Duration, declared estate.BackendServer, options Options, instances int) snapshot.State {
+	factor := 1.0
+	if !s.settled {
+		factor = load.SlowStart(now-s.since, options.SlowStart, options.SlowStartFloor)
+	}
+	return snapshot.State{
+		Held:         s.tracker.Estimate(now, instances),
+		Capacity:     factor * float64(declared.Slots),
+		Leaving:      s.leaving || (s.reported && s.report.Leaving),
+		BreakerOpen:  !s.breaker.Allows(now),
+		OtherVersion: s.otherVersion(declared),
+		Suspects:     s.suspects,
+	}
+}
+
+// otherVersion reports whether the server said that it has another model or
+// version loaded than declared.
+func (s *server) otherVersion(declared estate.BackendServer) bool {
+	if !s.reported || declared.Model == "" || s.report.Model == "" {
+		return false
+	}
+	return s.report.Model != declared.Model || s.report.Version != declared.Version
+}
+
+// reportedLoad takes a load report. A new boot starts slowly again, because
+// its cache is empty.
+func (s *server) reportedLoad(now, observed time.Duration, report engineapi.LoadReport) {
+	if s.reported && report.BootID != s.report.BootID {
+		s.since, s.settled = now, false
+	}
+	s.report, s.reported = report, true
+	s.tracker.Reported(load.Report{
+		BootID: report.BootID, Sequence: report.Sequence,
+		Held: report.Running + report.Queued, Observed: observed,
+	})
+}
