--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -159,12 +160,17 @@
 	return !e.stopping.Load() && e.follower.Current() != nil && e.admitter.Ready()
 }
 
-// Stop is a planned stop: the instance becomes unready, closes its listeners,
-// lets every running request finish and ends. When the context ends first,
+// Stop is a planned stop: the instance becomes unready, still serves for the
+// unready interval, closes its listeners, lets every running request finish and
+// ends. When the context ends first,
 // the remaining requests are cut.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
 	event.Log(e.logger, event.ProcessStopping).Int("in_flight", e.callers.InFlight()).Send()
+	select {
+	case <-ctx.Done():
+	case <-time.After(e.settings.Intervals.Unready.Std()):
+	}
 	err := e.callers.Shutdown(ctx)
 	e.close()
 	event.Log(e.logger, event.ProcessStopped).Send()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,4 +101,7 @@
 	Gossip     estate.Duration `json:"gossip,omitzero"`
 	LoadReport estate.Duration `json:"load_report,omitzero"`
 	KeepAlive  estate.Duration `json:"keep_alive,omitzero"`
+	// Unready is the time between becoming unready and closing the listeners
+	// in a planned stop, so that the balancer notices first.
+	Unready estate.Duration `json:"unready,omitzero"`
 }
