Route to spare engines by what they report

Cause: a spare that was ordered to load a model got no requests, because routing looks at the declared model.

--- a/standin/engine/reports.go
+++ b/standin/engine/reports.go
@@ -42,7 +42,7 @@
 }
 
 func (e *Engine) reportLocked(now time.Time) engineapi.LoadReport {
-	return engineapi.LoadReport{
+	report := engineapi.LoadReport{
 		BootID:            e.boot,
 		Sequence:          e.sequence,
 		Running:           len(e.batch.active),
@@ -54,6 +54,10 @@
 		Model:             e.orders.Model,
 		Version:           e.orders.Version,
 	}
+	if e.orders.Loading {
+		report.Model, report.Version = "", ""
+	}
+	return report
 }
 
 // laggedReport returns the newest report that is at least as old as the lag.
