Lose a whole data centre in the demo

Cause: the demo lost one engine and one instance, never a site. Change: a scenario that ends every instance and engine of one data centre while callers in it stream.

--- /dev/null
+++ b/demo/data_centre.go
@@ -0,0 +1,66 @@
+package demo
+
+import (
+	"context"
+	"sync"
+
+	"github.com/wisteriahaven/wisteriahaven/entry"
+)
+
+// dataCentreDies ends every entry instance and engine of one data centre while
+// callers in it stream; they continue at the instances of the others.
+func (d *Demo) dataCentreDies(ctx context.Context) Result {
+	gathered := &collector{result: Result{Scenario: "data centre lost in mid-answer"}}
+	lost := d.estate.Entries[len(d.estate.Entries)-1].Dump().DataCentre
+	inside, outside := d.split(lost)
+	addresses := []string{inside[0].Addresses().Callers}
+	for _, instance := range outside {
+		addresses = append(addresses, instance.Addresses().Callers)
+	}
+	var once sync.Once
+	var wait sync.WaitGroup
+	for i := range brokenCount {
+		wait.Go(func() {
+			generation := d.generation("data-centre-dies", i)
+			onToken := func(offset int, _ string) {
+				if offset == breakAt {
+					once.Do(func() { d.endDataCentre(lost, inside) })
+				}
+			}
+			answer, err := d.client(i, addresses).Generate(ctx, generation, onToken)
+			gathered.add(generation, answer, err)
+		})
+	}
+	wait.Wait()
+	return gathered.result
+}
+
+// split parts the running instances into those of a data centre and the others.
+func (d *Demo) split(dataCentre string) (inside, outside []*entry.Entry) {
+	for _, instance := range d.estate.Entries {
+		dump := instance.Dump()
+		switch {
+		case dump.Stopping:
+		case dump.DataCentre == dataCentre:
+			inside = append(inside, instance)
+		default:
+			outside = append(outside, instance)
+		}
+	}
+	return inside, outside
+}
+
+func (d *Demo) endDataCentre(name string, inside []*entry.Entry) {
+	engines := 0
+	for _, server := range d.estate.Configuration.BackendServers {
+		running := d.estate.Engines[server.Name]
+		if server.DataCentre == name && running != nil && running.Alive() {
+			running.Kill()
+			engines++
+		}
+	}
+	d.progress("ending data centre %s: %d entry instances and %d engines", name, len(inside), engines)
+	for _, instance := range inside {
+		go instance.Abort()
+	}
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -87,6 +87,7 @@
 		d.engineDies,
 		d.instanceDiesWithText,
 		d.callsRunOnce,
+		d.dataCentreDies,
 	}
 	var results []Result
 	for _, step := range steps {
