--- /dev/null
+++ b/command/changes.go
@@ -0,0 +1,63 @@
+package command
+
+// Admit adds a firm with all it needs, from a file.
+type Admit struct {
+	File Name    `parser:"'admit' 'firm' 'from' @@"`
+	If   *Number `parser:"( 'if' 'revision' @@ )?"`
+}
+
+// Drain keeps new work away from an object, or lifts that.
+type Drain struct {
+	Verb string `parser:"@( 'drain' | 'undrain' )"`
+	Kind string `parser:"@( 'backend-server' | 'instance' | 'data-centre' )"`
+	Name Name   `parser:"@@"`
+	// Local makes it a mark of the data centre alone.
+	Local bool    `parser:"( @'--local' )?"`
+	If    *Number `parser:"( 'if' 'revision' @@ )?"`
+}
+
+// Shift sends a part of a model's load from one region to another; 0 percent
+// ends the shift.
+type Shift struct {
+	Percent Number  `parser:"'shift' @@ '%'?"`
+	Model   Name    `parser:"'of' 'model' @@"`
+	From    Name    `parser:"'from' @@"`
+	To      Name    `parser:"'to' @@"`
+	If      *Number `parser:"( 'if' 'revision' @@ )?"`
+}
+
+// Set changes one field of one object.
+type Set struct {
+	Path  Name    `parser:"'set' @@"`
+	Value Value   `parser:"@@"`
+	If    *Number `parser:"( 'if' 'revision' @@ )?"`
+}
+
+// Value is one value or a list of values.
+type Value struct {
+	IsList bool     `parser:"  @'['"`
+	List   []string `parser:"( @( Word | String ) ( ',' @( Word | String ) )* )? ']'"`
+	Single *string  `parser:"| @( Word | String )"`
+}
+
+// Diff compares the configuration with a file.
+type Diff struct {
+	File Name `parser:"'diff' @@"`
+}
+
+// Apply replaces the whole configuration by a file.
+type Apply struct {
+	File Name    `parser:"'apply' @@"`
+	If   *Number `parser:"( 'if' 'revision' @@ )?"`
+}
+
+// Release lets a quarantined request run again.
+type Release struct {
+	Fingerprint Name `parser:"'release' @@"`
+}
+
+// Help explains the language or one command.
+type Help struct {
+	Help  bool    `parser:"@'help'"`
+	Topic *string `parser:"@Word?"`
+}
--- /dev/null
+++ b/command/explain_query.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// explanation gathers the steps that answer explain.
+type explanation struct {
+	rows []Row
+}
+
+func (e *explanation) add(time Cell, instance, kind, server, reason string) {
+	e.rows = append(e.rows, Row{time, textCell(instance), textCell(kind), textCell(server), textCell(reason)})
+}
+
+func explain(question *Explain, source Source) (Result, error) {
+	answer := &explanation{}
+	var err error
+	switch question.Kind {
+	case "revision":
+		err = answer.revision(question.ID, source)
+	case "backend-server":
+		err = answer.backendServer(question.ID, source)
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	answer.decisions(question.ID.String(), source.Status)
+	if len(answer.rows) == 0 {
+		return Result{}, errorAt(fault.NotFound, question.ID.Pos, "no instance that answered keeps a decision about \""+question.ID.String()+"\"")
+	}
+	table := &Table{Columns: columns("time", "instance", "kind", "server", "reason"), Rows: answer.rows}
+	return Result{Table: table, Missing: source.Status.Missing}, nil
+}
+
+// decisions adds the kept decisions of every instance in order of time.
+func (e *explanation) decisions(subject string, status dump.Estate) {
+	first := len(e.rows)
+	for _, instance := range status.Instances {
+		for _, decision := range instance.Decisions {
+			if decision.Subject == subject || decision.Server == subject {
+				e.add(timeCell(decision.Time), instance.Instance, decision.Kind, decision.Server, decision.Reason)
+			}
+		}
+	}
+	slices.SortStableFunc(e.rows[first:], func(a, b Row) int { return strings.Compare(a[0].text, b[0].text) })
+}
+
+// backendServer adds what is declared about a server and how each instance
+// sees it.
+func (e *explanation) backendServer(id Name, source Source) error {
+	name := id.String()
+	index := slices.IndexFunc(source.Configuration.BackendServers, func(s estate.BackendServer) bool { return s.Name == name })
+	if index < 0 {
+		return errorAt(fault.CommandInvalid, id.Pos, "no backend server is named \""+name+"\"")
+	}
+	server := source.Configuration.BackendServers[index]
+	declared := "service " + server.Service + " in data centre " + server.DataCentre
+	if server.Model != "" {
+		declared += ", model " + server.Model + " version " + server.Version
+	}
+	e.add(Cell{}, "", "declared", name, declared)
+	for _, drain := range source.Configuration.Drains {
+		if drain.Name == name || drain.Name == server.DataCentre {
+			e.add(Cell{}, "", "drained", name, "the "+drain.Kind+" "+drain.Name+" is drained")
+		}
+	}
+	for _, instance := range source.Status.Instances {
+		for _, view := range instance.Servers {
+			if view.Name == name {
+				e.add(timeCell(instance.Time), instance.Instance, "observed", name, observedText(view))
+			}
+		}
+	}
+	return nil
+}
+
+func observedText(view dump.BackendServer) string {
+	text := "state " + view.State + ", " + strconv.Itoa(view.InFlight) + " own requests in flight, reported load " + strconv.Itoa(view.Reported)
+	if view.Breaker != "" {
+		text += ", circuit breaker " + view.Breaker
+	}
+	return text
+}
+
+// revision adds who made a revision and where it is in force.
+func (e *explanation) revision(id Name, source Source) error {
+	number, err := (Number{Pos: id.Pos, Text: id.String()}).whole(1, 1<<63)
+	if err != nil {
+		return err
+	}
+	for _, applied := range source.History {
+		if applied.Revision == number {
+			e.add(timeCell(applied.Time), "", "applied", "", "command "+applied.CommandID+" of operator "+applied.Operator+": "+applied.Command)
+		}
+	}
+	for _, instance := range source.Status.Instances {
+		state := "not yet in force: revision " + strconv.FormatUint(instance.Revision, 10) + " is"
+		if instance.Revision >= number {
+			state = "in force, with revision " + strconv.FormatUint(instance.Revision, 10)
+		}
+		e.add(timeCell(instance.Time), instance.Instance, "in-force", "", state)
+	}
+	return nil
+}
--- /dev/null
+++ b/command/lexer.go
@@ -0,0 +1,15 @@
+package command
+
+import "github.com/alecthomas/participle/v2/lexer"
+
+// tokens are the words of the language. Names, paths, numbers and file names
+// are all of type Word.
+var tokens = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "comment", Pattern: `#[^\n]*`},
+	{Name: "space", Pattern: `[ \t\r]+`},
+	{Name: "EOL", Pattern: `[\n;]`},
+	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
+	{Name: "Operator", Pattern: `!=|<=|>=|=|<|>|~`},
+	{Name: "Punct", Pattern: `[\[\],%]`},
+	{Name: "Word", Pattern: `[^\s;"#=!<>~\[\],%]+`},
+})
--- /dev/null
+++ b/command/word.go
@@ -0,0 +1,15 @@
+package command
+
+import "github.com/alecthomas/participle/v2/lexer"
+
+// Name is a name with its position.
+type Name struct {
+	Pos  lexer.Position
+	Text string `parser:"@( Word | String )"`
+}
+
+// Number is a whole number with its position.
+type Number struct {
+	Pos  lexer.Position
+	Text string `parser:"@Word"`
+}
--- a/configstore/head.go
+++ b/configstore/head.go
@@ -1,5 +1,7 @@
 package configstore
 
+import "time"
+
 // Keys of the objects in the platform's object API.
 const (
 	HeadKey     = "config/head"
@@ -22,6 +24,11 @@
 	// Revision is the version of the head that the command wrote; zero for
 	// the newest one, whose revision is the version of this head.
 	Revision uint64 `json:"revision"`
+	// Operator, Command and Time say who did what and when; kept for the
+	// newest commands only.
+	Operator string    `json:"operator,omitempty"`
+	Command  string    `json:"command,omitempty"`
+	Time     time.Time `json:"time,omitzero"`
 }
 
 // Chunk names one immutable part of the configuration.
--- /dev/null
+++ b/dump/local_mark.go
@@ -0,0 +1,21 @@
+package dump
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+)
+
+// LocalMark is a drain that holds in one data centre only and is not in the
+// platform's configuration yet.
+type LocalMark struct {
+	Drain estate.Drain `json:"drain"`
+	// Undrain means that the mark lifts the drain.
+	Undrain bool `json:"undrain,omitempty"`
+	// CommandID is the id of the operator's command.
+	CommandID string    `json:"command_id"`
+	Operator  string    `json:"operator"`
+	Expires   time.Time `json:"expires"`
+	// Persisted is always false: the mark disappears once it is written.
+	Persisted bool `json:"persisted"`
+}
