--- a/command/explain_query.go
+++ b/command/explain_query.go
@@ -97,7 +97,7 @@
 	}
 	for _, applied := range source.History {
 		if applied.Revision == number {
-			e.add(timeCell(applied.Time), "", "applied", "", "command "+applied.CommandID+" of operator "+applied.Operator+": "+applied.Command)
+			e.add(timeCell(applied.Time), "", "applied", "", "command "+applied.ID+" of operator "+applied.Operator+": "+applied.Text)
 		}
 	}
 	for _, instance := range source.Status.Instances {
--- a/command/kinds_running.go
+++ b/command/kinds_running.go
@@ -128,7 +128,7 @@
 	var rows []Row
 	for _, applied := range source.History {
 		rows = append(rows, Row{
-			numberCell(applied.Revision), textCell(applied.CommandID), textCell(applied.Operator), textCell(applied.Command), timeCell(applied.Time),
+			numberCell(applied.Revision), textCell(applied.ID), textCell(applied.Operator), textCell(applied.Text), timeCell(applied.Time),
 		})
 	}
 	return rows
--- a/command/source.go
+++ b/command/source.go
@@ -13,6 +13,6 @@
 	Configuration *estate.Configuration
 	// Status is the state of the instances that answered.
 	Status dump.Estate
-	// History holds the latest applied commands, oldest first.
+	// History holds the latest applied commands, newest first.
 	History []configstore.Applied
 }
--- /dev/null
+++ b/configstore/snapshot.go
@@ -0,0 +1,51 @@
+package configstore
+
+import (
+	"context"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// Snapshot is one revision of the configuration with the commands that led to
+// it.
+type Snapshot struct {
+	// Configuration has revision zero and no content before the first Commit.
+	Configuration *estate.Configuration
+	// History holds the latest commands, newest first.
+	History []Applied
+}
+
+// LoadSnapshot reads the newest revision and its history. Chunks in known,
+// keyed by hash, are not read again; the values of the head's chunks are added
+// to it.
+func LoadSnapshot(ctx context.Context, store platform.Store, known map[string][]byte) (Snapshot, error) {
+	object, err := store.Get(ctx, HeadKey)
+	if fault.HasCode(err, fault.NotFound) {
+		return Snapshot{Configuration: &estate.Configuration{}}, nil
+	}
+	if err != nil {
+		return Snapshot{}, err
+	}
+	head, err := DecodeHead(object.Value)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	configuration, err := LoadHead(ctx, store, object, known)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	current := versionedHead{Head: head, version: object.Version}
+	return Snapshot{Configuration: configuration, History: current.history()}, nil
+}
+
+// Find returns the applied command with an id.
+func (s Snapshot) Find(commandID string) (Applied, bool) {
+	for _, applied := range s.History {
+		if applied.ID == commandID {
+			return applied, true
+		}
+	}
+	return Applied{}, false
+}
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -45,18 +45,23 @@
 	return Assemble(head, object.Version, known)
 }
 
-// Commit replaces the configuration of revision base.Revision by next, under
-// the command's id, and returns the new revision. A base without a revision
+// Commit is CommitCommand for a command without a description.
+func Commit(ctx context.Context, store platform.Store, base, next *estate.Configuration, commandID string) (uint64, error) {
+	return CommitCommand(ctx, store, base, next, Command{ID: commandID})
+}
+
+// CommitCommand replaces the configuration of revision base.Revision by next,
+// under the command's id, and returns the new revision. A base without a revision
 // stands for no configuration yet. A command that is already applied returns
 // its revision again. Errors: CommandConflict when another change came first,
 // CommandUnknown when the answer was lost (repeat with the same id), NotApplied
 // when the platform did not take the write.
-func Commit(ctx context.Context, store platform.Store, base, next *estate.Configuration, commandID string) (uint64, error) {
+func CommitCommand(ctx context.Context, store platform.Store, base, next *estate.Configuration, command Command) (uint64, error) {
 	head, err := currentHead(ctx, store)
 	if err != nil {
 		return 0, err
 	}
-	if revision, applied := head.appliedAt(commandID); applied {
+	if revision, applied := head.appliedAt(command.ID); applied {
 		return revision, nil
 	}
 	if head.version != base.Revision {
@@ -66,7 +71,7 @@
 	if err != nil {
 		return 0, notApplied(err)
 	}
-	value, err := json.Marshal(head.next(commandID, chunks))
+	value, err := json.Marshal(head.next(command, chunks))
 	if err != nil {
 		return 0, fault.Wrap(fault.Internal, "configstore", "encode head", err)
 	}
@@ -75,9 +80,9 @@
 	case err == nil:
 		return revision, nil
 	case fault.HasCode(err, fault.PlatformConflict):
-		return settleConflict(ctx, store, base.Revision, commandID)
+		return settleConflict(ctx, store, base.Revision, command.ID)
 	case fault.HasCode(err, fault.PlatformAnswerLost):
-		return 0, fault.Wrap(fault.CommandUnknown, "configstore", "repeat the command with id "+commandID, err)
+		return 0, fault.Wrap(fault.CommandUnknown, "configstore", "repeat the command with id "+command.ID, err)
 	default:
 		return 0, notApplied(err)
 	}
--- a/configstore/versioned_head.go
+++ b/configstore/versioned_head.go
@@ -37,25 +37,30 @@
 
 // appliedAt returns the revision at which a command was applied.
 func (h versionedHead) appliedAt(commandID string) (uint64, bool) {
-	if h.version != 0 && h.CommandID == commandID {
-		return h.version, true
-	}
-	for _, applied := range h.Recent {
-		if applied.CommandID == commandID {
+	for _, applied := range h.history() {
+		if applied.ID == commandID {
 			return applied.Revision, true
 		}
 	}
 	return 0, false
 }
 
+// history returns the commands that led to this head, newest first.
+func (h versionedHead) history() []Applied {
+	if h.version == 0 {
+		return nil
+	}
+	return append([]Applied{{Command: h.Command, Revision: h.version}}, h.Recent...)
+}
+
 // next returns the head that follows this one.
-func (h versionedHead) next(commandID string, chunks []Chunk) Head {
-	var recent []Applied
-	if h.version != 0 {
-		recent = append(recent, Applied{CommandID: h.CommandID, Revision: h.version})
+func (h versionedHead) next(command Command, chunks []Chunk) Head {
+	recent := h.history()
+	recent = recent[:min(len(recent), recentCommands)]
+	for i := describedCommands; i < len(recent); i++ {
+		recent[i].Command = recent[i].undescribed()
 	}
-	recent = append(recent, h.Recent...)
-	return Head{CommandID: commandID, Recent: recent[:min(len(recent), recentCommands)], Chunks: chunks}
+	return Head{Command: command, Recent: recent, Chunks: chunks}
 }
 
 func conflict(read, current uint64) error {
