--- a/configstore/snapshot.go
+++ b/configstore/snapshot.go
@@ -18,8 +18,7 @@
 }
 
 // LoadSnapshot reads the newest revision and its history. Chunks in known,
-// keyed by hash, are not read again; the values of the head's chunks are added
-// to it.
+// keyed by hash, are not read again; afterwards it holds the head's chunks only.
 func LoadSnapshot(ctx context.Context, store platform.Store, known map[string][]byte) (Snapshot, error) {
 	object, err := store.Get(ctx, HeadKey)
 	if fault.HasCode(err, fault.NotFound) {
@@ -36,6 +35,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
+	head.forgetOthers(known)
 	current := versionedHead{Head: head, version: object.Version}
 	return Snapshot{Configuration: configuration, History: current.history()}, nil
 }
@@ -49,3 +49,16 @@
 	}
 	return Applied{}, false
 }
+
+// forgetOthers removes the chunks that the head does not name.
+func (h Head) forgetOthers(known map[string][]byte) {
+	named := make(map[string]bool, len(h.Chunks))
+	for _, chunk := range h.Chunks {
+		named[chunk.Hash] = true
+	}
+	for hash := range known {
+		if !named[hash] {
+			delete(known, hash)
+		}
+	}
+}
--- a/configstore/versioned_head.go
+++ b/configstore/versioned_head.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/platform"
@@ -62,7 +61,3 @@
 	}
 	return Head{Command: command, Recent: recent, Chunks: chunks}
 }
-
-func conflict(read, current uint64) error {
-	return fault.New(fault.CommandConflict, fmt.Sprintf("read revision %d, the current one is %d", read, current))
-}
--- /dev/null
+++ b/operator/configurations.go
@@ -0,0 +1,44 @@
+package operator
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// StoredConfigurations implements Configurations on the platform's object API.
+// It is safe for concurrent use.
+type StoredConfigurations struct {
+	store platform.Store
+	mu    sync.Mutex
+	// chunks holds the values of the last head's chunks, by hash.
+	chunks map[string][]byte
+}
+
+// NewStoredConfigurations returns the configurations in a store.
+func NewStoredConfigurations(store platform.Store) *StoredConfigurations {
+	return &StoredConfigurations{store: store, chunks: make(map[string][]byte)}
+}
+
+// Load implements Configurations.
+func (c *StoredConfigurations) Load(ctx context.Context) (configstore.Snapshot, error) {
+	c.mu.Lock()
+	known := maps.Clone(c.chunks)
+	c.mu.Unlock()
+	snapshot, err := configstore.LoadSnapshot(ctx, c.store, known)
+	if err == nil {
+		c.mu.Lock()
+		c.chunks = known
+		c.mu.Unlock()
+	}
+	return snapshot, err
+}
+
+// Commit implements Configurations.
+func (c *StoredConfigurations) Commit(ctx context.Context, base, next *estate.Configuration, command configstore.Command) (uint64, error) {
+	return configstore.CommitCommand(ctx, c.store, base, next, command)
+}
--- /dev/null
+++ b/operator/mark_writer.go
@@ -0,0 +1,116 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/command"
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/event"
+)
+
+// markPoll is the wait between two tries to write the marks.
+const markPoll = 2 * time.Second
+
+// WriteMarks writes the local marks to the platform until the context ends.
+// Run it as a duty.
+func (x *Executor) WriteMarks(ctx context.Context) {
+	for pause(ctx, markPoll) {
+		x.writeMarks(ctx)
+	}
+}
+
+// writeMarks makes one try for each mark.
+func (x *Executor) writeMarks(ctx context.Context) {
+	for _, mark := range x.parts.Marks.All() {
+		if !x.parts.Now().Before(mark.Expires) {
+			x.endMark(mark, event.MarkDropped, "it expired")
+			continue
+		}
+		snapshot, err := x.parts.Configurations.Load(ctx)
+		if err != nil {
+			return
+		}
+		x.writeMark(ctx, mark, snapshot)
+	}
+}
+
+func (x *Executor) writeMark(ctx context.Context, mark dump.LocalMark, snapshot configstore.Snapshot) {
+	if _, applied := snapshot.Find(mark.CommandID); applied {
+		x.endMark(mark, event.MarkWritten, "it is in the configuration")
+		return
+	}
+	if reason := disagreement(mark, snapshot); reason != "" {
+		x.endMark(mark, event.MarkDropped, reason)
+		return
+	}
+	next := withMark(mark, snapshot.Configuration)
+	if command.Equal(snapshot.Configuration, next) {
+		x.endMark(mark, event.MarkWritten, "the configuration already says so")
+		return
+	}
+	described := configstore.Command{ID: mark.CommandID, Digest: mark.Digest, Operator: mark.Operator, Text: markText(mark), Time: x.parts.Now().UTC()}
+	_, err := x.parts.Configurations.Commit(ctx, snapshot.Configuration, next, described)
+	if err == nil {
+		x.endMark(mark, event.MarkWritten, "it is in the configuration")
+	}
+}
+
+func (x *Executor) endMark(mark dump.LocalMark, definition event.Definition, reason string) {
+	x.parts.Marks.Remove(mark.CommandID)
+	event.Log(x.parts.Logger, definition).
+		Str("operator", mark.Operator).Str("command_id", mark.CommandID).Str("command", markText(mark)).Str("reason", reason).Send()
+}
+
+// disagreement says why a newer revision disagrees with a mark, "" when none
+// does: the object is gone, or another command drained, undrained or replaced
+// it after the mark's revision.
+func disagreement(mark dump.LocalMark, snapshot configstore.Snapshot) string {
+	if len(estate.Validate(withMark(mark, snapshot.Configuration))) > 0 {
+		return "the object is no longer declared"
+	}
+	covered := snapshot.Configuration.Revision <= mark.ReadRevision
+	for _, applied := range snapshot.History {
+		if applied.Revision <= mark.ReadRevision {
+			covered = true
+			break
+		}
+		if concerns(applied.Text, mark.Drain) {
+			return "the newer command " + applied.ID + " concerns the same object"
+		}
+	}
+	if !covered {
+		return "the history does not reach back to the mark's revision"
+	}
+	return ""
+}
+
+// concerns reports whether a command of the history decided about the object.
+// A command without a text is taken to do so.
+func concerns(text string, object estate.Drain) bool {
+	parsed, err := command.ParseOne(text)
+	if err != nil {
+		return true
+	}
+	return parsed.Apply != nil || (parsed.Drain != nil && parsed.Drain.Object() == object)
+}
+
+func withMark(mark dump.LocalMark, configuration *estate.Configuration) *estate.Configuration {
+	next := *configuration
+	next.Drains = slices.DeleteFunc(slices.Clone(configuration.Drains), func(d estate.Drain) bool { return d == mark.Drain })
+	if !mark.Undrain {
+		next.Drains = append(next.Drains, mark.Drain)
+	}
+	return &next
+}
+
+func markText(mark dump.LocalMark) string {
+	verb := "drain"
+	if mark.Undrain {
+		verb = "undrain"
+	}
+	return verb + " " + mark.Drain.Kind + " " + mark.Drain.Name + " --local"
+}
--- /dev/null
+++ b/operator/marks.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+const (
+	// MarkLifetime is how long a drain of one data centre alone holds.
+	MarkLifetime = time.Hour
+	// maxMarks bounds the marks of an instance.
+	maxMarks = 256
+)
+
+// Marks holds the drains of this data centre that are not in the platform. It
+// is safe for concurrent use.
+type Marks struct {
+	mu    sync.Mutex
+	marks []dump.LocalMark
+}
+
+// NewMarks returns an empty set.
+func NewMarks() *Marks { return &Marks{} }
+
+// Add sets a mark and returns it; it replaces an earlier one of the same
+// object. For a command id that is known it returns the mark set before.
+func (m *Marks) Add(mark dump.LocalMark) (dump.LocalMark, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.marks {
+		if known.CommandID == mark.CommandID {
+			return known, nil
+		}
+	}
+	others := slices.DeleteFunc(slices.Clone(m.marks), func(known dump.LocalMark) bool { return known.Drain == mark.Drain })
+	if len(others) >= maxMarks {
+		return dump.LocalMark{}, fault.New(fault.NotApplied, "the instance holds too many local marks")
+	}
+	m.marks = append(others, mark)
+	return mark, nil
+}
+
+// Remove ends the mark of a command.
+func (m *Marks) Remove(commandID string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.marks = slices.DeleteFunc(slices.Clone(m.marks), func(known dump.LocalMark) bool { return known.CommandID == commandID })
+}
+
+// All returns the marks, expired ones included.
+func (m *Marks) All() []dump.LocalMark {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.marks)
+}
+
+// Drained returns the objects that the marks drain and those that they
+// undrain at a time.
+func (m *Marks) Drained(now time.Time) (drained, undrained []estate.Drain) {
+	for _, mark := range m.All() {
+		switch {
+		case !now.Before(mark.Expires):
+		case mark.Undrain:
+			undrained = append(undrained, mark.Drain)
+		default:
+			drained = append(drained, mark.Drain)
+		}
+	}
+	return drained, undrained
+}
--- /dev/null
+++ b/operatorclient/client.go
@@ -0,0 +1,134 @@
+// Package operatorclient is the client library of the operator listener.
+package operatorclient
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/operatorapi"
+)
+
+const (
+	domain = "operatorclient"
+	// callTimeout bounds a call whose context has no deadline.
+	callTimeout = 15 * time.Second
+	// maxAnswerBytes bounds the size of an answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// Client talks to the operator listener of one entry instance. It is safe for
+// concurrent use.
+type Client struct {
+	address string
+	token   string
+	http    *fasthttp.Client
+}
+
+// New returns a client for the operator address "ip:port" of an instance.
+func New(address, token string) *Client {
+	return &Client{address: address, token: token, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxAnswerBytes,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Execute runs one command. A lost answer of a change is CommandUnknown:
+// repeat it with the same id. The response is returned also when it carries a
+// failure; see Response.Err.
+func (c *Client) Execute(ctx context.Context, request operatorapi.Request) (operatorapi.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return operatorapi.Response{}, fault.Wrap(fault.Internal, domain, "encode the request", err)
+	}
+	var response operatorapi.Response
+	err = c.call(ctx, fasthttp.MethodPost, operatorapi.CommandPath, body, &response)
+	return response, err
+}
+
+// Dump returns the state of the instance.
+func (c *Client) Dump(ctx context.Context) (dump.Instance, error) {
+	var state dump.Instance
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpPath, nil, &state)
+	return state, err
+}
+
+// PeerDump returns the state of another instance, asked through this one.
+func (c *Client) PeerDump(ctx context.Context, instance string) (dump.Instance, error) {
+	var state dump.Instance
+	query := url.Values{operatorapi.PeerArgument: {instance}}
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpPath+"?"+query.Encode(), nil, &state)
+	return state, err
+}
+
+// Dumps returns the states of every instance.
+func (c *Client) Dumps(ctx context.Context) (dump.Estate, error) {
+	var states dump.Estate
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpsPath, nil, &states)
+	return states, err
+}
+
+// Metrics returns the metrics of the instance as JSON.
+func (c *Client) Metrics(ctx context.Context) (json.RawMessage, error) {
+	var metrics json.RawMessage
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.MetricsPath, nil, &metrics)
+	return metrics, err
+}
+
+// Revision returns the revision in force on the instance.
+func (c *Client) Revision(ctx context.Context) (operatorapi.InstanceRevision, error) {
+	var revision operatorapi.InstanceRevision
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.RevisionPath, nil, &revision)
+	return revision, err
+}
+
+// call sends one request and decodes the answer. A refusal carries a
+// *fault.Error; the answer to a command carries its failure itself.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + c.address + path)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	request.SetBodyRaw(body)
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		deadline = time.Now().Add(callTimeout)
+	}
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		return lostAnswer(method, err)
+	}
+	if method == fasthttp.MethodGet && response.StatusCode() != fasthttp.StatusOK {
+		return decodeFailure(response.Body())
+	}
+	if err := json.Unmarshal(response.Body(), answer); err != nil {
+		return fault.Wrap(fault.PeerMessage, domain, "decode the answer", err)
+	}
+	return nil
+}
+
+// lostAnswer types a failed exchange: a command may have been run.
+func lostAnswer(method string, cause error) error {
+	if method == fasthttp.MethodPost {
+		return fault.Wrap(fault.CommandUnknown, domain, "the instance's answer was lost", cause)
+	}
+	return fault.Wrap(fault.PeerUnreachable, domain, "the instance did not answer", cause)
+}
+
+func decodeFailure(body []byte) error {
+	var failure operatorapi.Failure
+	if err := json.Unmarshal(body, &failure); err != nil || failure.Code == "" {
+		return fault.New(fault.PeerMessage, "the answer is no operator's answer")
+	}
+	return failure.Err()
+}
