--- a/command/kinds_running.go
+++ b/command/kinds_running.go
@@ -26,7 +26,7 @@
 		for _, server := range instance.Servers {
 			view := views[server.Name]
 			view.inFlight += server.InFlight
-			if view.state == "" || server.State != "up" {
+			if view.state == "" || server.State != dump.ServerUp {
 				view.state = server.State
 			}
 			views[server.Name] = view
--- a/dump/instance.go
+++ b/dump/instance.go
@@ -20,6 +20,8 @@
 	// that it waits for.
 	Stopping   bool     `json:"stopping,omitempty"`
 	WaitingFor []string `json:"waiting_for,omitempty"`
+	// InFlight counts the requests being served.
+	InFlight int `json:"in_flight"`
 	// Revision is the configuration revision in force, zero before the first.
 	Revision    uint64             `json:"revision"`
 	Duties      []duty.Status      `json:"duties"`
@@ -33,4 +35,6 @@
 	LocalMarks  []LocalMark        `json:"local_marks,omitempty"`
 	Quarantines []Quarantine       `json:"quarantines,omitempty"`
 	Decisions   []serving.Decision `json:"decisions,omitempty"`
+	// Sections holds the states of the other parts.
+	Sections []Section `json:"sections,omitempty"`
 }
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -1,54 +1,84 @@
 package entry
 
 import (
-	"github.com/wisteriahaven/wisteriahaven/control/orders"
-	"github.com/wisteriahaven/wisteriahaven/decision/admission"
-	"github.com/wisteriahaven/wisteriahaven/duty"
-	"github.com/wisteriahaven/wisteriahaven/serving"
-	"github.com/wisteriahaven/wisteriahaven/serving/routing"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
 )
 
 // dumpedDecisions bounds the decisions in a dump.
-const dumpedDecisions = 100
+const dumpedDecisions = 1000
 
-// Dump is the state of one instance.
-type Dump struct {
-	Instance   string             `json:"instance"`
-	DataCentre string             `json:"data_centre"`
-	Region     string             `json:"region"`
-	Ready      bool               `json:"ready"`
-	Stopping   bool               `json:"stopping"`
-	InFlight   int                `json:"in_flight"`
-	Revision   uint64             `json:"revision"`
-	Orders     orders.Status      `json:"orders"`
-	Duties     []duty.Status      `json:"duties"`
-	Decisions  []serving.Decision `json:"decisions"`
-	// Queues and Servers are the state of admission and of routing.
-	Queues  []admission.ServiceState `json:"queues"`
-	Servers []routing.ServerStatus   `json:"servers"`
-	// CrossRegionBytes counts answer bytes from other regions by account.
-	CrossRegionBytes map[string]uint64 `json:"cross_region_bytes"`
+// Dump returns the state of the instance.
+func (e *Entry) Dump() dump.Instance {
+	state := dump.Instance{
+		Instance:    e.settings.Instance,
+		DataCentre:  e.settings.DataCentre,
+		Region:      e.settings.Region,
+		Time:        time.Now(),
+		Started:     e.started,
+		Ready:       e.Ready(),
+		Stopping:    e.stopping.Load(),
+		InFlight:    e.callers.InFlight(),
+		Duties:      append(e.duties.Status(), e.serve.Status()...),
+		Servers:     e.dumpServers(),
+		Generations: e.tracker.Generations(),
+		Calls:       e.tracker.Calls(),
+		Leases:      e.dumpLeases(),
+		LocalMarks:  e.marks.All(),
+		Decisions:   e.recorder.Recent(dumpedDecisions),
+		Sections: []dump.Section{
+			dump.NewSection("orders", e.orders.Status()),
+			dump.NewSection("queues", e.admitter.Services()),
+			dump.NewSection("routing", e.router.Status()),
+			dump.NewSection("cross_region_bytes", e.router.Traffic().CrossRegionBytes()),
+		},
+	}
+	if current := e.follower.Current(); current != nil {
+		state.Revision = current.Revision
+	}
+	if state.Stopping {
+		state.WaitingFor = waitingFor(state)
+	}
+	return state
 }
 
-// Dump returns the state of the instance.
-func (e *Entry) Dump() Dump {
-	dump := Dump{
-		Instance:   e.settings.Instance,
-		DataCentre: e.settings.DataCentre,
-		Region:     e.settings.Region,
-		Ready:      e.Ready(),
-		Stopping:   e.stopping.Load(),
-		InFlight:   e.callers.InFlight(),
-		Orders:     e.orders.Status(),
-		Duties:     append(e.duties.Status(), e.serve.Status()...),
-		Decisions:  e.recorder.Recent(dumpedDecisions),
-		Queues:     e.admitter.Services(),
-		Servers:    e.router.Status(),
+// dumpServers returns the backend servers as routing sees them.
+func (e *Entry) dumpServers() []dump.BackendServer {
+	status := e.router.Status()
+	servers := make([]dump.BackendServer, len(status))
+	for i, server := range status {
+		servers[i] = dump.BackendServer{
+			Name:     server.Name,
+			State:    dump.ServerUp,
+			InFlight: server.InFlight,
+			Reported: server.Held,
+			Breaker:  server.Breaker,
+		}
+		if server.Leaving || server.Drained {
+			servers[i].State = dump.ServerLeaving
+		}
+	}
+	return servers
+}
 
-		CrossRegionBytes: e.router.Traffic().CrossRegionBytes(),
+// dumpLeases returns the leases that the instance holds.
+func (e *Entry) dumpLeases() []dump.Lease {
+	status := e.orders.Status()
+	if !status.Holder {
+		return nil
 	}
-	if current := e.follower.Current(); current != nil {
-		dump.Revision = current.Revision
+	return []dump.Lease{{Name: "orders", Holder: e.settings.Instance, Fencing: status.Fencing}}
+}
+
+// waitingFor lists the requests that a planned stop waits for.
+func waitingFor(state dump.Instance) []string {
+	var ids []string
+	for _, generation := range state.Generations {
+		ids = append(ids, generation.RequestID)
+	}
+	for _, call := range state.Calls {
+		ids = append(ids, call.RequestID)
 	}
-	return dump
+	return ids
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/operator"
 	"github.com/wisteriahaven/wisteriahaven/platform"
 	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/serving/admission"
@@ -21,6 +22,7 @@
 	"github.com/wisteriahaven/wisteriahaven/serving/explain"
 	"github.com/wisteriahaven/wisteriahaven/serving/generation"
 	"github.com/wisteriahaven/wisteriahaven/serving/guard"
+	"github.com/wisteriahaven/wisteriahaven/serving/inflight"
 	"github.com/wisteriahaven/wisteriahaven/serving/routing"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
@@ -33,20 +35,25 @@
 
 // Entry is one running entry instance.
 type Entry struct {
-	settings  settings.Settings
-	logger    zerolog.Logger
-	metrics   metrics.Registry
-	duties    *duty.Group
-	serve     *duty.Group
-	store     platform.Store
-	follower  *configuration.Follower
-	recorder  *explain.Recorder
-	router    *routing.Router
-	admitter  *admission.Controller
-	callers   *caller.Server
-	operators *operatorServer
+	settings settings.Settings
+	logger   zerolog.Logger
+	metrics  metrics.Registry
+	duties   *duty.Group
+	serve    *duty.Group
+	store    platform.Store
+	follower *configuration.Follower
+	recorder *explain.Recorder
+	router   *routing.Router
+	admitter *admission.Controller
+	callers  *caller.Server
+	tracker  *inflight.Tracker
+	marks    *operator.Marks
+	// effective is the configuration in force with the local marks.
+	effective *operator.Effective
+	operators *operator.Server
 	orders    *orders.Keeper
 	addresses Addresses
+	started   time.Time
 	stopping  atomic.Bool
 }
 
@@ -67,8 +74,12 @@
 		serve:    duty.NewGroup(context.Background(), logger),
 		store:    httpstore.New(s.Platform.ObjectAPI),
 		recorder: explain.NewRecorder(keptDecisions),
+		marks:    operator.NewMarks(),
+		started:  time.Now(),
 	}
 	e.follower = configuration.NewFollower(e.store, logger)
+	e.effective = operator.NewEffective(e.follower, e.marks, time.Now)
+	e.tracker = inflight.NewTracker(e.metrics, time.Now)
 	e.assemble()
 	return e
 }
@@ -77,33 +88,34 @@
 func (e *Entry) assemble() {
 	router, admitter := e.assembleChoices()
 	requestGuard := guard.Open{}
+	recorder := e.tracker.Recorder(e.recorder)
 	generator := generation.New(generation.Parts{
 		Router:   router,
 		Admitter: admitter,
 		Guard:    requestGuard,
-		Recorder: e.recorder,
+		Recorder: recorder,
 		Engines:  engine.NewClient(),
 	})
 	calls := call.New(call.Parts{
 		Router:   router,
 		Admitter: admitter,
-		Recorder: e.recorder,
+		Recorder: recorder,
 		Services: service.NewClient(),
 	})
 	e.callers = caller.NewServer(e.callerOptions(), caller.Backends{
 		Authenticator: admitter,
 		Configuration: e.follower,
-		Generator:     generator,
-		Caller:        calls,
+		Generator:     e.tracker.Generator(generator),
+		Caller:        e.tracker.Caller(calls),
 	}, e.logger)
 	e.orders = e.newOrdersKeeper()
-	e.operators = newOperatorServer(e)
+	e.operators = newOperators(e)
 }
 
 // assembleChoices returns what decides who is served and where.
 func (e *Entry) assembleChoices() (*routing.Router, *admission.Controller) {
 	place := routing.Place{DataCentre: e.settings.DataCentre, Region: e.settings.Region}
-	e.router = routing.New(e.follower, routing.Options{Instance: e.settings.Instance, Place: place})
+	e.router = routing.New(e.effective, routing.Options{Instance: e.settings.Instance, Place: place})
 	others := make([]string, 0, len(e.settings.Seeds))
 	for _, seed := range e.settings.Seeds {
 		if seed.Instance != e.settings.Instance {
@@ -140,11 +152,12 @@
 	}
 	e.addresses = Addresses{Callers: callers.Addr().String(), Operators: operators.Addr().String()}
 	e.duties.Go("configuration", e.follower.Run)
+	e.duties.Go("local marks", e.operators.Executor().WriteMarks)
 	e.duties.Go("orders", e.orders.Run)
 	e.duties.Go("admission", e.admitter.Run)
 	e.duties.Go("load reports", routing.NewPoller(e.router, e.settings.Intervals.LoadReport.Std(), e.logger).Run)
 	e.serve.Go("callers", func(context.Context) { _ = e.callers.Serve(callers) })
-	e.serve.Go("operators", func(context.Context) { _ = e.operators.serve(operators) })
+	e.serve.Go("operators", func(context.Context) { _ = e.operators.Serve(operators) })
 	event.Log(e.logger, event.ProcessStarted).
 		Str("callers", e.addresses.Callers).
 		Str("operators", e.addresses.Operators).
@@ -190,7 +203,7 @@
 // close ends the operator listener and every duty.
 func (e *Entry) close() {
 	e.callers.Abort()
-	e.operators.shutdown()
+	_ = e.operators.Shutdown()
 	e.duties.Stop()
 	e.serve.Stop()
 }
--- a/operator/change.go
+++ b/operator/change.go
@@ -28,7 +28,7 @@
 func (x *Executor) change(ctx context.Context, current *run) operatorapi.Response {
 	snapshot, err := x.parts.Configurations.Load(ctx)
 	if err != nil {
-		return x.platformAway(current, err)
+		return x.platformAway(ctx, current, err)
 	}
 	response := operatorapi.Response{ID: current.request.ID, ReadRevision: snapshot.Configuration.Revision, Revision: snapshot.Configuration.Revision}
 	if applied, found := snapshot.Find(current.request.ID); found {
@@ -85,7 +85,7 @@
 	}
 	var lost error
 	for try := range settleTries {
-		if try > 0 && !pause(ctx, settlePause<<(try-1)) {
+		if try > 0 && !x.parts.Pause(ctx, settlePause<<(try-1)) {
 			break
 		}
 		revision, err := x.parts.Configurations.Commit(ctx, base, next, described)
@@ -134,15 +134,16 @@
 	response.Failure = operatorapi.FailureOf(err)
 	definition := event.CommandRefused
 	var conflict *configstore.ConflictError
+	unread := fault.HasCode(err, fault.NotApplied)
 	switch {
-	case fault.HasCode(err, fault.CommandUnknown):
+	case fault.HasCode(err, fault.CommandUnknown) || (unread && current.request.Repeat):
 		response.Outcome = operatorapi.Unknown
 		response.Settle = "ctl --id " + current.request.ID + " '" + current.command.String() + "'"
 		definition = event.CommandUncertain
 	case errors.As(err, &conflict):
 		response.Outcome = operatorapi.Conflict
 		response.ReadRevision, response.Revision = conflict.Read, conflict.Current
-	case fault.HasCode(err, fault.NotApplied):
+	case unread:
 		response.Outcome = operatorapi.NotApplied
 	default:
 		response.Outcome = operatorapi.Rejected
@@ -170,7 +171,7 @@
 
 // platformAway refuses a change that could not read the configuration; a local
 // drain becomes a mark of this data centre.
-func (x *Executor) platformAway(current *run, cause error) operatorapi.Response {
+func (x *Executor) platformAway(ctx context.Context, current *run, cause error) operatorapi.Response {
 	response := operatorapi.Response{ID: current.request.ID}
 	drain := current.command.Drain
 	if drain == nil || !drain.Local {
@@ -203,6 +204,12 @@
 		Str("operator", mark.Operator).Str("command_id", mark.CommandID).Str("command", current.command.String()).
 		Time("expires", mark.Expires).Send()
 	response.Outcome, response.Expires = operatorapi.Marked, mark.Expires
+	if !current.request.Direct {
+		direct := current.request
+		direct.Direct = true
+		_, pending := x.parts.Peers.Command(ctx, current.operator.Token, x.parts.DataCentre, direct)
+		response.Spread = &operatorapi.Spread{Pending: pending}
+	}
 	return response
 }
 
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -38,6 +38,9 @@
 	if parts.Now == nil {
 		parts.Now = time.Now
 	}
+	if parts.Pause == nil {
+		parts.Pause = pause
+	}
 	return &Executor{parts: parts}
 }
 
@@ -137,7 +140,7 @@
 	}
 	direct := current.request
 	direct.Direct = true
-	taken, pending := x.parts.Peers.Command(ctx, current.operator.Token, direct)
+	taken, pending := x.parts.Peers.Command(ctx, current.operator.Token, "", direct)
 	if err != nil && taken == 0 && len(pending) == 0 {
 		return rejected(current.request.ID, err)
 	}
--- a/operator/http_peers.go
+++ b/operator/http_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,8 +90,11 @@
 }
 
 // Command implements Peers.
-func (p *HTTPPeers) Command(ctx context.Context, token string, request operatorapi.Request) (taken int, pending []operatorapi.InstanceRevision) {
+func (p *HTTPPeers) Command(ctx context.Context, token, dataCentre string, request operatorapi.Request) (taken int, pending []operatorapi.InstanceRevision) {
 	peers := p.peers()
+	if dataCentre != "" {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(peer settings.Peer) bool { return peer.DataCentre != dataCentre })
+	}
 	answers := each(ctx, peers, token, func(ctx context.Context, client *operatorclient.Client) error {
 		response, err := client.Execute(ctx, request)
 		if err == nil {
--- a/operator/mark_writer.go
+++ b/operator/mark_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/command"
@@ -18,7 +17,7 @@
 // WriteMarks writes the local marks to the platform until the context ends.
 // Run it as a duty.
 func (x *Executor) WriteMarks(ctx context.Context) {
-	for pause(ctx, markPoll) {
+	for x.parts.Pause(ctx, markPoll) {
 		x.writeMarks(ctx)
 	}
 }
@@ -98,15 +97,6 @@
 	return parsed.Apply != nil || (parsed.Drain != nil && parsed.Drain.Object() == object)
 }
 
-func withMark(mark dump.LocalMark, configuration *estate.Configuration) *estate.Configuration {
-	next := *configuration
-	next.Drains = slices.DeleteFunc(slices.Clone(configuration.Drains), func(d estate.Drain) bool { return d == mark.Drain })
-	if !mark.Undrain {
-		next.Drains = append(next.Drains, mark.Drain)
-	}
-	return &next
-}
-
 func markText(mark dump.LocalMark) string {
 	verb := "drain"
 	if mark.Undrain {
--- a/operator/marks.go
+++ b/operator/marks.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/dump"
-	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
@@ -22,6 +21,8 @@
 type Marks struct {
 	mu    sync.Mutex
 	marks []dump.LocalMark
+	// version counts the changes.
+	version uint64
 }
 
 // NewMarks returns an empty set.
@@ -42,6 +43,7 @@
 		return dump.LocalMark{}, fault.New(fault.NotApplied, "the instance holds too many local marks")
 	}
 	m.marks = append(others, mark)
+	m.version++
 	return mark, nil
 }
 
@@ -50,6 +52,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.marks = slices.DeleteFunc(slices.Clone(m.marks), func(known dump.LocalMark) bool { return known.CommandID == commandID })
+	m.version++
 }
 
 // All returns the marks, expired ones included.
@@ -59,17 +62,9 @@
 	return slices.Clone(m.marks)
 }
 
-// Drained returns the objects that the marks drain and those that they
-// undrain at a time.
-func (m *Marks) Drained(now time.Time) (drained, undrained []estate.Drain) {
-	for _, mark := range m.All() {
-		switch {
-		case !now.Before(mark.Expires):
-		case mark.Undrain:
-			undrained = append(undrained, mark.Drain)
-		default:
-			drained = append(drained, mark.Drain)
-		}
-	}
-	return drained, undrained
+// Version changes whenever the marks do.
+func (m *Marks) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
 }
--- a/operator/parts.go
+++ b/operator/parts.go
@@ -31,10 +31,11 @@
 	Revisions(ctx context.Context, token string) []operatorapi.InstanceRevision
 	// Dump returns the state of one other instance.
 	Dump(ctx context.Context, token, instance string) (dump.Instance, error)
-	// Command sends a command to every other instance. It returns how many took
+	// Command sends a command to every other instance, or to those of one data
+	// centre when it is not empty. It returns how many took
 	// it and those that did not answer; an instance that answers NotFound is in
 	// neither.
-	Command(ctx context.Context, token string, request operatorapi.Request) (taken int, pending []operatorapi.InstanceRevision)
+	Command(ctx context.Context, token, dataCentre string, request operatorapi.Request) (taken int, pending []operatorapi.InstanceRevision)
 }
 
 // Quarantines releases quarantined requests on this instance.
@@ -56,4 +57,7 @@
 	Logger      zerolog.Logger
 	// Now returns the time; nil stands for time.Now.
 	Now func() time.Time
+	// Pause waits and reports whether the context still runs; nil stands for a
+	// timer.
+	Pause func(ctx context.Context, wait time.Duration) bool
 }
--- /dev/null
+++ b/operator/race_test.go
@@ -0,0 +1,231 @@
+package operator_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/command"
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/operator"
+	"github.com/wisteriahaven/wisteriahaven/operatorapi"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+const smallEstate = `{
+	"regions": [{"name": "north"}, {"name": "south"}],
+	"data_centres": [{"name": "n1", "region": "north"}, {"name": "s1", "region": "south"}],
+	"firms": [{"name": "firm", "home_region": "north"}],
+	"client_accounts": [{"name": "account", "firm": "firm", "weight": 1, "limits": {},
+		"key_hashes": ["8bb635f9e2cd1905aaead26c930dc565b7f7b2dc498bac0e3b3a7f4fb7c4082f"]}],
+	"models": [{"name": "m", "versions": ["1"], "default_version": "1"}],
+	"services": [{"name": "s", "kind": "generation", "models": ["m"], "deadline": "1m", "recovery": {"objective": "cost"}}],
+	"rules": [{"name": "all"}],
+	"backend_servers": [
+		{"name": "b1", "address": "127.0.0.1:1", "data_centre": "n1", "service": "s", "model": "m", "version": "1", "slots": 1},
+		{"name": "b2", "address": "127.0.0.1:2", "data_centre": "s1", "service": "s", "model": "m", "version": "1", "slots": 1},
+	],
+}`
+
+// alone is the operator.Peers of a single instance.
+type alone struct{}
+
+func (alone) Dumps(context.Context, string) dump.Estate { return dump.Estate{} }
+func (alone) Revisions(context.Context, string) []operatorapi.InstanceRevision {
+	return nil
+}
+func (alone) Dump(context.Context, string, string) (dump.Instance, error) {
+	return dump.Instance{}, nil
+}
+func (alone) Command(context.Context, string, string, operatorapi.Request) (int, []operatorapi.InstanceRevision) {
+	return 0, nil
+}
+
+// fixedSource is the configuration in force, as far as this instance knows.
+type fixedSource struct{ configuration *estate.Configuration }
+
+func (s *fixedSource) Current() *estate.Configuration { return s.configuration }
+
+func newExecutor(store *faultyStore, source *fixedSource, marks *operator.Marks, now func() time.Time) *operator.Executor {
+	return operator.NewExecutor(operator.Parts{
+		Instance:       "i1",
+		DataCentre:     "n1",
+		Configurations: operator.NewStoredConfigurations(store),
+		Current:        source,
+		Peers:          alone{},
+		Marks:          marks,
+		Logger:         zerolog.Nop(),
+		Now:            now,
+		Pause:          func(ctx context.Context, _ time.Duration) bool { return ctx.Err() == nil },
+	})
+}
+
+var chief = operator.Operator{Name: "chief", Role: settings.RoleAdmit}
+
+// submission is what an operator sent and was told.
+type submission struct {
+	request  operatorapi.Request
+	outcomes []operatorapi.Response
+}
+
+func (s *submission) last() operatorapi.Response { return s.outcomes[len(s.outcomes)-1] }
+
+// races drives operators against the oracle: the chain of heads that the
+// platform ever held, and what the operators were told.
+type races struct {
+	t           *rapid.T
+	store       *faultyStore
+	executors   []*operator.Executor
+	submissions map[string]*submission
+	order       []string
+	depth       int
+}
+
+func (r *races) init() {
+	initial, err := estate.Parse("", []byte(smallEstate))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if _, err := configstore.Commit(r.t.Context(), r.store, &estate.Configuration{}, &initial, "initial"); err != nil {
+		r.t.Fatal(err)
+	}
+	for range 2 {
+		r.executors = append(r.executors, newExecutor(r.store, &fixedSource{}, operator.NewMarks(), time.Now))
+	}
+	r.store.beforeHead = r.beforeHead
+}
+
+// beforeHead lets another operator come in between and picks the fault.
+func (r *races) beforeHead() headFault {
+	if r.depth == 1 && rapid.IntRange(0, 2).Draw(r.t, "race") == 0 {
+		r.submitNew()
+	}
+	return rapid.SampledFrom([]headFault{headWritten, headWritten, answerLost, writeLost, writeDelayed, writeRefused}).Draw(r.t, "head")
+}
+
+var texts = []string{
+	"drain backend-server b1", "undrain backend-server b1", "drain data-centre s1", "undrain data-centre s1",
+	"set client-account/account/weight 2", "set client-account/account/weight 3",
+	"shift 20% of model m from north to south", "shift 0 of model m from north to south",
+	"set client-account/account/weight 0", // invalid
+}
+
+func (r *races) submitNew() {
+	id := "c" + strconv.Itoa(len(r.order))
+	request := operatorapi.Request{ID: id, Command: rapid.SampledFrom(texts).Draw(r.t, "command")}
+	if len(r.store.heads) > 0 && rapid.Bool().Draw(r.t, "read") {
+		request.ReadRevision = rapid.SampledFrom(r.store.heads).Draw(r.t, "revision").Version
+	}
+	r.submissions[id] = &submission{request: request}
+	r.order = append(r.order, id)
+	r.submit(id)
+}
+
+func (r *races) submit(id string) {
+	r.depth++
+	defer func() { r.depth-- }()
+	executor := rapid.SampledFrom(r.executors).Draw(r.t, "instance")
+	response := executor.Execute(r.t.Context(), chief, r.submissions[id].request)
+	r.submissions[id].outcomes = append(r.submissions[id].outcomes, response)
+}
+
+func (r *races) repeat() {
+	if len(r.order) == 0 {
+		r.t.Skip("nothing to repeat")
+	}
+	id := rapid.SampledFrom(r.order).Draw(r.t, "id")
+	r.submissions[id].request.Repeat = true
+	r.submit(id)
+}
+
+// check compares the chain of heads with what the operators were told.
+func (r *races) check() {
+	is := is.NewRelaxed(r.t)
+	appliedAt := make(map[string]uint64)
+	previous := &estate.Configuration{}
+	for i, object := range r.store.heads {
+		head, err := configstore.DecodeHead(object.Value)
+		is.NoErr(err)
+		_, twice := appliedAt[head.ID]
+		is.True(!twice) // a command is applied at most once
+		appliedAt[head.ID] = object.Version
+		current, err := configstore.LoadHead(r.t.Context(), chunksOf{r.store}, object, nil)
+		is.NoErr(err) // a revision is whole
+		if i > 0 {
+			r.checkStep(is, head.ID, previous, current)
+		}
+		previous = current
+	}
+	for _, id := range r.order {
+		r.checkOutcome(is, id, appliedAt)
+	}
+}
+
+// checkStep demands that a revision is its predecessor changed by its command
+// alone.
+func (r *races) checkStep(is *is.I, id string, previous, current *estate.Configuration) {
+	request := r.submissions[id].request
+	parsed, err := command.ParseOne(request.Command)
+	is.NoErr(err)
+	want, err := command.Change(parsed, previous, nil)
+	is.NoErr(err)
+	is.True(command.Equal(want, current))         // the command's change and nothing else
+	is.True(current.Revision > previous.Revision) // revisions grow
+	if request.ReadRevision != 0 {
+		is.Equal(previous.Revision, request.ReadRevision) // conditional on the revision read
+	}
+}
+
+// checkOutcome demands that what an operator was told is true. An unknown
+// outcome says nothing.
+func (r *races) checkOutcome(is *is.I, id string, appliedAt map[string]uint64) {
+	submitted := r.submissions[id]
+	revision, applied := appliedAt[id]
+	for _, response := range submitted.outcomes {
+		if response.Outcome == operatorapi.Applied {
+			is.True(applied)                      // applied is true
+			is.Equal(response.Revision, revision) // and names the revision
+		}
+	}
+	if len(submitted.outcomes) == 0 {
+		return
+	}
+	switch submitted.last().Outcome {
+	case operatorapi.Conflict:
+		is.True(!applied) // a conflict applied nothing
+		is.True(submitted.last().ReadRevision != submitted.last().Revision)
+	case operatorapi.NotApplied, operatorapi.Rejected, operatorapi.Unchanged:
+		is.True(!applied) // a refusal applied nothing
+	case operatorapi.Unknown:
+		is.True(submitted.last().Settle != "") // the command that settles it
+	}
+}
+
+// chunksOf reads through an outage.
+type chunksOf struct{ *faultyStore }
+
+func (s chunksOf) Get(_ context.Context, key string) (platform.Object, error) {
+	return s.objects[key], nil
+}
+
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &races{t: t, store: newFaultyStore(), submissions: make(map[string]*submission)}
+		r.init()
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) { r.t = t; r.submitNew() },
+			"repeat": func(t *rapid.T) { r.t = t; r.repeat() },
+			"land":   func(*rapid.T) { r.store.land() },
+			"outage": func(*rapid.T) { r.store.outage = !r.store.outage },
+			"":       func(t *rapid.T) { r.t = t; r.check() },
+		})
+	})
+}
--- a/operator/spread.go
+++ b/operator/spread.go
@@ -20,7 +20,7 @@
 	deadline := x.parts.Now().Add(min(current.request.Wait.Std(), maxWait))
 	for {
 		response.Spread = spreadOf(x.parts.Peers.Revisions(ctx, current.operator.Token), response.Revision)
-		if len(response.Spread.Pending) == 0 || !x.parts.Now().Before(deadline) || !pause(ctx, spreadPoll) {
+		if len(response.Spread.Pending) == 0 || !x.parts.Now().Before(deadline) || !x.parts.Pause(ctx, spreadPoll) {
 			return response
 		}
 	}
--- /dev/null
+++ b/operator/store_test.go
@@ -0,0 +1,119 @@
+package operator_test
+
+import (
+	"context"
+	"sort"
+	"strings"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// headFault is what happens to one write of the head.
+type headFault string
+
+const (
+	headWritten headFault = "written"
+	// answerLost applies the write and loses the answer.
+	answerLost headFault = "answer lost"
+	// writeLost loses the write, which the writer can't tell from answerLost.
+	writeLost headFault = "write lost"
+	// writeDelayed loses the answer; the write lands later.
+	writeDelayed headFault = "write delayed"
+	// writeRefused is an outage at the write.
+	writeRefused headFault = "write refused"
+)
+
+// delayedWrite is a write that is still under way.
+type delayedWrite struct {
+	value     []byte
+	condition platform.Condition
+}
+
+// faultyStore is a platform.Store that keeps every head it ever held.
+type faultyStore struct {
+	objects map[string]platform.Object
+	version uint64
+	heads   []platform.Object
+	delayed []delayedWrite
+	outage  bool
+	// beforeHead runs before each write of the head and says what happens.
+	beforeHead func() headFault
+}
+
+func newFaultyStore() *faultyStore {
+	return &faultyStore{objects: make(map[string]platform.Object), beforeHead: func() headFault { return headWritten }}
+}
+
+func (s *faultyStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if s.outage {
+		return platform.Object{}, fault.New(fault.PlatformUnavailable, "outage")
+	}
+	object, found := s.objects[key]
+	if !found {
+		return object, fault.New(fault.NotFound, key)
+	}
+	return object, nil
+}
+
+func (s *faultyStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (uint64, error) {
+	if s.outage {
+		return 0, fault.New(fault.PlatformUnavailable, "outage")
+	}
+	if key != configstore.HeadKey {
+		return s.put(key, value, condition)
+	}
+	switch s.beforeHead() {
+	case answerLost:
+		_, _ = s.put(key, value, condition)
+	case writeLost:
+	case writeDelayed:
+		s.delayed = append(s.delayed, delayedWrite{value, condition})
+	case writeRefused:
+		return 0, fault.New(fault.PlatformUnavailable, "outage")
+	default:
+		return s.put(key, value, condition)
+	}
+	return 0, fault.New(fault.PlatformAnswerLost, "timeout")
+}
+
+func (s *faultyStore) put(key string, value []byte, condition platform.Condition) (uint64, error) {
+	current, exists := s.objects[key]
+	if !condition.Holds(exists, current.Version) {
+		return 0, fault.New(fault.PlatformConflict, key)
+	}
+	s.version++
+	object := platform.Object{Key: key, Value: value, Version: s.version}
+	s.objects[key] = object
+	if key == configstore.HeadKey {
+		s.heads = append(s.heads, object)
+	}
+	return s.version, nil
+}
+
+// land lets the oldest delayed write arrive.
+func (s *faultyStore) land() {
+	if len(s.delayed) > 0 {
+		write := s.delayed[0]
+		s.delayed = s.delayed[1:]
+		_, _ = s.put(configstore.HeadKey, write.value, write.condition)
+	}
+}
+
+func (s *faultyStore) Delete(context.Context, string, platform.Condition) error { return nil }
+
+func (s *faultyStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
+	var found []platform.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, object)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, nil
+}
+
+func (s *faultyStore) Watch(context.Context, string, uint64) ([]platform.Change, error) {
+	return nil, nil
+}
--- a/operatorapi/request.go
+++ b/operatorapi/request.go
@@ -17,6 +17,9 @@
 	// ReadRevision is the revision the operator saw; a change is refused when
 	// the current one differs. Zero stands for the one read on execution.
 	ReadRevision uint64 `json:"read_revision,omitempty"`
+	// Repeat means that an earlier submission of the id may have been applied:
+	// an instance that can't read the platform answers Unknown.
+	Repeat bool `json:"repeat,omitempty"`
 	// Wait bounds how long the answer waits until the change is in force on
 	// every instance.
 	Wait estate.Duration `json:"wait,omitzero"`
--- /dev/null
+++ b/serving/inflight/caller.go
@@ -0,0 +1,48 @@
+package inflight
+
+import (
+	"context"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// caller is a serving.Caller that the tracker sees.
+type caller struct {
+	next    serving.Caller
+	tracker *Tracker
+}
+
+// Caller wraps a caller.
+func (t *Tracker) Caller(next serving.Caller) serving.Caller { return caller{next, t} }
+
+// Call implements serving.Caller.
+func (c caller) Call(ctx context.Context, request serving.CallRequest) (serving.CallResult, error) {
+	running := &dump.Call{
+		RequestID:     request.RequestID,
+		ClientAccount: request.Account.Name,
+		Service:       request.Service.Name,
+		Operation:     request.Operation.Name,
+		State:         "waiting",
+	}
+	c.tracker.beginCall(running)
+	defer c.tracker.endCall(running)
+	result, err := c.next.Call(ctx, request)
+	c.tracker.ended(err)
+	return result, err
+}
+
+func (t *Tracker) beginCall(running *dump.Call) {
+	t.count(MetricCalls, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls[running.RequestID] = running
+}
+
+func (t *Tracker) endCall(running *dump.Call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.calls[running.RequestID] == running {
+		delete(t.calls, running.RequestID)
+	}
+}
--- /dev/null
+++ b/serving/inflight/generator.go
@@ -0,0 +1,84 @@
+package inflight
+
+import (
+	"context"
+
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// generator is a serving.Generator that the tracker sees.
+type generator struct {
+	next    serving.Generator
+	tracker *Tracker
+}
+
+// Generator wraps a generator.
+func (t *Tracker) Generator(next serving.Generator) serving.Generator {
+	return generator{next, t}
+}
+
+// Generate implements serving.Generator.
+func (g generator) Generate(ctx context.Context, request serving.GenerationRequest, writer serving.AnswerWriter) (serving.AnswerEnd, error) {
+	running := &generation{Generation: dump.Generation{
+		RequestID:     request.RequestID,
+		ClientAccount: request.Account.Name,
+		Service:       request.Service.Name,
+		Model:         request.Model,
+		Version:       request.Version,
+	}}
+	g.tracker.begin(running)
+	defer g.tracker.end(running)
+	end, err := g.next.Generate(ctx, request, answerWriter{writer, g.tracker, running})
+	g.tracker.ended(err)
+	return end, err
+}
+
+func (t *Tracker) begin(running *generation) {
+	t.count(MetricGenerations, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.generations[running.RequestID] = running
+}
+
+func (t *Tracker) end(running *generation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.generations[running.RequestID] == running {
+		delete(t.generations, running.RequestID)
+	}
+}
+
+// answerWriter counts what passes.
+type answerWriter struct {
+	serving.AnswerWriter
+	tracker *Tracker
+	running *generation
+}
+
+// Begin implements serving.AnswerWriter.
+func (w answerWriter) Begin(model, version string, seed uint64) error {
+	w.tracker.pinned(w.running, version)
+	return w.AnswerWriter.Begin(model, version, seed)
+}
+
+// Token implements serving.AnswerWriter.
+func (w answerWriter) Token(token serving.Token) error {
+	w.tracker.token(w.running)
+	return w.AnswerWriter.Token(token)
+}
+
+func (t *Tracker) pinned(running *generation, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running.Version = version
+}
+
+func (t *Tracker) token(running *generation) {
+	now := t.now()
+	t.count(MetricTokens, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running.Tokens++
+	running.lastToken = now
+}
