--- a/serving/inflight/caller.go
+++ b/serving/inflight/caller.go
@@ -33,7 +33,7 @@
 }
 
 func (t *Tracker) beginCall(running *dump.Call) {
-	t.count(MetricCalls, 1)
+	t.count(MetricCalls)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls[running.RequestID] = running
--- a/serving/inflight/generator.go
+++ b/serving/inflight/generator.go
@@ -35,7 +35,7 @@
 }
 
 func (t *Tracker) begin(running *generation) {
-	t.count(MetricGenerations, 1)
+	t.count(MetricGenerations)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.generations[running.RequestID] = running
@@ -76,7 +76,7 @@
 
 func (t *Tracker) token(running *generation) {
 	now := t.now()
-	t.count(MetricTokens, 1)
+	t.count(MetricTokens)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	running.Tokens++
--- a/serving/inflight/tracker.go
+++ b/serving/inflight/tracker.go
@@ -88,15 +88,15 @@
 	return list
 }
 
-// count adds to a counter.
-func (t *Tracker) count(name string, by int64) {
-	metrics.GetOrRegisterCounter(name, t.registry).Inc(by)
+// count adds one to a counter.
+func (t *Tracker) count(name string) {
+	metrics.GetOrRegisterCounter(name, t.registry).Inc(1)
 }
 
 // ended counts a failed request by its code.
 func (t *Tracker) ended(err error) {
 	if err != nil {
-		t.count(MetricRefused+string(fault.From(err).Code), 1)
+		t.count(MetricRefused+string(fault.From(err).Code))
 	}
 }
 
@@ -118,7 +118,7 @@
 		running.Attempt++
 	}
 	if decision.Kind == kindResumed && running.Tokens > 0 {
-		t.count(MetricResumes, 1)
+		t.count(MetricResumes)
 		t.latency.Update(t.now().Sub(running.lastToken).Milliseconds())
 	}
 }
