--- a/serving/inflight/tracker.go
+++ b/serving/inflight/tracker.go
@@ -96,7 +96,7 @@
 // ended counts a failed request by its code.
 func (t *Tracker) ended(err error) {
 	if err != nil {
-		t.count(MetricRefused+string(fault.From(err).Code))
+		t.count(MetricRefused + string(fault.From(err).Code))
 	}
 }
 
