Compare the routing policies and widen the prefix that names an owner

Cause: with the first 2 KB of the prompt as its prefix every request of a client account had the same owner, because the shared system prompt is longer. Change: the prefix is the first 8 KB, and prompts under 4 KB have no owner. Conclusion: prefix affinity with two choices is the default; routing by minimum features stays in the experiment for comparison.

--- a/cmd/wisteriahaven-bench/experiments.go
+++ b/cmd/wisteriahaven-bench/experiments.go
@@ -1,6 +1,11 @@
 package main
 
-import "github.com/wisteriahaven/wisteriahaven/experiment"
+import (
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/routing"
+)
 
 // experiments lists every experiment, one a line in the order of their names.
-var experiments = []experiment.Experiment{}
+var experiments = []experiment.Experiment{
+	routing.Experiment,
+}
--- a/decision/routing/score/prefix.go
+++ b/decision/routing/score/prefix.go
@@ -8,7 +8,9 @@
 // Defaults of prefix affinity.
 const (
 	// DefaultPrefixBytes is how much of the prompt identifies its prefix.
-	DefaultPrefixBytes = 2048
+	DefaultPrefixBytes = 8192
+	// DefaultMinBytes is the length of the shortest prompt with an owner.
+	DefaultMinBytes = 4096
 	// DefaultBoundFactor is the load that an owner may have over the mean.
 	DefaultBoundFactor = 1.25
 	// affinityGain is taken off the cost of the server that owns the prefix.
@@ -23,11 +25,14 @@
 	Bytes int
 	// BoundFactor times the mean load is what an owner may have.
 	BoundFactor float64
+	// MinBytes is the length of the shortest prompt with an owner: a prefix
+	// that is shorter is soon cached everywhere.
+	MinBytes int
 }
 
 // NewPrefix returns prefix affinity with its defaults.
 func NewPrefix() Prefix {
-	return Prefix{Bytes: DefaultPrefixBytes, BoundFactor: DefaultBoundFactor}
+	return Prefix{Bytes: DefaultPrefixBytes, BoundFactor: DefaultBoundFactor, MinBytes: DefaultMinBytes}
 }
 
 // Name implements Scorer.
@@ -35,12 +40,12 @@
 
 // Score implements Scorer.
 func (p Prefix) Score(view *snapshot.View, candidates []Candidate) {
-	if view.Request.Prompt == "" || len(candidates) == 0 {
+	if len(candidates) == 0 || len(view.Request.Prompt) < max(1, p.MinBytes) {
 		return
 	}
 	key := view.Request.Model + "\x00" + view.Request.Prompt[:min(p.Bytes, len(view.Request.Prompt))]
-	owner := HeaviestUnder(view, candidates, key, Bound(view, candidates, p.BoundFactor))
-	if owner >= 0 {
+	bound := Bound(view, candidates, p.BoundFactor)
+	if owner := HeaviestUnder(view, candidates, key, bound); owner >= 0 {
 		candidates[owner].Cost -= affinityGain
 		candidates[owner].Nominated = true
 	}
--- /dev/null
+++ b/experiment/routing/event.go
@@ -0,0 +1,38 @@
+package routing
+
+import "time"
+
+// event is something that happens at a time; equal times keep their order.
+type event struct {
+	at    time.Duration
+	order int
+	run   func(now time.Duration)
+}
+
+// events is a heap of events.
+type events []event
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(value any) { *e = append(*e, value.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/experiment/routing/experiment_test.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+func TestRunRepeatsExactly(t *testing.T) {
+	is := is.New(t)
+	options := experiment.Options{Seed: 3, Scale: 0.2}
+	first, err := Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	second, err := Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	is.Equal(first, second)
+}
+
+func TestFeaturesOutliveAnEdit(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	kept := 0
+	for range 100 {
+		original := text(random, 30_000)
+		at := random.IntN(len(original) - editBytes)
+		edited := original[:at] + text(random, editBytes) + original[at+editBytes:]
+		if leastFeatures(original, 1)[0] == leastFeatures(edited, 1)[0] {
+			kept++
+		}
+	}
+	is.True(kept > 85) // an edit touches one or two of about 30 chunks
+}
+
+func TestCacheCountsTheLeadingBlocksOnly(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	prompt := text(random, 10*blockBytes)
+	c := newCache()
+	is.Equal(c.use(blocks(prompt)), 0)
+	is.Equal(c.use(blocks(prompt)), 10)
+	edited := prompt[:3*blockBytes] + "#" + prompt[3*blockBytes+1:]
+	is.Equal(c.use(blocks(edited)), 3)
+}
--- /dev/null
+++ b/experiment/routing/features.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/score"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
+)
+
+// Parameters of feature extraction.
+const (
+	// chunkBytes is the mean length of a chunk.
+	chunkBytes = 1024
+	// windowBytes is the length of the window that sets chunk boundaries.
+	windowBytes = 16
+	featureGain = 1.0
+	rollBase    = 1_000_003
+)
+
+// features routes by the least features of the prompt's content, as in
+// "Scalable Document Fingerprinting" (document routing): the prompt is cut
+// into chunks whose boundaries depend on the content alone, each chunk gives
+// one feature, and the servers that the few least features name take it. Of
+// these the one with the least load is preferred.
+// Short prompts have no features, as they have no owner in prefix affinity.
+type features struct {
+	// factor is how many of the least features choose servers.
+	factor      int
+	boundFactor float64
+}
+
+func newFeatures(factor int) features {
+	return features{factor: factor, boundFactor: score.DefaultBoundFactor}
+}
+
+// Name implements score.Scorer.
+func (features) Name() string { return "minimum features" }
+
+// Score implements score.Scorer.
+func (f features) Score(view *snapshot.View, candidates []score.Candidate) {
+	if len(candidates) == 0 || len(view.Request.Prompt) < score.DefaultMinBytes {
+		return
+	}
+	bound := score.Bound(view, candidates, f.boundFactor)
+	nominated := make(map[int]bool)
+	for _, feature := range leastFeatures(view.Request.Prompt, f.factor) {
+		key := strconv.FormatUint(feature, 16)
+		if owner := score.HeaviestUnder(view, candidates, key, bound); owner >= 0 && !nominated[owner] {
+			nominated[owner] = true
+			candidates[owner].Cost -= featureGain
+			candidates[owner].Nominated = true
+		}
+	}
+}
+
+// leastFeatures returns the least features of a text in ascending order.
+func leastFeatures(text string, count int) []uint64 {
+	var all []uint64
+	start := 0
+	for _, end := range boundaries(text) {
+		all = append(all, xxhash.Sum64String(text[start:end]))
+		start = end
+	}
+	slices.SortFunc(all, cmp.Compare[uint64])
+	all = slices.Compact(all)
+	return all[:min(count, len(all))]
+}
+
+// boundaries returns the ends of the chunks of a text: a chunk ends where the
+// hash of the last bytes is divisible by the mean length.
+func boundaries(text string) []int {
+	power := uint64(1)
+	for range windowBytes {
+		power *= rollBase
+	}
+	var ends []int
+	hash := uint64(0)
+	for i := range len(text) {
+		hash = hash*rollBase + uint64(text[i]) + 1
+		if i >= windowBytes {
+			hash -= power * (uint64(text[i-windowBytes]) + 1)
+		}
+		if i >= windowBytes && (hash^hash>>29)%chunkBytes == 0 {
+			ends = append(ends, i+1)
+		}
+	}
+	if len(ends) == 0 || ends[len(ends)-1] != len(text) {
+		ends = append(ends, len(text))
+	}
+	return ends
+}
--- /dev/null
+++ b/experiment/routing/policy.go
@@ -0,0 +1,49 @@
+package routing
+
+import (
+	"github.com/wisteriahaven/wisteriahaven/decision/routing"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/filter"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/pick"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/score"
+)
+
+// policy is one pipeline to compare.
+type policy struct {
+	name     string
+	pipeline *routing.Pipeline
+	// uncorrected uses load reports as they are.
+	uncorrected bool
+}
+
+// The names of the compared policies.
+const (
+	nameRandom     = "random"
+	nameTwoChoices = "two choices"
+	nameDefault    = "prefix affinity"
+)
+
+func pipeline(picker pick.Picker, scorers ...score.Scorer) *routing.Pipeline {
+	return &routing.Pipeline{Filters: filter.All(), Preferences: filter.Preferences(), Scorers: scorers, Picker: picker}
+}
+
+// compared are the policies that the targets compare. The default is the
+// pipeline of entry instances itself.
+func compared() []policy {
+	return []policy{
+		{name: nameRandom, pipeline: pipeline(pick.Random{})},
+		{name: nameTwoChoices, pipeline: pipeline(pick.TwoChoices{}, score.Load{})},
+		{name: nameDefault, pipeline: routing.Default()},
+		{name: "1 minimum feature", pipeline: pipeline(pick.TwoChoices{}, score.Load{}, newFeatures(1))},
+		{name: "2 minimum features", pipeline: pipeline(pick.TwoChoices{}, score.Load{}, newFeatures(2))},
+		{name: "4 minimum features", pipeline: pipeline(pick.TwoChoices{}, score.Load{}, newFeatures(4))},
+	}
+}
+
+// variants show what the correction of load reports does.
+func variants() []policy {
+	return []policy{
+		{name: "least loaded, corrected", pipeline: pipeline(pick.Best{}, score.Load{})},
+		{name: "least loaded, uncorrected", pipeline: pipeline(pick.Best{}, score.Load{}), uncorrected: true},
+		{name: "two choices, uncorrected", pipeline: pipeline(pick.TwoChoices{}, score.Load{}), uncorrected: true},
+	}
+}
--- /dev/null
+++ b/experiment/routing/settings.go
@@ -0,0 +1,44 @@
+package routing
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// The size of a run. The rate keeps the engines about three quarters busy.
+const (
+	engines      = 25
+	instances    = 9
+	slots        = 16
+	accounts     = 10
+	documents    = 60
+	rate         = 42.0
+	answerTokens = 220
+
+	tokenTime     = 29 * time.Millisecond
+	prefillTime   = 100 * time.Microsecond
+	cacheTokens   = 120_000
+	reportPeriod  = 200 * time.Millisecond
+	reportLag     = 500 * time.Millisecond
+	samplePeriod  = 100 * time.Millisecond
+	duration      = 180 * time.Second
+	warmUp        = 30 * time.Second
+	bytesPerToken = 4
+	blockTokens   = 64
+)
+
+func settingsUsed(scale float64) []experiment.Setting {
+	return []experiment.Setting{
+		{Name: "engines", Value: strconv.Itoa(engines)},
+		{Name: "slots an engine", Value: strconv.Itoa(slots)},
+		{Name: "instances", Value: strconv.Itoa(instances)},
+		{Name: "requests a second", Value: strconv.FormatFloat(rate, 'f', 0, 64)},
+		{Name: "client accounts", Value: strconv.Itoa(accounts)},
+		{Name: "documents an account", Value: strconv.Itoa(documents)},
+		{Name: "prefix cache an engine, tokens", Value: strconv.Itoa(cacheTokens)},
+		{Name: "load report lag", Value: reportLag.String()},
+		{Name: "virtual time", Value: time.Duration(float64(duration) * scale).String()},
+	}
+}
--- /dev/null
+++ b/experiment/routing/simulation.go
@@ -0,0 +1,180 @@
+package routing
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// instance is one entry instance with its own view of the engines.
+type instance struct {
+	trackers []*load.Tracker
+	random   *rand.Rand
+	now      time.Duration
+}
+
+// State implements snapshot.StateSource.
+func (i *instance) State(server int) snapshot.State {
+	return snapshot.State{Held: i.trackers[server].Estimate(i.now, instances), Capacity: slots}
+}
+
+// simulation is one run of one policy.
+type simulation struct {
+	policy    policy
+	snapshot  *snapshot.Snapshot
+	engines   []*engine
+	instances []*instance
+	events    events
+	order     int
+
+	waits        *hdrhistogram.Histogram
+	hits, blocks int
+	herding      float64
+	samples      int
+}
+
+func newSimulation(tested policy, seed uint64) *simulation {
+	s := &simulation{
+		policy:   tested,
+		snapshot: snapshot.Build(configuration(), snapshot.Options{Place: snapshot.Place{DataCentre: "d", Region: "r"}}),
+		waits:    hdrhistogram.New(1, int64(time.Hour/time.Millisecond), 3),
+	}
+	for range engines {
+		s.engines = append(s.engines, &engine{cache: newCache()})
+	}
+	config := load.DefaultConfig()
+	config.Uncorrected = tested.uncorrected
+	for i := range instances {
+		one := &instance{random: rand.New(rand.NewPCG(seed, uint64(i)))}
+		for range engines {
+			one.trackers = append(one.trackers, load.NewTracker(config))
+		}
+		s.instances = append(s.instances, one)
+	}
+	return s
+}
+
+// configuration has one data centre with all engines.
+func configuration() *estate.Configuration {
+	built := &estate.Configuration{
+		DataCentres: []estate.DataCentre{{Name: "d", Region: "r"}},
+		Services:    []estate.Service{{Name: "s"}},
+		Rules:       []estate.Rule{{Name: "all"}},
+	}
+	for i := range engines {
+		name := fmt.Sprint("engine-", i)
+		built.BackendServers = append(built.BackendServers, estate.BackendServer{Name: name, DataCentre: "d", Service: "s", Slots: slots})
+	}
+	return built
+}
+
+func (s *simulation) schedule(at time.Duration, run func(now time.Duration)) {
+	s.order++
+	heap.Push(&s.events, event{at, s.order, run})
+}
+
+// run sends the requests and measures until the last one arrived.
+func (s *simulation) run(requests []request) error {
+	var failure error
+	for _, next := range requests {
+		s.schedule(next.at, func(now time.Duration) {
+			if err := s.route(now, next); err != nil {
+				failure = err
+			}
+		})
+	}
+	end := requests[len(requests)-1].at
+	s.every(reportPeriod, end, s.report)
+	s.every(samplePeriod, end, s.sample)
+	for len(s.events) > 0 && failure == nil {
+		next := heap.Pop(&s.events).(event)
+		if next.at > end {
+			break
+		}
+		next.run(next.at)
+	}
+	return failure
+}
+
+func (s *simulation) every(period, end time.Duration, run func(now time.Duration)) {
+	for at := period; at <= end; at += period {
+		s.schedule(at, run)
+	}
+}
+
+func (s *simulation) route(now time.Duration, next request) error {
+	from := s.instances[next.instance]
+	from.now = now
+	view := snapshot.NewView(s.snapshot, serving.RouteRequest{Service: "s", Prompt: next.prompt, Purpose: serving.PurposeFirst}, from)
+	choice, err := s.policy.pipeline.Route(view, from.random)
+	if err != nil {
+		return err
+	}
+	tracker := from.trackers[choice.Server]
+	tracker.Started(now)
+	s.engines[choice.Server].submit(s, now, job{next, blocks(next.prompt), tracker.Ended})
+	return nil
+}
+
+// report gives every instance the lagged load of every engine.
+func (s *simulation) report(now time.Duration) {
+	for index, engine := range s.engines {
+		engine.observe(now)
+		lagged, ok := engine.lagged(now)
+		if !ok {
+			continue
+		}
+		engine.sequence++
+		for _, one := range s.instances {
+			one.trackers[index].Reported(load.Report{Sequence: engine.sequence, Held: lagged.held, Observed: lagged.at})
+		}
+	}
+}
+
+// sample measures how far the fullest engine is over the mean.
+func (s *simulation) sample(now time.Duration) {
+	most, sum := 0, 0
+	for _, engine := range s.engines {
+		most = max(most, engine.held())
+		sum += engine.held()
+	}
+	if now < warmUp || sum == 0 {
+		return
+	}
+	s.herding += float64(most) * engines / float64(sum)
+	s.samples++
+}
+
+// measure takes a request whose first token is known.
+func (s *simulation) measure(r request, hits, all int, first time.Duration) {
+	if r.at < warmUp {
+		return
+	}
+	s.hits += hits
+	s.blocks += all
+	_ = s.waits.RecordValue(int64((first - r.at) / time.Millisecond))
+}
+
+// result holds the figures of one run.
+type result struct {
+	hitRatio float64
+	// wait is the time to the first token of 95 in 100, in milliseconds.
+	wait    float64
+	herding float64
+}
+
+func (s *simulation) result() result {
+	return result{
+		hitRatio: float64(s.hits) / float64(max(1, s.blocks)),
+		wait:     float64(s.waits.ValueAtQuantile(95)),
+		herding:  s.herding / float64(max(1, s.samples)),
+	}
+}
