Count what other instances are expected to have sent

Cause: an instance corrects a lagging report by its own requests only, a ninth of what all nine send, so instances that share a report still meet on one engine.

--- a/decision/load/tracker_test.go
+++ b/decision/load/tracker_test.go
@@ -69,3 +69,14 @@
 	is.Equal(load.SlowStart(30*time.Second, time.Minute, 0.5), 0.75)
 	is.Equal(load.SlowStart(time.Hour, time.Minute, 0.25), 1.0)
 }
+
+func TestExpectedCountsTheOthersAsThisOne(t *testing.T) {
+	is := is.New(t)
+	tracker := load.NewTracker(load.DefaultConfig())
+	tracker.Started(time.Second)
+	tracker.Reported(load.Report{BootID: "b", Sequence: 1, Held: 10, Observed: 2 * time.Second})
+	tracker.Started(3 * time.Second)
+	tracker.Started(3 * time.Second)
+	is.Equal(tracker.Estimate(4*time.Second, 9), 12)
+	is.Equal(tracker.Expected(4*time.Second, 9), 28)
+}
--- a/decision/routing/score/load.go
+++ b/decision/routing/score/load.go
@@ -2,7 +2,7 @@
 
 import "github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
 
-// Load costs the estimated requests at a server as a fraction of its
+// Load costs the expected requests at a server as a fraction of its
 // capacity.
 type Load struct{}
 
@@ -12,6 +12,6 @@
 // Score implements Scorer.
 func (Load) Score(view *snapshot.View, candidates []Candidate) {
 	for i := range candidates {
-		candidates[i].Cost += view.States.State(candidates[i].Server).Load()
+		candidates[i].Cost += view.States.State(candidates[i].Server).ExpectedLoad()
 	}
 }
--- a/decision/routing/score/score_test.go
+++ b/decision/routing/score/score_test.go
@@ -73,7 +73,7 @@
 
 func TestLoadCostsTheFractionOfCapacity(t *testing.T) {
 	is := is.New(t)
-	states := snapshot.States{{Held: 2, Capacity: 4}, {Held: 2, Capacity: 2}}
+	states := snapshot.States{{Expected: 2, Capacity: 4}, {Expected: 2, Capacity: 2}}
 	candidates := []score.Candidate{{Server: 0}, {Server: 1}}
 	score.Load{}.Score(&snapshot.View{States: states}, candidates)
 	is.Equal(candidates[0].Cost, 0.5)
--- a/decision/routing/snapshot/state.go
+++ b/decision/routing/snapshot/state.go
@@ -4,6 +4,9 @@
 type State struct {
 	// Held is the estimated number of requests at the server.
 	Held int
+	// Expected is Held with what the other instances are expected to have
+	// sent since the last report.
+	Expected int
 	// Capacity is the number of requests it takes at full speed; a new
 	// server's is reduced by its slow start.
 	Capacity float64
@@ -25,6 +28,11 @@
 	return float64(s.Held) / max(s.Capacity, 1)
 }
 
+// ExpectedLoad returns the expected requests as a fraction of the capacity.
+func (s State) ExpectedLoad() float64 {
+	return float64(s.Expected) / max(s.Capacity, 1)
+}
+
 // StateSource gives the state of a server by its index in the snapshot.
 type StateSource interface {
 	State(server int) State
--- a/experiment/routing/simulation.go
+++ b/experiment/routing/simulation.go
@@ -23,7 +23,12 @@
 
 // State implements snapshot.StateSource.
 func (i *instance) State(server int) snapshot.State {
-	return snapshot.State{Held: i.trackers[server].Estimate(i.now, instances), Capacity: slots}
+	tracker := i.trackers[server]
+	return snapshot.State{
+		Held:     tracker.Estimate(i.now, instances),
+		Expected: tracker.Expected(i.now, instances),
+		Capacity: slots,
+	}
 }
 
 // simulation is one run of one policy.
--- a/serving/routing/server.go
+++ b/serving/routing/server.go
@@ -37,6 +37,7 @@
 	}
 	return snapshot.State{
 		Held:         s.tracker.Estimate(now, instances),
+		Expected:     s.tracker.Expected(now, instances),
 		Capacity:     factor * float64(declared.Slots),
 		Leaving:      s.leaving || (s.reported && s.report.Leaving),
 		BreakerOpen:  !s.breaker.Allows(now),
