Decide claims, retries and calls, with fault schedules against an oracle

Claim shards with heads and segments, the per-call machine, retry budget and backoff, and a virtual-time bench whose oracle sees only runs and answers.

--- /dev/null
+++ b/decision/claim/outcome.go
@@ -0,0 +1,23 @@
+package claim
+
+// MaxRecordedBody is the largest answer body that is kept, in bytes. Of a
+// larger answer only status and content type are kept.
+const MaxRecordedBody = 4 << 10
+
+// Outcome is the recorded answer of a backend server.
+type Outcome struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// BodyOmitted means that the body was too large to be kept.
+	BodyOmitted bool
+}
+
+// Bounded returns the outcome as it is kept.
+func (o Outcome) Bounded() Outcome {
+	if len(o.Body) > MaxRecordedBody {
+		o.Body = nil
+		o.BodyOmitted = true
+	}
+	return o
+}
--- /dev/null
+++ b/decision/claim/schedule_test.go
@@ -0,0 +1,29 @@
+package claim_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment/atmostonce"
+)
+
+// drawn takes the choices of a schedule from rapid.
+type drawn struct{ t *rapid.T }
+
+func (d drawn) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(d.t, "choice") }
+
+// TestAtMostOnce runs fault schedules of calls on several instances: crashes,
+// pauses, lost and delayed writes, outages, partitions and two believed homes.
+// A long run: go test ./decision/claim -run TestAtMostOnce -rapid.checks=100000
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		result := atmostonce.RunSchedule(drawn{t})
+		is.Equal(result.DoubleRuns, 0)
+		is.Equal(result.FalseNotRun, 0)
+		is.Equal(result.WrongAnswers, 0)
+		is.Equal(result.Unhealed, "")
+	})
+}
--- /dev/null
+++ b/experiment/atmostonce/backend.go
@@ -0,0 +1,57 @@
+package atmostonce
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// lostAfter is when an attempt without an answer ends.
+const lostAfter = 2 * time.Second
+
+// dispatch sends a call to a backend server: it may refuse the connection, run
+// the call, and lose or delay its answer.
+func (i *instance) dispatch(callID int, sub *submission, dispatch call.Dispatch) {
+	w := i.world
+	ended := func(delay time.Duration, ending call.Ending, outcome claim.Outcome) {
+		i.deliver(delay, func() {
+			i.stepCall(callID, call.AttemptEnded{Attempt: dispatch.Attempt, Ending: ending, Outcome: outcome})
+		})
+	}
+	if w.faulty && oneIn(w.choices, 5) {
+		ended(2*time.Millisecond, call.NeverSent, claim.Outcome{})
+		return
+	}
+	w.oracle.sent(sub.key, w.now)
+	w.sentAfter(sub)
+	if w.faulty && oneIn(w.choices, 10) {
+		// The call is lost on its way or its server ends while running it.
+		ended(lostAfter, call.Lost, claim.Outcome{})
+		return
+	}
+	w.after(time.Millisecond, func() {
+		run := w.oracle.run(sub.key, w.now)
+		outcome := claim.Outcome{Status: 200, ContentType: "text/plain", Body: []byte(runBody(sub.key, run))}
+		if w.faulty && oneIn(w.choices, 6) {
+			ended(lostAfter, call.Lost, claim.Outcome{})
+			return
+		}
+		delay := 5 * time.Millisecond
+		if w.faulty && oneIn(w.choices, 6) {
+			delay = between(w.choices, 10*time.Millisecond, 4*time.Second)
+		}
+		ended(delay, call.Answered, outcome)
+	})
+}
+
+// runBody is the answer to a run of a key.
+func runBody(key, run int) string {
+	return "key " + strconv.Itoa(key) + " run " + strconv.Itoa(run)
+}
+
+func noServer() *fault.Error {
+	return fault.New(fault.NoBackendServer, "no server is up")
+}
--- /dev/null
+++ b/experiment/atmostonce/choices.go
@@ -0,0 +1,30 @@
+package atmostonce
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Choices is the source of every choice of a schedule.
+type Choices interface {
+	// IntN returns a number from 0 to n-1.
+	IntN(n int) int
+}
+
+// seeded takes choices from a seed.
+type seeded struct{ random *rand.Rand }
+
+// Seeded returns the choices of one schedule of a seed.
+func Seeded(seed, schedule uint64) Choices {
+	return seeded{random: rand.New(rand.NewPCG(seed, schedule))}
+}
+
+func (s seeded) IntN(n int) int { return s.random.IntN(n) }
+
+// between returns a duration from low up to high.
+func between(choices Choices, low, high time.Duration) time.Duration {
+	return low + time.Duration(choices.IntN(int((high-low)/time.Millisecond)+1))*time.Millisecond
+}
+
+// oneIn reports true once in n times on average.
+func oneIn(choices Choices, n int) bool { return choices.IntN(n) == 0 }
--- /dev/null
+++ b/experiment/atmostonce/instance.go
@@ -0,0 +1,194 @@
+package atmostonce
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+)
+
+// instance is one entry instance.
+type instance struct {
+	world *world
+	id    int
+	// boot grows with each restart; events of earlier boots are dropped.
+	boot        int
+	pausedUntil time.Time
+	skew        time.Duration
+	// cutFromStore and cutFromPeers are partitions.
+	cutFromStore bool
+	cutFromPeers bool
+	// home is the instance that this one believes to be the shard's home.
+	home      int
+	committer *claim.Committer
+	calls     map[int]*running
+	// answers holds what to do with the answer to an operation.
+	answers map[uint64]func(claim.Answer)
+	nextID  uint64
+	random  *rand.Rand
+}
+
+// running is one call at one instance.
+type running struct {
+	machine    *call.Machine
+	submission *submission
+}
+
+func (i *instance) restart() {
+	i.boot++
+	i.random = rand.New(rand.NewPCG(uint64(i.world.choices.IntN(1<<30)), uint64(i.id)))
+	i.committer = claim.New(i.world.shard, i.world.claimSettings, i.random)
+	i.calls = make(map[int]*running)
+	i.answers = make(map[uint64]func(claim.Answer))
+}
+
+// clock returns the instance's own time.
+func (i *instance) clock() time.Time { return i.world.now.Add(i.skew) }
+
+// deliver runs something at the instance after a delay, or once its pause is
+// over, unless it was restarted.
+func (i *instance) deliver(delay time.Duration, run func()) {
+	boot := i.boot
+	var attempt func()
+	attempt = func() {
+		switch {
+		case i.boot != boot:
+		case i.world.now.Before(i.pausedUntil):
+			i.world.after(i.pausedUntil.Sub(i.world.now), attempt)
+		default:
+			run()
+		}
+	}
+	i.world.after(delay, attempt)
+}
+
+// operate hands an operation to the instance's committer.
+func (i *instance) operate(operation claim.Operation, answer func(claim.Answer)) {
+	i.nextID++
+	operation.ID = i.nextID
+	i.answers[i.nextID] = answer
+	i.stepCommitter(claim.Submit{Operation: operation})
+}
+
+func (i *instance) stepCommitter(input claim.Input) {
+	for _, output := range i.committer.Step(i.clock(), input) {
+		switch output := output.(type) {
+		case claim.Read:
+			i.read(output)
+		case claim.Write:
+			i.write(output)
+		case claim.Delete:
+			delete(i.world.store.objects, output.Key)
+		case claim.Answer:
+			answer := i.answers[output.ID]
+			delete(i.answers, output.ID)
+			answer(output)
+		case claim.Wake:
+			i.deliver(output.At.Sub(i.clock()), func() { i.stepCommitter(claim.Tick{}) })
+		}
+	}
+}
+
+func (i *instance) read(read claim.Read) {
+	done := claim.ReadDone{Status: claim.StatusFailed}
+	delay := storeTimeout
+	if !i.cutFromStore && !i.world.store.away {
+		done = i.world.store.read(read.Key)
+		delay = i.world.storeLatency()
+	}
+	done.Ticket = read.Ticket
+	i.deliver(delay, func() { i.stepCommitter(done) })
+}
+
+// write sends a write. It may be lost, applied without an answer, or applied
+// long after the client gave it up.
+func (i *instance) write(write claim.Write) {
+	w := i.world
+	failed := claim.WriteDone{Ticket: write.Ticket, Status: claim.StatusFailed}
+	if i.cutFromStore || w.store.away {
+		i.deliver(storeTimeout, func() { i.stepCommitter(failed) })
+		return
+	}
+	if w.store.delayWrites && oneIn(w.choices, 3) {
+		w.after(between(w.choices, storeTimeout, 4*time.Second), func() { w.store.write(write) })
+		i.deliver(storeTimeout, func() { i.stepCommitter(failed) })
+		return
+	}
+	latency := w.storeLatency()
+	lost := w.store.loseAnswers && oneIn(w.choices, 3)
+	w.after(latency/2, func() {
+		done := w.store.write(write)
+		done.Ticket = write.Ticket
+		if lost {
+			done = failed
+			latency = storeTimeout
+		}
+		i.deliver(latency-latency/2, func() { i.stepCommitter(done) })
+	})
+}
+
+// submitTo hands a call's operation to the home or to the own committer.
+func (i *instance) submitTo(callID int, submit call.Submit) {
+	operation := submit.Operation
+	reply := func(answer claim.Answer) call.OperationAnswered {
+		return call.OperationAnswered{ID: operation.ID, Verdict: answer.Verdict, Outcome: answer.Outcome}
+	}
+	if submit.Direct || i.home == i.id {
+		// Answers of the own committer come as events of their own.
+		i.operate(operation, func(answer claim.Answer) {
+			i.deliver(0, func() { i.stepCall(callID, reply(answer)) })
+		})
+		return
+	}
+	home := i.world.instances[i.home]
+	if i.cutFromPeers || home.cutFromPeers {
+		if oneIn(i.world.choices, 2) {
+			i.deliver(time.Millisecond, func() { i.stepCall(callID, call.ForwardFailed{ID: operation.ID}) })
+		}
+		return
+	}
+	home.deliver(i.world.peerLatency(i, home), func() {
+		home.operate(operation, func(answer claim.Answer) {
+			if home.cutFromPeers || i.cutFromPeers {
+				return
+			}
+			i.deliver(i.world.peerLatency(i, home), func() { i.stepCall(callID, reply(answer)) })
+		})
+	})
+}
+
+func (i *instance) stepCall(callID int, input call.Input) {
+	run := i.calls[callID]
+	if run == nil {
+		return
+	}
+	for _, output := range run.machine.Step(i.clock(), input) {
+		switch output := output.(type) {
+		case call.Submit:
+			i.submitTo(callID, output)
+		case call.PickServer:
+			i.pickServer(callID, output)
+		case call.Dispatch:
+			i.dispatch(callID, run.submission, output)
+		case call.Finish:
+			i.world.answered(run.submission, output)
+		case call.Wake:
+			i.deliver(output.At.Sub(i.clock()), func() { i.stepCall(callID, call.Tick{}) })
+		}
+	}
+	if run.machine.Done() {
+		delete(i.calls, callID)
+	}
+}
+
+func (i *instance) pickServer(callID int, pick call.PickServer) {
+	i.deliver(0, func() {
+		if i.world.faulty && oneIn(i.world.choices, 20) {
+			i.stepCall(callID, call.RouteFailed{Fault: noServer()})
+			return
+		}
+		i.stepCall(callID, call.Routed{Server: "server-" + strconv.Itoa(len(pick.Exclude))})
+	})
+}
--- /dev/null
+++ b/experiment/atmostonce/world.go
@@ -0,0 +1,120 @@
+package atmostonce
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+)
+
+// world is a set of instances, the platform's store, backend servers and
+// callers in virtual time.
+type world struct {
+	events
+	choices       Choices
+	random        *rand.Rand
+	shard         claim.Shard
+	claimSettings claim.Settings
+	callSettings  call.Settings
+	retention     time.Duration
+	instances     []*instance
+	store         *store
+	oracle        *oracle
+	// faulty turns the failures of backend servers on.
+	faulty bool
+	// restarted means that an instance lost its state.
+	restarted bool
+	nextCall  int
+	// added are the times from submission to sending.
+	added []time.Duration
+	// resubmit lets callers repeat calls that were refused.
+	resubmit bool
+	answer   func(*submission, call.Finish)
+}
+
+// submission is one sending of a key by its caller.
+type submission struct {
+	key int
+	// body differs when a caller reuses a key.
+	body int
+	at   time.Time
+}
+
+// epoch is the start of virtual time.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newWorld(choices Choices, instances int, settings claim.Settings, retention time.Duration) *world {
+	w := &world{
+		choices:       choices,
+		random:        rand.New(rand.NewPCG(uint64(choices.IntN(1<<30)), 1)),
+		shard:         claim.Shard{Region: "home"},
+		claimSettings: settings,
+		callSettings:  call.DefaultSettings(),
+		retention:     retention,
+		store:         &store{objects: make(map[string]object)},
+		oracle:        newOracle(retention - call.DefaultSettings().DispatchWindow),
+	}
+	w.now = epoch
+	for id := range instances {
+		i := &instance{world: w, id: id}
+		i.restart()
+		w.instances = append(w.instances, i)
+	}
+	return w
+}
+
+func (w *world) storeLatency() time.Duration {
+	return between(w.choices, 2*time.Millisecond, 8*time.Millisecond)
+}
+
+// peerLatency is the time from one instance to another.
+func (w *world) peerLatency(from, to *instance) time.Duration {
+	if from == to {
+		return 0
+	}
+	return time.Millisecond
+}
+
+// submit hands a caller's call to an instance.
+func (w *world) submit(at *instance, sub *submission) {
+	w.nextCall++
+	callID := w.nextCall
+	at.deliver(time.Millisecond, func() {
+		request := call.Request{
+			Mode:      call.ModeClaimed,
+			Keyed:     true,
+			Key:       claim.KeyOf("account", strconv.Itoa(sub.key)),
+			Hash:      claim.BodyHash(sub.body),
+			Attempt:   claim.AttemptID(w.random.Uint64()),
+			Retention: w.retention,
+			Deadline:  at.clock().Add(10 * time.Second),
+		}
+		machine := call.New(w.callSettings, request, nil, at.random)
+		at.calls[callID] = &running{machine: machine, submission: sub}
+		at.stepCall(callID, call.Start{})
+	})
+}
+
+func (w *world) answered(sub *submission, answer call.Finish) {
+	w.oracle.answered(sub, answer, w.now)
+	if w.answer != nil {
+		w.answer(sub, answer)
+	}
+	if w.resubmit && answer.Fault != nil && oneIn(w.choices, 2) {
+		w.after(between(w.choices, 0, 300*time.Millisecond), func() { w.submitAnywhere(sub.key) })
+	}
+}
+
+func (w *world) submitAnywhere(key int) {
+	sub := &submission{key: key, at: w.now}
+	if oneIn(w.choices, 20) {
+		sub.body = 1
+	}
+	w.submit(w.instances[w.choices.IntN(len(w.instances))], sub)
+}
+
+func (w *world) sentAfter(sub *submission) {
+	w.added = append(w.added, w.now.Sub(sub.at))
+}
