Void a claim that is still on its way when another submission holds the key

Found by the schedules: a submission that was answered unknown because another one held the key left its direct claim in flight; once the other one was released, that claim took effect for a call that was never sent. The machine now voids the attempt unless every claim submission was answered.

--- a/decision/call/claiming.go
+++ b/decision/call/claiming.go
@@ -53,6 +53,7 @@
 	switch m.state {
 	case stateClaiming:
 		delete(m.claims, input.ID)
+		m.unresolved = true
 		if !m.forwarded {
 			m.submitClaim(now, true)
 		}
@@ -85,18 +86,30 @@
 		m.claimed(now)
 	case claim.VerdictOutcome:
 		m.finish(Finish{Outcome: answer.Outcome, Replayed: true})
-		m.state = stateDone
+		m.withdraw(now)
 	case claim.VerdictInDoubt:
 		m.refuse(unknown("an earlier submission of the key was sent and has no recorded outcome"))
-		m.state = stateDone
+		m.withdraw(now)
 	case claim.VerdictReused:
 		m.refuse(keyReused())
-		m.state = stateDone
+		m.withdraw(now)
 	default:
+		m.unresolved = true
 		m.claimUnresolved(now)
 	}
 }
 
+// withdraw ends a submission whose key belongs to another one. Its claim may
+// still be on its way by another path and would take effect once that other
+// one is released, so the attempt is voided.
+func (m *Machine) withdraw(now time.Time) {
+	if m.unresolved || len(m.claims) > 0 {
+		m.release(now, nil)
+		return
+	}
+	m.state = stateDone
+}
+
 // claimUnresolved goes to the platform directly, or gives up when no
 // submission of the claim is left.
 func (m *Machine) claimUnresolved(now time.Time) {
--- a/decision/call/machine.go
+++ b/decision/call/machine.go
@@ -37,6 +37,8 @@
 	forwarded bool
 	// claims are the claim submissions that have no answer yet.
 	claims map[uint64]bool
+	// unresolved means that a claim submission ended with nothing known.
+	unresolved bool
 	// refusal is answered when the release is settled.
 	refusal       *fault.Error
 	releaseSince  time.Time
