Run calls by the claim and call decisions

serving/call drives one machine a call and one committer a claim shard. Calls pass admission and the guard, outcomes are recorded in the background and a planned stop waits for them. A refusal before the key is read says refused-here when the call has a key, since earlier submissions may have run.

--- a/client/call.go
+++ b/client/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -25,21 +26,65 @@
 	Body []byte
 	// Replayed means that the answer was recorded for an earlier submission.
 	Replayed bool
+	// BodyOmitted means that the recorded answer's body was not kept.
+	BodyOmitted bool
 }
 
-// Call sends one call once. Errors are *fault.Error and state the execution.
-// A lost connection is CallUnknown: repeating the call with the same key is
-// safe.
+// maxCallTries bounds the submissions of one call.
+const maxCallTries = 5
+
+// Call sends one call. A call with a key is repeated, a few times and by the
+// advice of the refusal, when it was refused for now or its answer was lost:
+// a key runs at most once. Errors are *fault.Error and state the execution.
 func (c *Client) Call(ctx context.Context, call Call) (CallAnswer, error) {
+	for try := 1; ; try++ {
+		answer, err := c.callOnce(ctx, call)
+		if err == nil || try == maxCallTries || call.IdempotencyKey == "" {
+			return answer, err
+		}
+		wait := repeatAfter(fault.From(err))
+		if wait == 0 {
+			return answer, err
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return answer, err
+		}
+	}
+}
+
+// repeatAfter returns the wait before a repeat, zero when there must be none.
+func repeatAfter(failure *fault.Error) time.Duration {
+	switch failure.Code {
+	case fault.AccountLimit, fault.Overloaded, fault.Stopping, fault.CallRefusedHere, fault.CallNotRun:
+		return max(failure.RetryAfter, reconnectPause)
+	case fault.CallAnswerLost:
+		return reconnectPause
+	default:
+		return 0
+	}
+}
+
+// unsentExecution is the execution of a call that reached no instance.
+func unsentExecution(call Call) fault.Execution {
+	if call.IdempotencyKey != "" {
+		return fault.ExecutionRefusedHere
+	}
+	return fault.ExecutionNotRun
+}
+
+// callOnce submits a call to one instance.
+func (c *Client) callOnce(ctx context.Context, call Call) (CallAnswer, error) {
 	address := c.address()
 	request := c.newRequest(address, "/v1/services/"+call.Service+"/"+call.Operation, call.IdempotencyKey, call.Body)
 	defer fasthttp.ReleaseRequest(request)
 	exchange, sent, err := sse.Post(ctx, &c.dialer, address, request)
 	if err != nil && !sent {
-		return CallAnswer{}, fault.Wrap(fault.CallNotRun, domain, "connect to "+address, err).WithExecution(fault.ExecutionNotRun)
+		return CallAnswer{}, fault.Wrap(fault.CallRefusedHere, domain, "connect to "+address, err).WithExecution(unsentExecution(call))
 	}
 	if err != nil {
-		return CallAnswer{}, fault.Wrap(fault.CallUnknown, domain, "the answer was lost", err).WithExecution(fault.ExecutionUnknown)
+		return CallAnswer{}, fault.Wrap(fault.CallAnswerLost, domain, "the answer was lost", err).WithExecution(fault.ExecutionUnknown)
 	}
 	defer exchange.Close()
 	if exchange.Status() >= http.StatusMultipleChoices {
@@ -47,7 +92,11 @@
 	}
 	body, err := exchange.Body()
 	if err != nil {
-		return CallAnswer{}, fault.Wrap(fault.CallUnknown, domain, "the answer was lost", err).WithExecution(fault.ExecutionUnknown)
+		return CallAnswer{}, fault.Wrap(fault.CallAnswerLost, domain, "the answer was lost", err).WithExecution(fault.ExecutionUnknown)
 	}
-	return CallAnswer{Body: body, Replayed: exchange.Header(caller.ReplayedHeader) == "true"}, nil
+	return CallAnswer{
+		Body:        body,
+		Replayed:    exchange.Header(caller.ReplayedHeader) == "true",
+		BodyOmitted: exchange.Header(caller.BodyOmittedHeader) == "true",
+	}, nil
 }
--- a/decision/call/machine.go
+++ b/decision/call/machine.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
-	"github.com/wisteriahaven/wisteriahaven/decision/retry"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 )
@@ -23,12 +22,20 @@
 	stateDone
 )
 
+// Budget bounds the retries of all calls of an instance.
+type Budget interface {
+	// Request notes a first attempt.
+	Request()
+	// Take takes one retry and reports whether there was one.
+	Take() bool
+}
+
 // Machine decides the course of one call. It is not safe for concurrent use.
 type Machine struct {
 	settings Settings
 	request  Request
 	random   *rand.Rand
-	budget   *retry.Budget
+	budget   Budget
 
 	state     state
 	started   time.Time
@@ -45,6 +52,7 @@
 	backgroundEnd time.Time
 	resubmitAt    time.Time
 	outcome       claim.Outcome
+	unsettled     bool
 
 	attempts int
 	running  map[int]string
@@ -58,7 +66,7 @@
 
 // New returns the machine of one call. The budget is shared by the calls of an
 // instance and may be nil unless the mode is ModeIdempotent.
-func New(settings Settings, request Request, budget *retry.Budget, random *rand.Rand) *Machine {
+func New(settings Settings, request Request, budget Budget, random *rand.Rand) *Machine {
 	return &Machine{
 		settings: settings,
 		request:  request,
@@ -72,6 +80,14 @@
 // Done reports whether the call is answered and nothing is left to do.
 func (m *Machine) Done() bool { return m.state == stateDone }
 
+// Settled reports whether a finished machine left nothing open: false when an
+// outcome could not be recorded or a claim could not be released in time.
+func (m *Machine) Settled() bool { return !m.unsettled }
+
+// Recording reports whether the last thing the machine did was to record an
+// outcome.
+func (m *Machine) Recording() bool { return m.outcome.Status != 0 }
+
 // Step takes one input at the given time and returns what to do.
 func (m *Machine) Step(now time.Time, input Input) []Output {
 	m.outputs = nil
--- a/decision/call/settling.go
+++ b/decision/call/settling.go
@@ -53,6 +53,7 @@
 // settlingPasses repeats a release or record until its time is over.
 func (m *Machine) settlingPasses(now time.Time, kind claim.OperationKind) {
 	if !now.Before(m.backgroundEnd) {
+		m.unsettled = true
 		m.state = stateDone
 		return
 	}
--- a/decision/claim/index.go
+++ b/decision/claim/index.go
@@ -47,9 +47,6 @@
 }
 
 func (x *index) foldClaim(entry Entry, segment SegmentID) {
-	if _, void := x.released[entry.Attempt]; void {
-		return
-	}
 	known, exists := x.records[entry.Key]
 	if exists && known.attempt == entry.Attempt {
 		return
--- a/decision/claim/load.go
+++ b/decision/claim/load.go
@@ -8,7 +8,6 @@
 // load is a read of the head and of the segments that are not folded yet.
 type load struct {
 	ticket  uint64
-	started bool
 	head    Head
 	version uint64
 	exists  bool
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,8 @@
 
 	"github.com/wisteriahaven/wisteriahaven/control/configuration"
 	"github.com/wisteriahaven/wisteriahaven/control/orders"
+	decision "github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -46,6 +49,7 @@
 	router   *routing.Router
 	admitter *admission.Controller
 	callers  *caller.Server
+	calls    *call.Caller
 	tracker  *inflight.Tracker
 	marks    *operator.Marks
 	// effective is the configuration in force with the local marks.
@@ -96,17 +100,24 @@
 		Recorder: recorder,
 		Engines:  engine.NewClient(),
 	})
-	calls := call.New(call.Parts{
-		Router:   router,
-		Admitter: admitter,
-		Recorder: recorder,
-		Services: service.NewClient(),
+	e.calls = call.New(call.Parts{
+		Instance:      e.settings.Instance,
+		Configuration: e.follower,
+		Router:        router,
+		Admitter:      admitter,
+		Recorder:      recorder,
+		Guard:         requestGuard,
+		Services:      service.NewClient(),
+		Store:         e.store,
+		Logger:        e.logger,
+		Call:          decision.DefaultSettings(),
+		Claim:         claim.DefaultSettings(),
 	})
 	e.callers = caller.NewServer(e.callerOptions(), caller.Backends{
 		Authenticator: admitter,
 		Configuration: e.follower,
 		Generator:     e.tracker.Generator(generator),
-		Caller:        e.tracker.Caller(calls),
+		Caller:        e.tracker.Caller(e.calls),
 	}, e.logger)
 	e.orders = e.newOrdersKeeper()
 	e.operators = newOperators(e)
@@ -184,7 +195,7 @@
 	case <-ctx.Done():
 	case <-time.After(e.settings.Intervals.Unready.Std()):
 	}
-	err := e.callers.Shutdown(ctx)
+	err := errors.Join(e.callers.Shutdown(ctx), e.calls.Drain(ctx))
 	e.close()
 	event.Log(e.logger, event.ProcessStopped).Send()
 	return err
@@ -203,6 +214,7 @@
 // close ends the operator listener and every duty.
 func (e *Entry) close() {
 	e.callers.Abort()
+	e.calls.Close()
 	_ = e.operators.Shutdown()
 	e.duties.Stop()
 	e.serve.Stop()
--- a/experiment/atmostonce/oracle.go
+++ b/experiment/atmostonce/oracle.go
@@ -13,7 +13,7 @@
 	window time.Duration
 	sends  map[int][]time.Time
 	runs   map[int][]time.Time
-	// DoubleRuns and FalseNotRun count broken promises; WrongAnswers counts
+	// doubleRuns and falseNotRun count broken promises; wrongAnswers counts
 	// answers that no run of the key gave.
 	doubleRuns   int
 	falseNotRun  int
@@ -76,6 +76,3 @@
 	}
 	o.wrongAnswers++
 }
-
-// broken returns the number of broken promises.
-func (o *oracle) broken() int { return o.doubleRuns + o.falseNotRun + o.wrongAnswers }
--- a/fault/codes_call.go
+++ b/fault/codes_call.go
@@ -12,6 +12,8 @@
 	CallFailed       Code = "call_failed"
 	QuarantinedByUs  Code = "request_quarantined"
 	RetryBudgetEmpty Code = "retry_budget_empty"
+	AnswerCrossed    Code = "answer_crossed"
+	CallAnswerLost   Code = "call_answer_lost"
 )
 
 var callDefinitions = map[Code]Definition{
@@ -22,5 +24,7 @@
 	CallKeyReused:    {http.StatusUnprocessableEntity, "the key was used before with another request", "use a new key"},
 	CallFailed:       {http.StatusBadGateway, "an idempotent call failed on every try", "retry later"},
 	QuarantinedByUs:  {http.StatusUnprocessableEntity, "the request ended several backend servers and is quarantined", "change the request, or ask an operator to release it"},
+	AnswerCrossed:    {http.StatusBadGateway, "the backend server answered another request", "check the backend server"},
+	CallAnswerLost:   {http.StatusBadGateway, "the connection broke before the call's answer", "repeat the call with the same key"},
 	RetryBudgetEmpty: {http.StatusServiceUnavailable, "the retry budget is used up", "retry later"},
 }
--- /dev/null
+++ b/serving/call/attempt.go
@@ -0,0 +1,116 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+	"github.com/wisteriahaven/wisteriahaven/transport/service"
+)
+
+// probeTimeout bounds the check whether a server still takes connections.
+const probeTimeout = 500 * time.Millisecond
+
+func (r *run) pickServer(pick call.PickServer) {
+	r.dropRoute()
+	route, err := r.caller.parts.Router.Route(serving.RouteRequest{
+		RequestID:       r.request.RequestID,
+		ClientAccount:   r.request.Account.Name,
+		Firm:            r.request.Account.Firm,
+		Service:         r.request.Service.Name,
+		Purpose:         pick.Purpose,
+		Exclude:         pick.Exclude,
+		IsolatedSuspect: r.isolated,
+	})
+	if err != nil {
+		r.offer(call.RouteFailed{Fault: fault.From(err)})
+		return
+	}
+	r.route = &route
+	r.offer(call.Routed{Server: route.Server.Name})
+}
+
+// dropRoute gives back a choice that is not used.
+func (r *run) dropRoute() {
+	if r.route != nil {
+		r.route.Done(serving.OutcomeCancelled)
+		r.route = nil
+	}
+}
+
+func (r *run) dispatch(dispatch call.Dispatch) {
+	route := *r.route
+	r.route = nil
+	ctx, cancel := context.WithDeadline(r.caller.ctx, r.decision.Deadline.Add(lateAnswer))
+	r.attempts[dispatch.Attempt] = cancel
+	go r.attempt(ctx, dispatch.Attempt, route)
+}
+
+// attempt sends the call to one server and reports its end.
+func (r *run) attempt(ctx context.Context, number int, route serving.Route) {
+	guard := r.caller.parts.Guard
+	guard.Started(r.fingerprint, r.request.RequestID, route.Server.Name)
+	result, sent, err := r.caller.parts.Services.Call(ctx, route.Server.Address, service.Request{
+		Operation: r.request.Operation.Name,
+		Key:       r.request.Key,
+		Body:      r.request.Body,
+	})
+	ended := call.AttemptEnded{Attempt: number}
+	outcome := serving.OutcomeSucceeded
+	switch {
+	case err == nil && r.retryable(result.Status):
+		ended.Ending, outcome = call.Lost, serving.OutcomeRefused
+	case err == nil:
+		ended.Ending = call.Answered
+		ended.Outcome = claim.Outcome{Status: result.Status, ContentType: result.ContentType, Body: result.Body}
+	case !sent:
+		ended.Ending, outcome = call.NeverSent, serving.OutcomeUnreachable
+	default:
+		ended.Ending, outcome = call.Lost, serving.OutcomeBroken
+		r.afterLoss(ctx, route, err)
+	}
+	if ctx.Err() != nil {
+		outcome = serving.OutcomeCancelled
+	}
+	guard.Ended(r.fingerprint, r.request.RequestID, route.Server.Name)
+	route.Done(outcome)
+	r.offer(ended)
+}
+
+// retryable reports whether an idempotent call may go to another server after
+// the status.
+func (r *run) retryable(status int) bool {
+	return r.decision.Mode == call.ModeIdempotent && status == http.StatusServiceUnavailable
+}
+
+// afterLoss tells the guard of a server that ended while it ran the call.
+func (r *run) afterLoss(ctx context.Context, route serving.Route, cause error) {
+	if fault.HasCode(cause, fault.AnswerCrossed) {
+		event.Log(r.caller.parts.Logger, event.AnswerCrossed).
+			Str("request", r.request.RequestID).
+			Str("server", route.Server.Name).
+			Send()
+		return
+	}
+	if ctx.Err() == nil && refusesConnections(route.Server.Address) {
+		r.caller.parts.Guard.ServerDied(route.Server.Name)
+	}
+}
+
+// refusesConnections reports whether no process listens on the address.
+func refusesConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- /dev/null
+++ b/serving/call/counts.go
@@ -0,0 +1,60 @@
+package call
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// counts count the answers by kind.
+type counts struct {
+	answered    atomic.Int64
+	replayed    atomic.Int64
+	notRun      atomic.Int64
+	unknown     atomic.Int64
+	refusedHere atomic.Int64
+}
+
+func (c *counts) add(answer call.Finish) {
+	switch {
+	case answer.Replayed:
+		c.replayed.Add(1)
+	case answer.Fault == nil:
+		c.answered.Add(1)
+	case answer.Fault.Execution == fault.ExecutionNotRun:
+		c.notRun.Add(1)
+	case answer.Fault.Execution == fault.ExecutionUnknown:
+		c.unknown.Add(1)
+	default:
+		c.refusedHere.Add(1)
+	}
+}
+
+// Status is the state of the calls for the dump.
+type Status struct {
+	Answered    int64 `json:"answered"`
+	Replayed    int64 `json:"replayed"`
+	NotRun      int64 `json:"not_run"`
+	Unknown     int64 `json:"unknown"`
+	RefusedHere int64 `json:"refused_here"`
+	// AnswersDropped counts answers that belonged to other requests.
+	AnswersDropped int64        `json:"answers_dropped"`
+	RetryBudget    float64      `json:"retry_budget"`
+	Shards         []shardState `json:"shards"`
+}
+
+// Status returns the state of the calls.
+func (c *Caller) Status(ctx context.Context) Status {
+	return Status{
+		Answered:       c.counts.answered.Load(),
+		Replayed:       c.counts.replayed.Load(),
+		NotRun:         c.counts.notRun.Load(),
+		Unknown:        c.counts.unknown.Load(),
+		RefusedHere:    c.counts.refusedHere.Load(),
+		AnswersDropped: c.parts.Services.Dropped(),
+		RetryBudget:    c.budget.balance(),
+		Shards:         c.shards.states(ctx),
+	}
+}
--- /dev/null
+++ b/serving/call/parts.go
@@ -0,0 +1,46 @@
+package call
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/call"
+	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+	"github.com/wisteriahaven/wisteriahaven/transport/service"
+)
+
+// Instances knows the live entry instances.
+type Instances interface {
+	// InRegion returns the names of the live instances of a region.
+	InRegion(region string) []string
+}
+
+// ClaimForwarder takes claim operations to the home of their shard.
+type ClaimForwarder interface {
+	// Forward returns the home's answer. An error means that the home could
+	// not be reached or did not answer; the operation may have taken effect.
+	Forward(ctx context.Context, instance string, shard claim.Shard, operation claim.Operation) (claim.Answer, error)
+}
+
+// Parts are what a Caller works with.
+type Parts struct {
+	// Instance is the name of this instance.
+	Instance      string
+	Configuration serving.ConfigurationSource
+	Router        serving.Router
+	Admitter      serving.Admitter
+	Recorder      serving.Recorder
+	Guard         serving.Guard
+	Services      *service.Client
+	Store         platform.Store
+	// Instances and Forwarder may be nil: every claim is then committed by
+	// this instance.
+	Instances Instances
+	Forwarder ClaimForwarder
+	Logger    zerolog.Logger
+	Call      call.Settings
+	Claim     claim.Settings
+}
--- a/serving/caller.go
+++ b/serving/caller.go
@@ -25,6 +25,9 @@
 	Body        []byte `json:"body"`
 	// Replayed means that the answer was recorded earlier for the same key.
 	Replayed bool `json:"replayed,omitempty"`
+	// BodyOmitted means that the recorded answer's body was too large to be
+	// kept: the call ran and was answered with the status.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
 }
 
 // Caller runs calls to plain services. Errors are *fault.Error and state the
--- a/transport/caller/call.go
+++ b/transport/caller/call.go
@@ -15,11 +15,11 @@
 func (s *Server) handleCall(ctx *fasthttp.RequestCtx, requestID string, account estate.ClientAccount, target string) error {
 	service, operation, err := s.findOperation(target)
 	if err != nil {
-		return err
+		return err.WithExecution(unsentExecution(ctx))
 	}
 	running, cancel := context.WithTimeout(s.base, service.Deadline.Std())
 	defer cancel()
-	result, err := s.backends.Caller.Call(running, serving.CallRequest{
+	result, callErr := s.backends.Caller.Call(running, serving.CallRequest{
 		RequestID: requestID,
 		Key:       string(ctx.Request.Header.Peek(IdempotencyKey)),
 		Account:   account,
@@ -27,28 +27,40 @@
 		Operation: operation,
 		Body:      append([]byte(nil), ctx.PostBody()...),
 	})
-	if err != nil {
-		return err
+	if callErr != nil {
+		return callErr
 	}
 	if result.Replayed {
 		ctx.Response.Header.Set(ReplayedHeader, "true")
 	}
+	if result.BodyOmitted {
+		ctx.Response.Header.Set(BodyOmittedHeader, "true")
+	}
 	ctx.SetStatusCode(result.Status)
 	ctx.SetContentType(result.ContentType)
 	ctx.SetBody(result.Body)
 	return nil
 }
 
+// unsentExecution is the execution of a call that is refused before its key
+// was read: earlier submissions of a key may have run.
+func unsentExecution(ctx *fasthttp.RequestCtx) fault.Execution {
+	if len(ctx.Request.Header.Peek(IdempotencyKey)) > 0 {
+		return fault.ExecutionRefusedHere
+	}
+	return fault.ExecutionNotRun
+}
+
 // findOperation resolves "service/operation".
-func (s *Server) findOperation(target string) (estate.Service, estate.Operation, error) {
+func (s *Server) findOperation(target string) (estate.Service, estate.Operation, *fault.Error) {
 	configuration := s.backends.Configuration.Current()
 	if configuration == nil {
-		return estate.Service{}, estate.Operation{}, fault.New(fault.ConfigurationUnset, "no configuration is in force").WithExecution(fault.ExecutionNotRun)
+		return estate.Service{}, estate.Operation{}, fault.New(fault.ConfigurationUnset, "no configuration is in force")
 	}
 	serviceName, operationName, _ := strings.Cut(target, "/")
 	service, operation, found := configuration.Operation(serviceName, operationName)
 	if !found {
-		return service, operation, fault.New(fault.UnknownService, "no such operation: "+target).WithExecution(fault.ExecutionNotRun)
+		return service, operation, fault.New(fault.UnknownService, "no such operation: "+target)
 	}
 	return service, operation, nil
 }
--- a/transport/caller/routes.go
+++ b/transport/caller/routes.go
@@ -16,16 +16,18 @@
 
 // Paths and headers of the caller's interface.
 const (
-	completionsPath  = "/v1/completions"
-	servicesPath     = "/v1/services/"
-	RequestIDHeader  = "X-Request-Id"
-	IdempotencyKey   = "Idempotency-Key"
-	LastEventID      = "Last-Event-ID"
-	ReplayedHeader   = "Idempotent-Replayed"
-	bearerPrefix     = "Bearer "
-	maxKeyBytes      = 256
-	requestIDDigits  = 16
-	retryAfterHeader = "Retry-After"
+	completionsPath = "/v1/completions"
+	servicesPath    = "/v1/services/"
+	RequestIDHeader = "X-Request-Id"
+	IdempotencyKey  = "Idempotency-Key"
+	LastEventID     = "Last-Event-ID"
+	ReplayedHeader  = "Idempotent-Replayed"
+	// BodyOmittedHeader marks a replayed answer whose body was too large to be kept.
+	BodyOmittedHeader = "X-Body-Omitted"
+	bearerPrefix      = "Bearer "
+	maxKeyBytes       = 256
+	requestIDDigits   = 16
+	retryAfterHeader  = "Retry-After"
 )
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,7 +31,8 @@
 
 // Client calls plain services. Each call has a connection of its own.
 type Client struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	dropped atomic.Int64
 }
 
 // NewClient returns a client.
@@ -50,7 +52,8 @@
 	}
 	defer exchange.Close()
 	if exchange.Header(engineapi.NonceHeader) != nonce {
-		return result, true, fault.New(fault.CallFailed, "the answer belongs to another request")
+		c.dropped.Add(1)
+		return result, true, fault.New(fault.AnswerCrossed, "the answer of "+address+" belongs to another request")
 	}
 	body, err := exchange.Body()
 	if err != nil {
@@ -63,6 +66,10 @@
 	}, true, nil
 }
 
+// Dropped returns how many answers belonged to other requests. The connection
+// of such an answer is closed with it.
+func (c *Client) Dropped() int64 { return c.dropped.Load() }
+
 func newRequest(address string, call Request, nonce string) *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
 	request.Header.SetMethod(fasthttp.MethodPost)
