--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -21,14 +22,6 @@
 	Address string
 }
 
-// Faults are the failures the stand-in produces on request.
-type Faults struct {
-	// DropAnswers runs that many calls and breaks their connections.
-	DropAnswers int `json:"drop_answers,omitempty"`
-	// CrossAnswers answers that many calls with another request's nonce.
-	CrossAnswers int `json:"cross_answers,omitempty"`
-}
-
 // Answer is the body of an answer.
 type Answer struct {
 	Server    string `json:"server"`
@@ -123,18 +116,18 @@
 	s.mu.Lock()
 	s.runs[key]++
 	run := s.runs[key]
-	drop, cross := s.faults.DropAnswers > 0, s.faults.CrossAnswers > 0
-	if drop {
-		s.faults.DropAnswers--
-	} else if cross {
-		s.faults.CrossAnswers--
-	}
+	effect := s.faults.take(string(ctx.PostBody()))
+	delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
 	s.mu.Unlock()
-	if drop {
+	time.Sleep(delay)
+	switch {
+	case effect.die:
+		s.listener.Kill()
+		return
+	case effect.drop:
 		_ = ctx.Conn().Close()
 		return
-	}
-	if cross {
+	case effect.cross:
 		nonce = "crossed-" + nonce
 	}
 	body, err := json.Marshal(Answer{Server: s.settings.Name, Operation: operation, Key: key, Run: run})
