Add the limits experiment; shed what cannot end in time

Cause: at three times capacity requests waited until shortly before their deadline and were cut in mid-run. Change: a request waits only if its expected wait and twice the mean run time fit before the deadline, and it is refused at the head of the queue when one mean run time doesn't fit. Reservations and gifts of shares go on after a single lost report.

--- a/decision/admission/arrival.go
+++ b/decision/admission/arrival.go
@@ -14,6 +14,6 @@
 	// Tokens is the bound on the answer, zero for calls.
 	Tokens   int
 	Priority int
-	// Deadline is when the request must have started.
+	// Deadline is when the request must have ended.
 	Deadline time.Duration
 }
--- a/decision/admission/controller.go
+++ b/decision/admission/controller.go
@@ -9,6 +9,10 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
+// runMargin is how many mean run times must be left before the deadline for a
+// request to wait: one that is cut in mid-run took room for nothing.
+const runMargin = 2
+
 // Controller is the admission of one instance.
 type Controller struct {
 	config   Config
@@ -115,7 +119,7 @@
 // enqueue lets a request wait, or refuses it when it would wait too long.
 func (c *Controller) enqueue(now time.Duration, a *account, s *service, arrival Arrival) []Output {
 	wait := s.wait(arrival.Account.Name, arrival.Account.Weight)
-	if now+wait > arrival.Deadline || wait > c.config.MaxWait {
+	if now+wait+runMargin*s.mean > arrival.Deadline || wait > c.config.MaxWait {
 		return []Output{{arrival.ID, c.overloaded(wait)}}
 	}
 	c.hold(a, arrival)
@@ -138,11 +142,9 @@
 			return outputs
 		}
 		next := c.entries[item.ID]
-		if item.Deadline <= now {
+		if item.Deadline <= now+s.mean {
 			c.forget(next)
-			refusal := fault.New(fault.DeadlinePassed, "the request waited until its deadline").
-				WithExecution(fault.ExecutionNotRun).WithRetryAfter(c.retryAfter(s.mean))
-			outputs = append(outputs, Output{item.ID, refusal})
+			outputs = append(outputs, Output{item.ID, c.overloaded(s.mean)})
 			continue
 		}
 		c.run(now, s, next)
--- a/decision/share/holder.go
+++ b/decision/share/holder.go
@@ -107,7 +107,7 @@
 // With a silent peer it waits: what is given while a cut is not noticed yet
 // would be lost to the data centre until the cut ends.
 func (h *Holder) give(now time.Duration, scope scope) {
-	if scope.part < h.settled && scope.wanted() && scope.heardSince(now-2*h.config.Period) {
+	if scope.part < h.settled && scope.wanted() && scope.heardSince(now-h.config.Silence) {
 		h.settled = scope.part
 		h.reserved = h.settled
 	}
@@ -118,7 +118,7 @@
 	if h.reserved > h.settled || now < h.notBefore || scope.part <= h.settled {
 		return
 	}
-	if !scope.heardSince(now - 2*h.config.Period) {
+	if !scope.heardSince(now - h.config.Silence) {
 		return
 	}
 	free := scope.total - scope.held() - h.settled
--- /dev/null
+++ b/experiment/limits/experiment.go
@@ -0,0 +1,79 @@
+package limits
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// Experiment measures overshoot, fairness and overload.
+var Experiment = experiment.Experiment{
+	Name:    "limits",
+	Summary: "client account limits over 1, 8 and 64 instances and through a partition; fairness and goodput under overload",
+	Run:     run,
+}
+
+// Bounds.
+const (
+	// maxPeriodsAbove bounds the time for which shares exceed a limit.
+	maxPeriodsAbove = 2.0
+	// minGoodput is the goodput at three times capacity over the one at
+	// capacity.
+	minGoodput = 0.9
+	// minSmall is the part of a small account's requests that is answered
+	// beside a large account that overloads the instances.
+	minSmall = 0.9
+)
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: "1 instance", instances: 1, limit: 200},
+		{name: "8 instances", instances: 8, limit: 200, restarts: true},
+		{name: "8 instances, small limit", instances: 8, limit: 5, restarts: true},
+		{name: "64 instances", instances: 64, limit: 4000, restarts: true},
+		{name: "64 instances, small limit", instances: 64, limit: 20, restarts: true},
+		{name: "8 instances, partition", instances: 8, limit: 200, cut: true},
+		{name: "64 instances, partition", instances: 64, limit: 4000, cut: true, restarts: true},
+	}
+}
+
+func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
+	report := experiment.Report{Experiment: "limits", Seed: options.Seed, Settings: settingsUsed(options.Scale)}
+	for _, s := range scenarios() {
+		if err := ctx.Err(); err != nil {
+			return report, err
+		}
+		x := newExchange(s, options.Seed, scaled(exchangeTime, options.Scale))
+		x.run()
+		report.Figures = append(report.Figures, experiment.Figure{Name: s.name + ": used of what was wanted within the limit", Value: x.used / max(1, x.usable), Unit: "ratio"})
+		report.Targets = append(report.Targets, experiment.AtMost(s.name+": longest time above the limit", "periods", maxPeriodsAbove, float64(x.longest)/float64(period)))
+	}
+	addOverload(&report, options)
+	return report, nil
+}
+
+func addOverload(report *experiment.Report, options experiment.Options) {
+	length := scaled(overloadTime, options.Scale)
+	build := func(offered float64, kind func(int, uint64) gate) *overload {
+		o := newOverload(options.Seed, offered, length, kind)
+		o.run()
+		return o
+	}
+	at, over := build(1, newControlled), build(overloadedBy, newControlled)
+	simple := build(overloadedBy, newUnlimited)
+	report.Figures = append(report.Figures,
+		experiment.Figure{Name: "goodput at capacity", Value: at.goodput(), Unit: "answers/s"},
+		experiment.Figure{Name: "goodput at three times capacity", Value: over.goodput(), Unit: "answers/s"},
+		experiment.Figure{Name: "goodput at three times capacity without admission", Value: simple.goodput(), Unit: "answers/s"},
+		experiment.Figure{Name: "least answered part of a small account without admission", Value: simple.smallest(), Unit: "ratio"},
+	)
+	report.Targets = append(report.Targets,
+		experiment.AtLeast("goodput at three times capacity over the one at capacity", "ratio", minGoodput, over.goodput()/at.goodput()),
+		experiment.AtLeast("least answered part of a small account beside a large one", "ratio", minSmall, over.smallest()),
+	)
+}
+
+func scaled(length time.Duration, scale float64) time.Duration {
+	return time.Duration(float64(length) * scale)
+}
--- /dev/null
+++ b/experiment/limits/overload.go
@@ -0,0 +1,136 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/admission"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/experiment/virtualtime"
+)
+
+// submission is one try of a caller's request.
+type submission struct {
+	account   int
+	gate      gate
+	submitted time.Duration
+	try       int
+	counted   bool
+}
+
+// overload runs callers against the gates of several instances.
+type overload struct {
+	random      *rand.Rand
+	scheduler   virtualtime.Scheduler
+	accounts    []estate.ClientAccount
+	rates       []float64
+	gates       []gate
+	submissions map[string]*submission
+	next        int
+	length      time.Duration
+	// asked and answered count requests after the warm-up by account.
+	asked    []int
+	answered []int
+}
+
+// newOverload offers a multiple of the capacity: small accounts ask for a
+// small part each, and one large account for the rest.
+func newOverload(seed uint64, offered float64, length time.Duration, build func(capacity int, seed uint64) gate) *overload {
+	o := &overload{random: rand.New(rand.NewPCG(seed, 11)), submissions: make(map[string]*submission), length: length}
+	for i := range smallCount {
+		o.addAccount("small-"+strconv.Itoa(i), smallPart*capacityRate)
+	}
+	o.addAccount("large", (offered-smallCount*smallPart)*capacityRate)
+	for i := range instances {
+		o.gates = append(o.gates, build(slots/instances, seed+uint64(i)))
+	}
+	return o
+}
+
+func (o *overload) addAccount(name string, rate float64) {
+	o.accounts = append(o.accounts, estate.ClientAccount{Name: name, Weight: 1})
+	o.rates = append(o.rates, rate)
+	o.asked = append(o.asked, 0)
+	o.answered = append(o.answered, 0)
+}
+
+func (o *overload) run() {
+	for account := range o.accounts {
+		o.scheduler.At(o.gap(account), func(now time.Duration) { o.ask(now, account) })
+	}
+	o.scheduler.Every(expirePeriod, o.length, func(now time.Duration) {
+		for _, g := range o.gates {
+			o.apply(now, g.expire(now))
+		}
+	})
+	o.scheduler.Run(o.length)
+}
+
+func (o *overload) gap(account int) time.Duration {
+	return time.Duration(o.random.ExpFloat64() / o.rates[account] * float64(time.Second))
+}
+
+// ask starts a request and schedules the account's next.
+func (o *overload) ask(now time.Duration, account int) {
+	counted := now >= warmUp && now < o.length-patience
+	if counted {
+		o.asked[account]++
+	}
+	o.submit(now, &submission{account: account, counted: counted})
+	o.scheduler.At(now+o.gap(account), func(now time.Duration) { o.ask(now, account) })
+}
+
+// submit sends a try to any instance, as the platform's balancer does.
+func (o *overload) submit(now time.Duration, s *submission) {
+	o.next++
+	id := strconv.Itoa(o.next)
+	s.gate = o.gates[o.random.IntN(len(o.gates))]
+	s.submitted = now
+	s.try++
+	o.submissions[id] = s
+	o.apply(now, s.gate.arrive(now, id, o.accounts[s.account]))
+}
+
+func (o *overload) apply(now time.Duration, outputs []admission.Output) {
+	for _, output := range outputs {
+		s := o.submissions[output.ID]
+		if output.Refusal != nil {
+			delete(o.submissions, output.ID)
+			if s.try < tries {
+				o.scheduler.At(now+output.Refusal.RetryAfter, func(now time.Duration) { o.submit(now, s) })
+			}
+			continue
+		}
+		took := time.Duration(o.random.ExpFloat64() * float64(runTime))
+		o.scheduler.At(now+took, func(now time.Duration) { o.finish(now, output.ID, s) })
+	}
+}
+
+// finish counts an answer that came before its caller gave up.
+func (o *overload) finish(now time.Duration, id string, s *submission) {
+	delete(o.submissions, id)
+	if s.counted && now <= s.submitted+patience {
+		o.answered[s.account]++
+	}
+	o.apply(now, s.gate.release(now, id))
+}
+
+// goodput returns the answers in time per second.
+func (o *overload) goodput() float64 {
+	sum := 0
+	for _, count := range o.answered {
+		sum += count
+	}
+	return float64(sum) / (o.length - warmUp - patience).Seconds()
+}
+
+// smallest returns the least part of its requests that a small account got
+// answered.
+func (o *overload) smallest() float64 {
+	least := 1.0
+	for i := range smallCount {
+		least = min(least, float64(o.answered[i])/float64(max(1, o.asked[i])))
+	}
+	return least
+}
--- a/experiment/routing/engine.go
+++ b/experiment/routing/engine.go
@@ -44,7 +44,7 @@
 		first := max(now, e.prefillFree) + time.Duration(missed)*prefillTime
 		e.prefillFree = first
 		s.measure(next.request, hits, len(next.blocks), first)
-		s.schedule(first+time.Duration(next.request.tokens)*tokenTime, func(now time.Duration) {
+		s.scheduler.At(first+time.Duration(next.request.tokens)*tokenTime, func(now time.Duration) {
 			e.running--
 			next.ended(now)
 			e.start(s, now)
--- a/experiment/routing/simulation.go
+++ b/experiment/routing/simulation.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/load"
 	"github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
 	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/experiment/virtualtime"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 )
 
@@ -37,8 +37,8 @@
 	snapshot  *snapshot.Snapshot
 	engines   []*engine
 	instances []*instance
-	events    events
-	order     int
+	scheduler virtualtime.Scheduler
+	failure   error
 
 	waits        *hdrhistogram.Histogram
 	hits, blocks int
@@ -81,52 +81,30 @@
 	return built
 }
 
-func (s *simulation) schedule(at time.Duration, run func(now time.Duration)) {
-	s.order++
-	heap.Push(&s.events, event{at, s.order, run})
-}
-
 // run sends the requests and measures until the last one arrived.
 func (s *simulation) run(requests []request) error {
-	var failure error
 	for _, next := range requests {
-		s.schedule(next.at, func(now time.Duration) {
-			if err := s.route(now, next); err != nil {
-				failure = err
-			}
-		})
+		s.scheduler.At(next.at, func(now time.Duration) { s.route(now, next) })
 	}
 	end := requests[len(requests)-1].at
-	s.every(reportPeriod, end, s.report)
-	s.every(samplePeriod, end, s.sample)
-	for len(s.events) > 0 && failure == nil {
-		next := heap.Pop(&s.events).(event)
-		if next.at > end {
-			break
-		}
-		next.run(next.at)
-	}
-	return failure
+	s.scheduler.Every(reportPeriod, end, s.report)
+	s.scheduler.Every(samplePeriod, end, s.sample)
+	s.scheduler.Run(end)
+	return s.failure
 }
 
-func (s *simulation) every(period, end time.Duration, run func(now time.Duration)) {
-	for at := period; at <= end; at += period {
-		s.schedule(at, run)
-	}
-}
-
-func (s *simulation) route(now time.Duration, next request) error {
+func (s *simulation) route(now time.Duration, next request) {
 	from := s.instances[next.instance]
 	from.now = now
 	view := snapshot.NewView(s.snapshot, serving.RouteRequest{Service: "s", Prompt: next.prompt, Purpose: serving.PurposeFirst}, from)
 	choice, err := s.policy.pipeline.Route(view, from.random)
 	if err != nil {
-		return err
+		s.failure = err
+		return
 	}
 	tracker := from.trackers[choice.Server]
 	tracker.Started(now)
 	s.engines[choice.Server].submit(s, now, job{next, blocks(next.prompt), tracker.Ended})
-	return nil
 }
 
 // report gives every instance the lagged load of every engine.
--- a/experiment/routing/event.go
+++ b/experiment/virtualtime/event.go
@@ -1,4 +1,4 @@
-package routing
+package virtualtime
 
 import "time"
 
