Bound the expected wait by the mean run time

Cause: a queue near the deadline keeps no slot busier than a short one and only makes answers late. Change: load is shed when the expected wait exceeds the mean run time, between one and ten seconds.

--- a/decision/admission/config.go
+++ b/decision/admission/config.go
@@ -6,7 +6,9 @@
 type Config struct {
 	// Queued bounds the waiting requests of one service.
 	Queued int
-	// MaxWait is the longest expected wait before load is shed.
+	// MinWait and MaxWait bound the longest expected wait before load is shed,
+	// which is the mean run time within these bounds.
+	MinWait time.Duration
 	MaxWait time.Duration
 	// ShareWait is when a client comes back to an account without a share on
 	// this instance: the time in which shares move.
@@ -20,6 +22,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Queued:    256,
+		MinWait:   time.Second,
 		MaxWait:   10 * time.Second,
 		ShareWait: 2 * time.Second,
 		MinRetry:  time.Second,
--- a/decision/admission/controller.go
+++ b/decision/admission/controller.go
@@ -119,7 +119,7 @@
 // enqueue lets a request wait, or refuses it when it would wait too long.
 func (c *Controller) enqueue(now time.Duration, a *account, s *service, arrival Arrival) []Output {
 	wait := s.wait(arrival.Account.Name, arrival.Account.Weight)
-	if now+wait+runMargin*s.mean > arrival.Deadline || wait > c.config.MaxWait {
+	if now+wait+runMargin*s.mean > arrival.Deadline || wait > c.maxWait(s) {
 		return []Output{{arrival.ID, c.overloaded(wait)}}
 	}
 	c.hold(a, arrival)
@@ -134,6 +134,12 @@
 	return []Output{{dropped.ID, c.overloaded(wait)}}
 }
 
+// maxWait returns the longest expected wait before load is shed. A queue of one
+// mean run time keeps every slot busy; a longer one only makes requests late.
+func (c *Controller) maxWait(s *service) time.Duration {
+	return min(c.config.MaxWait, max(c.config.MinWait, s.mean))
+}
+
 // start runs waiting requests while there is room.
 func (c *Controller) start(now time.Duration, s *service, outputs []Output) []Output {
 	for !s.full() {
