Add ctl, check and events, and run the example operations script in tests

wisteriahaven ctl runs one command, a script or a prompt with history, prints aligned tables or JSON, and exits with a documented code; watch, dump, generate and call stand beside it. check validates settings and estates and exits 2 with each problem's file, line, column and path. Requests in flight, their begin, routes and end are recorded for explain.

--- a/client/call.go
+++ b/client/call.go
@@ -24,6 +24,8 @@
 // CallAnswer is the answer of a backend server.
 type CallAnswer struct {
 	Body []byte
+	// RequestID is the id of the request, for questions to operators.
+	RequestID string
 	// Replayed means that the answer was recorded for an earlier submission.
 	Replayed bool
 	// BodyOmitted means that the recorded answer's body was not kept.
@@ -96,6 +98,7 @@
 	}
 	return CallAnswer{
 		Body:        body,
+		RequestID:   exchange.Header(caller.RequestIDHeader),
 		Replayed:    exchange.Header(caller.ReplayedHeader) == "true",
 		BodyOmitted: exchange.Header(caller.BodyOmittedHeader) == "true",
 	}, nil
--- a/client/generation.go
+++ b/client/generation.go
@@ -30,6 +30,8 @@
 	Tokens  []string
 	Version string
 	Seed    uint64
+	// RequestIDs are the ids of its connections, for questions to operators.
+	RequestIDs []string
 	// Resumes counts the reconnections.
 	Resumes int
 	// Restarts counts the restart events.
@@ -101,6 +103,7 @@
 		return fault.Wrap(fault.EngineUnreachable, domain, "connect to "+address, err)
 	}
 	defer exchange.Close()
+	r.answer.RequestIDs = append(r.answer.RequestIDs, exchange.Header(caller.RequestIDHeader))
 	if exchange.Status() != fasthttp.StatusOK {
 		return answerError(exchange)
 	}
--- /dev/null
+++ b/cmd/wisteriahaven/ctl_dump.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/wisteriahaven/wisteriahaven/ctl"
+)
+
+// ctlDumpCommand prints states.
+type ctlDumpCommand struct {
+	All      bool   `arg:"--all" help:"gather the states of every instance"`
+	Instance string `arg:"positional" help:"name of an instance; the one that answers when not given"`
+}
+
+func (c *ctlDumpCommand) run(ctx context.Context, parent *ctlCommand) int {
+	session := parent.session("")
+	if c.All {
+		states, err := session.Dumps(ctx)
+		if err != nil {
+			return fail(err, ctl.ExitFailure)
+		}
+		ctl.WriteJSON(os.Stdout, states)
+		return ctl.ExitOK
+	}
+	state, err := session.Dump(ctx, c.Instance)
+	if err != nil {
+		return fail(err, ctl.ExitFailure)
+	}
+	ctl.WriteJSON(os.Stdout, state)
+	return ctl.ExitOK
+}
--- /dev/null
+++ b/cmd/wisteriahaven/ctl_watch.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/ctl"
+)
+
+// ctlWatchCommand shows the estate.
+type ctlWatchCommand struct {
+	Interval time.Duration `arg:"--interval" default:"1s" help:"time between two looks"`
+	Count    int           `arg:"--count" help:"end after so many looks"`
+}
+
+func (c *ctlWatchCommand) run(ctx context.Context, parent *ctlCommand) int {
+	return parent.session("").Watch(ctx, ctl.WatchOptions{Interval: c.Interval, Count: c.Count, Terminal: isTerminal(os.Stdout)})
+}
--- a/cmd/wisteriahaven/main.go
+++ b/cmd/wisteriahaven/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/wisteriahaven/wisteriahaven/ctl"
 )
 
 // Exit codes.
@@ -16,13 +18,16 @@
 
 // arguments is the command line.
 type arguments struct {
-	Entry *entryCommand `arg:"subcommand:entry" help:"run an entry instance"`
+	Entry  *entryCommand  `arg:"subcommand:entry" help:"run an entry instance"`
+	Ctl    *ctlCommand    `arg:"subcommand:ctl" help:"run operators' commands"`
+	Check  *checkCommand  `arg:"subcommand:check" help:"validate settings or an estate"`
+	Events *eventsCommand `arg:"subcommand:events" help:"print the catalogue of log events"`
 }
 
 // Description is printed above the help.
 func (arguments) Description() string {
 	return "wisteriahaven serves long model generations on engines that fail.\n" +
-		"Exit codes: 0 success, 1 failure, 2 wrong usage or settings."
+		"Exit codes: 0 success, 1 failure, 2 wrong usage or settings. Those of ctl:\n" + ctl.ExitCodes
 }
 
 // Version is printed by --version.
@@ -30,10 +35,20 @@
 
 func main() {
 	var parsed arguments
-	parser := arg.MustParse(&parsed)
+	parser, err := arg.NewParser(arg.Config{Program: "wisteriahaven"}, &parsed)
+	if err != nil {
+		os.Exit(fail(err, exitFailure))
+	}
+	parser.MustParse(ctlArguments(os.Args[1:]))
 	switch {
 	case parsed.Entry != nil:
 		os.Exit(parsed.Entry.run())
+	case parsed.Ctl != nil:
+		os.Exit(parsed.Ctl.run())
+	case parsed.Check != nil:
+		os.Exit(parsed.Check.run())
+	case parsed.Events != nil:
+		os.Exit(parsed.Events.run())
 	default:
 		parser.WriteHelp(os.Stderr)
 		os.Exit(exitUsage)
--- a/command/kind.go
+++ b/command/kind.go
@@ -1,6 +1,10 @@
 package command
 
-import "strings"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // kind is one kind of object that show lists.
 type kind struct {
@@ -40,3 +44,11 @@
 	}
 	return rows
 }
+
+// byName returns the items in order of name. Lists that the platform keeps in
+// several objects have no order of their own.
+func byName[T any](items []T, name func(T) string) []T {
+	sorted := slices.Clone(items)
+	slices.SortStableFunc(sorted, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return sorted
+}
--- a/command/kinds_declared.go
+++ b/command/kinds_declared.go
@@ -77,7 +77,8 @@
 		drained[drain] = true
 	}
 	observed := observeServers(source.Status)
-	return rowsOf(configuration.BackendServers, func(server estate.BackendServer) Row {
+	servers := byName(configuration.BackendServers, func(s estate.BackendServer) string { return s.Name })
+	return rowsOf(servers, func(server estate.BackendServer) Row {
 		leaving := drained[estate.Drain{Kind: estate.DrainBackendServer, Name: server.Name}] || drained[estate.Drain{Kind: estate.DrainDataCentre, Name: server.DataCentre}]
 		return Row{
 			textCell(server.Name), textCell(server.Service), textCell(server.Model), textCell(server.Version),
@@ -131,7 +132,8 @@
 }
 
 func clientAccountRows(source Source) []Row {
-	return rowsOf(source.Configuration.ClientAccounts, func(account estate.ClientAccount) Row {
+	accounts := byName(source.Configuration.ClientAccounts, func(a estate.ClientAccount) string { return a.Name })
+	return rowsOf(accounts, func(account estate.ClientAccount) Row {
 		limits := account.Limits
 		return Row{
 			textCell(account.Name), textCell(account.Firm), numberCell(account.Weight), numberCell(account.Priority),
--- a/command/parse.go
+++ b/command/parse.go
@@ -115,13 +115,20 @@
 	return value, nil
 }
 
-// String returns the text of the command as it was given.
+// String returns the text of the command on one line, without comments.
 func (c *Command) String() string {
-	var words []string
+	var text strings.Builder
+	previous := ""
 	for _, token := range c.Tokens {
-		if text := strings.TrimSpace(token.Value); text != "" && !strings.HasPrefix(text, "#") {
-			words = append(words, text)
+		word := strings.TrimSpace(token.Value)
+		if word == "" || strings.HasPrefix(word, "#") {
+			continue
 		}
+		if previous != "" && previous != "[" && word != "%" && word != "," && word != "]" {
+			text.WriteByte(' ')
+		}
+		text.WriteString(word)
+		previous = word
 	}
-	return strings.Join(words, " ")
+	return text.String()
 }
--- /dev/null
+++ b/command/source_text.go
@@ -0,0 +1,15 @@
+package command
+
+import "strings"
+
+// SourceText returns the command as it stands in its script, moved to the same
+// line and column, so that errors about it keep their positions.
+func (c *Command) SourceText(script string) string {
+	end := c.Pos.Offset
+	for _, token := range c.Tokens {
+		if !strings.HasPrefix(token.Value, "#") && strings.TrimSpace(token.Value) != "" {
+			end = max(end, token.Pos.Offset+len(token.Value))
+		}
+	}
+	return strings.Repeat("\n", c.Pos.Line-1) + strings.Repeat(" ", c.Pos.Column-1) + script[c.Pos.Offset:end]
+}
--- /dev/null
+++ b/ctl/estate_test.go
@@ -0,0 +1,200 @@
+package ctl_test
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/client"
+	"github.com/wisteriahaven/wisteriahaven/ctl"
+	"github.com/wisteriahaven/wisteriahaven/standin/engine"
+	"github.com/wisteriahaven/wisteriahaven/standin/loopback"
+	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
+	"github.com/wisteriahaven/wisteriahaven/transport/caller"
+)
+
+const (
+	sessionPage = "docs/operations/example-session.md"
+	waitInForce = 10 * time.Second
+)
+
+// startBavaria runs the example estate on loopback addresses.
+func startBavaria(t *testing.T) *loopback.Estate {
+	t.Helper()
+	t.Chdir("..")
+	estate, err := loopback.Start(loopback.Options{
+		Directory: "examples/bavaria",
+		Logger:    zerolog.Nop(),
+		Engine:    engine.Settings{TokenTime: 5 * time.Millisecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(estate.Stop)
+	return estate
+}
+
+// terminal is what an operator sees.
+type terminal struct {
+	*ctl.Session
+	out  *bytes.Buffer
+	errs *bytes.Buffer
+}
+
+func newTerminal(estate *loopback.Estate, operator string) terminal {
+	var addresses []string
+	for _, instance := range estate.Entries {
+		addresses = append(addresses, instance.Addresses().Operators)
+	}
+	screen := terminal{out: &bytes.Buffer{}, errs: &bytes.Buffer{}}
+	screen.Session = ctl.NewSession(ctl.Options{
+		Addresses: addresses, Token: "example-bavaria-operator-" + operator, Output: ctl.OutputTable, Wait: waitInForce,
+		Writer: screen.out, ErrorWriter: screen.errs,
+	})
+	return screen
+}
+
+// ask streams one answer through the first instance. It ends the engine that
+// runs it after a few tokens when that is wanted.
+func ask(t *testing.T, estate *loopback.Estate, prompt string, endEngine bool) client.Answer {
+	t.Helper()
+	calls := client.New(client.Options{Addresses: estate.CallerAddresses()[:1], Key: "example-bavaria-aussendienst-franken"})
+	generation := client.Generation{
+		CompletionBody: caller.CompletionBody{Model: "auskunft", Prompt: prompt, MaxTokens: 60},
+		IdempotencyKey: prompt,
+		SendDelivered:  true,
+	}
+	answer, err := calls.Generate(t.Context(), generation, func(offset int, _ string) {
+		if offset == 20 && endEngine {
+			for _, candidate := range estate.Engines {
+				if candidate.Running() > 0 {
+					candidate.Kill()
+				}
+			}
+		}
+	})
+	if err != nil || len(answer.Tokens) != 60 {
+		t.Fatalf("%d tokens, %v", len(answer.Tokens), err)
+	}
+	return answer
+}
+
+// TestOperationsScript runs the example script against the running example
+// estate and compares the output with the recorded session.
+func TestOperationsScript(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	plain := ask(t, estate, "Summarize the recall of batch 1187.", false)
+	resumed := ask(t, estate, "Audit shelf 4 of the counter in Bamberg.", true)
+	script, err := os.ReadFile("examples/bavaria/operations.wh")
+	is.NoErr(err)
+	screen := newTerminal(estate, "leitung")
+	ids := []string{"request=" + plain.RequestIDs[0], "resumed=" + resumed.RequestIDs[0]}
+	code := screen.RunScript(t.Context(), ctl.Substitute(string(script), ids))
+	t.Log(screen.errs.String())
+	is.Equal(code, ctl.ExitOK)
+	if *update {
+		is.NoErr(os.WriteFile(sessionPage, []byte(sessionHeader+screen.out.String()+"```\n"), 0o644))
+	}
+	recorded, err := os.ReadFile(sessionPage)
+	is.NoErr(err)
+	_, session, _ := strings.Cut(string(recorded), "```\n")
+	is.Equal(stable(strings.TrimSuffix(session, "```\n")), stable(screen.out.String()))
+	is.True(strings.Count(section(screen.out.String(), "> explain generation"), "auskunft-") >= 2) // the engine that ended and another
+	server := section(screen.out.String(), "> explain backend-server")
+	is.True(strings.Contains(server, "the backend-server auskunft-07 is drained"))
+	is.Equal(strings.Count(server, "state leaving"), len(estate.Entries))
+}
+
+const sessionHeader = `# A session against the example estate
+
+The output of ` + "`examples/bavaria/operations.wh`" + ` against the stand-ins of
+` + "`examples/bavaria`" + `: a newly bought firm is admitted, a fifth of a model's load is
+shifted, a server is drained, and two requests are explained; the second one
+lost its engine in the middle. A test runs the script again and compares.
+
+` + "```\n"
+
+var (
+	variable = regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z|\b[0-9a-f]{16}\b|\d+`)
+	spaces   = regexp.MustCompile(` +`)
+)
+
+// stable removes what differs between two runs: times, ids, numbers, and the
+// answers of explain.
+func stable(output string) string {
+	for _, command := range []string{"> explain backend-server", "> explain request", "> explain generation"} {
+		output = strings.Replace(output, section(output, command), "", 1)
+	}
+	output = variable.ReplaceAllString(output, "N")
+	return spaces.ReplaceAllString(output, " ")
+}
+
+// section returns the output of one command.
+func section(output, command string) string {
+	start := strings.Index(output, command)
+	if start < 0 {
+		return ""
+	}
+	end := strings.Index(output[start+1:], "\n> ")
+	if end < 0 {
+		return output[start:]
+	}
+	return output[start : start+1+end]
+}
+
+// TestRacingOperatorsAtAPrompt lets two operators change one client account
+// after both read it.
+func TestRacingOperatorsAtAPrompt(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	first, second := newTerminal(estate, "betrieb"), newTerminal(estate, "leitung")
+	const look = "show client-accounts where name = jahresbericht"
+	is.Equal(first.Run(t.Context(), look), ctl.ExitOK)
+	is.Equal(second.Run(t.Context(), look), ctl.ExitOK)
+	is.Equal(first.Run(t.Context(), "set client-account/jahresbericht/weight 2"), ctl.ExitOK)
+	is.Equal(second.Run(t.Context(), "set client-account/jahresbericht/weight 3"), ctl.ExitConflict)
+	is.True(strings.Contains(second.errs.String(), "conflict: command_conflict: read revision"))
+	is.Equal(second.Run(t.Context(), "set client-account/jahresbericht/weight 3"), ctl.ExitConflict) // until it is read again
+	is.Equal(second.Run(t.Context(), look), ctl.ExitOK)
+	is.Equal(second.Run(t.Context(), "set client-account/jahresbericht/weight 3"), ctl.ExitOK)
+}
+
+func TestRolesAndTokens(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	reader := newTerminal(estate, "auskunft-dienst")
+	is.Equal(reader.Run(t.Context(), "show rules"), ctl.ExitOK)
+	is.Equal(reader.Run(t.Context(), "drain backend-server auskunft-01"), ctl.ExitRejected)
+	is.Equal(newTerminal(estate, "betrieb").Run(t.Context(), "admit firm from examples/bavaria/zimt-kosmetik.json"), ctl.ExitRejected)
+	is.Equal(newTerminal(estate, "nobody").Run(t.Context(), "show rules"), ctl.ExitRejected)
+}
+
+// TestPlatformOutage drains locally while the platform is away and sees the
+// drain written when it is back.
+func TestPlatformOutage(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	operator := newTerminal(estate, "betrieb")
+	estate.ObjectAPI.SetFaults(objectapi.Faults{Outage: true})
+	is.Equal(operator.Run(t.Context(), "set client-account/jahresbericht/weight 2"), ctl.ExitNotApplied)
+	is.Equal(operator.Run(t.Context(), "drain data-centre "+estate.Entries[0].Dump().DataCentre+" --local"), ctl.ExitOK)
+	is.True(strings.Contains(operator.out.String(), "not persisted"))
+	is.Equal(len(estate.Entries[0].Dump().LocalMarks), 1)
+	estate.ObjectAPI.SetFaults(objectapi.Faults{})
+	for range 100 {
+		if len(estate.Entries[0].Dump().LocalMarks) == 0 {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	operator.out.Reset()
+	is.Equal(operator.Run(t.Context(), "show drains"), ctl.ExitOK)
+	is.True(strings.Contains(operator.out.String(), "data-centre"))
+}
--- /dev/null
+++ b/ctl/prompt.go
@@ -0,0 +1,62 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// promptHelp is printed at the start of a prompt.
+const promptHelp = "help lists the commands; history lists what you entered, !n repeats line n, !! the last; exit ends."
+
+// Prompt reads commands line by line until the end of input or "exit".
+func (s *Session) Prompt(ctx context.Context, input io.Reader) int {
+	_, _ = fmt.Fprintln(s.options.Writer, promptHelp)
+	var history []string
+	lines := bufio.NewScanner(input)
+	for {
+		_, _ = fmt.Fprint(s.options.Writer, "wisteriahaven> ")
+		if !lines.Scan() {
+			_, _ = fmt.Fprintln(s.options.Writer)
+			return ExitOK
+		}
+		line, known := recall(strings.TrimSpace(lines.Text()), history)
+		switch {
+		case !known:
+			_, _ = fmt.Fprintln(s.options.ErrorWriter, "no such line in the history")
+		case line == "":
+		case line == "exit" || line == "quit":
+			return ExitOK
+		case line == "history":
+			for i, entry := range history {
+				_, _ = fmt.Fprintf(s.options.Writer, "%4d  %s\n", i+1, entry)
+			}
+		default:
+			history = append(history, line)
+			s.Run(ctx, line)
+		}
+	}
+}
+
+// recall replaces !n and !! by a line of the history.
+func recall(line string, history []string) (string, bool) {
+	number, isRecall := strings.CutPrefix(line, "!")
+	if !isRecall {
+		return line, true
+	}
+	index := len(history)
+	if number != "!" {
+		parsed, err := strconv.Atoi(number)
+		if err != nil {
+			return "", false
+		}
+		index = parsed
+	}
+	if index < 1 || index > len(history) {
+		return "", false
+	}
+	return history[index-1], true
+}
--- a/document/document.go
+++ b/document/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 
 	"github.com/tailscale/hujson"
@@ -95,3 +96,15 @@
 	}
 	return ""
 }
+
+// HasAnyField reports whether the document is an object with one of the
+// fields.
+func (d *Document) HasAnyField(names []string) bool {
+	object, ok := d.root.Value.(*hujson.Object)
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(object.Members, func(member hujson.ObjectMember) bool {
+		return slices.Contains(names, member.Name.Value.(hujson.Literal).String())
+	})
+}
--- a/dump/instance.go
+++ b/dump/instance.go
@@ -34,6 +34,7 @@
 	Leases      []Lease            `json:"leases,omitempty"`
 	LocalMarks  []LocalMark        `json:"local_marks,omitempty"`
 	Quarantines []Quarantine       `json:"quarantines,omitempty"`
+	Counters    []Counter          `json:"counters,omitempty"`
 	Decisions   []serving.Decision `json:"decisions,omitempty"`
 	// Sections holds the states of the other parts.
 	Sections []Section `json:"sections,omitempty"`
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -26,6 +26,7 @@
 		Calls:       e.tracker.Calls(),
 		Leases:      e.dumpLeases(),
 		LocalMarks:  e.marks.All(),
+		Counters:    dump.Counters(e.metrics),
 		Decisions:   e.recorder.Recent(dumpedDecisions),
 		Sections: []dump.Section{
 			dump.NewSection("orders", e.orders.Status()),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,8 +93,9 @@
 	router, admitter := e.assembleChoices()
 	requestGuard := guard.Open{}
 	recorder := e.tracker.Recorder(e.recorder)
+	recordedRouter := e.tracker.Router(router, recorder)
 	generator := generation.New(generation.Parts{
-		Router:   router,
+		Router:   recordedRouter,
 		Admitter: admitter,
 		Guard:    requestGuard,
 		Recorder: recorder,
@@ -103,7 +104,7 @@
 	e.calls = call.New(call.Parts{
 		Instance:      e.settings.Instance,
 		Configuration: e.follower,
-		Router:        router,
+		Router:        recordedRouter,
 		Admitter:      admitter,
 		Recorder:      recorder,
 		Guard:         requestGuard,
@@ -116,8 +117,8 @@
 	e.callers = caller.NewServer(e.callerOptions(), caller.Backends{
 		Authenticator: admitter,
 		Configuration: e.follower,
-		Generator:     e.tracker.Generator(generator),
-		Caller:        e.tracker.Caller(e.calls),
+		Generator:     e.tracker.Generator(generator, recorder),
+		Caller:        e.tracker.Caller(e.calls, recorder),
 	}, e.logger)
 	e.orders = e.newOrdersKeeper()
 	e.operators = newOperators(e)
--- /dev/null
+++ b/operator/marks_test.go
@@ -0,0 +1,141 @@
+package operator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/operator"
+	"github.com/wisteriahaven/wisteriahaven/operatorapi"
+)
+
+// outage is an instance that marks while the platform is away.
+type outage struct {
+	store    *faultyStore
+	source   *fixedSource
+	marks    *operator.Marks
+	now      time.Time
+	executor *operator.Executor
+	other    *operator.Executor
+}
+
+func newOutage(t *testing.T) *outage {
+	t.Helper()
+	o := &outage{store: newFaultyStore(), source: &fixedSource{}, marks: operator.NewMarks(), now: time.Unix(1000, 0)}
+	initial, err := estate.Parse("", []byte(smallEstate))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if initial.Revision, err = configstore.Commit(t.Context(), o.store, &estate.Configuration{}, &initial, "initial"); err != nil {
+		t.Fatal(err)
+	}
+	o.source.configuration = &initial
+	now := func() time.Time { return o.now }
+	o.executor = newExecutor(o.store, o.source, o.marks, now)
+	o.other = newExecutor(o.store, o.source, operator.NewMarks(), now)
+	return o
+}
+
+func (o *outage) run(t *testing.T, executor *operator.Executor, id, text string) operatorapi.Response {
+	t.Helper()
+	return executor.Execute(t.Context(), chief, operatorapi.Request{ID: id, Command: text})
+}
+
+// write makes one try to write the marks.
+func (o *outage) write(t *testing.T) {
+	t.Helper()
+	tries := 0
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	executor := newExecutorPausing(o.store, o.source, o.marks, func() time.Time { return o.now }, func(context.Context, time.Duration) bool {
+		tries++
+		return tries == 1
+	})
+	executor.WriteMarks(ctx)
+}
+
+func (o *outage) drains(t *testing.T) []estate.Drain {
+	t.Helper()
+	snapshot, err := operator.NewStoredConfigurations(o.store).Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snapshot.Configuration.Drains
+}
+
+var drainB1 = estate.Drain{Kind: estate.DrainBackendServer, Name: "b1"}
+
+func TestMarks(t *testing.T) {
+	t.Run("are refused without --local", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1").Outcome, operatorapi.NotApplied)
+		is.Equal(len(o.marks.All()), 0)
+	})
+	t.Run("hold in their own data centre alone", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b2 --local").Outcome, operatorapi.Rejected)
+		is.Equal(o.run(t, o.executor, "c2", "drain data-centre s1 --local").Outcome, operatorapi.Rejected)
+		is.Equal(o.run(t, o.executor, "c3", "drain backend-server b9 --local").Outcome, operatorapi.Rejected)
+	})
+	t.Run("take effect at once and expire", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		effective := operator.NewEffective(o.source, o.marks, func() time.Time { return o.now })
+		is.Equal(effective.Current(), o.source.configuration)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Outcome, operatorapi.Marked)
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Expires, o.now.Add(operator.MarkLifetime))
+		is.Equal(effective.Current().Drains, []estate.Drain{drainB1})
+		is.True(effective.Current() == effective.Current()) // the same pointer until something changes
+		is.Equal(len(o.source.configuration.Drains), 0)
+		o.now = o.now.Add(operator.MarkLifetime)
+		is.Equal(len(effective.Current().Drains), 0)
+		o.write(t)
+		is.Equal(len(o.marks.All()), 0)
+	})
+	t.Run("are written once when the platform is back", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Outcome, operatorapi.Marked)
+		o.write(t)
+		is.Equal(len(o.marks.All()), 1)
+		o.store.outage = false
+		o.write(t)
+		is.Equal(o.drains(t), []estate.Drain{drainB1})
+		is.Equal(len(o.marks.All()), 0)
+		repeated := o.run(t, o.executor, "c1", "drain backend-server b1 --local")
+		is.Equal(repeated.Outcome, operatorapi.Applied)
+		is.True(repeated.Repeated)
+	})
+	t.Run("end when a newer revision disagrees", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Outcome, operatorapi.Marked)
+		o.store.outage = false
+		is.Equal(o.run(t, o.other, "c2", "drain backend-server b1").Outcome, operatorapi.Applied)
+		is.Equal(o.run(t, o.other, "c3", "undrain backend-server b1").Outcome, operatorapi.Applied)
+		o.write(t)
+		is.Equal(len(o.drains(t)), 0) // the newer undrain stands
+		is.Equal(len(o.marks.All()), 0)
+	})
+	t.Run("survive an unrelated newer revision", func(t *testing.T) {
+		is := is.New(t)
+		o := newOutage(t)
+		o.store.outage = true
+		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Outcome, operatorapi.Marked)
+		o.store.outage = false
+		is.Equal(o.run(t, o.other, "c2", "set client-account/account/weight 5").Outcome, operatorapi.Applied)
+		o.write(t)
+		is.Equal(o.drains(t), []estate.Drain{drainB1})
+	})
+}
--- a/serving/inflight/caller.go
+++ b/serving/inflight/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/serving"
@@ -9,12 +10,15 @@
 
 // caller is a serving.Caller that the tracker sees.
 type caller struct {
-	next    serving.Caller
-	tracker *Tracker
+	next     serving.Caller
+	recorder serving.Recorder
+	tracker  *Tracker
 }
 
-// Caller wraps a caller.
-func (t *Tracker) Caller(next serving.Caller) serving.Caller { return caller{next, t} }
+// Caller wraps a caller. The begin and end of its calls are recorded.
+func (t *Tracker) Caller(next serving.Caller, recorder serving.Recorder) serving.Caller {
+	return caller{next, recorder, t}
+}
 
 // Call implements serving.Caller.
 func (c caller) Call(ctx context.Context, request serving.CallRequest) (serving.CallResult, error) {
@@ -27,8 +31,10 @@
 	}
 	c.tracker.beginCall(running)
 	defer c.tracker.endCall(running)
+	c.recorder.Record(serving.Decision{Subject: request.RequestID, Kind: kindBegin, Reason: "client account " + request.Account.Name + ", service " + request.Service.Name + ", operation " + request.Operation.Name})
 	result, err := c.next.Call(ctx, request)
 	c.tracker.ended(err)
+	c.recorder.Record(endDecision(request.RequestID, "status "+strconv.Itoa(result.Status), err))
 	return result, err
 }
 
--- a/serving/inflight/generator.go
+++ b/serving/inflight/generator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/serving"
@@ -9,13 +10,14 @@
 
 // generator is a serving.Generator that the tracker sees.
 type generator struct {
-	next    serving.Generator
-	tracker *Tracker
+	next     serving.Generator
+	recorder serving.Recorder
+	tracker  *Tracker
 }
 
-// Generator wraps a generator.
-func (t *Tracker) Generator(next serving.Generator) serving.Generator {
-	return generator{next, t}
+// Generator wraps a generator. Its begin and end are recorded.
+func (t *Tracker) Generator(next serving.Generator, recorder serving.Recorder) serving.Generator {
+	return generator{next, recorder, t}
 }
 
 // Generate implements serving.Generator.
@@ -29,8 +31,10 @@
 	}}
 	g.tracker.begin(running)
 	defer g.tracker.end(running)
+	g.recorder.Record(serving.Decision{Subject: request.RequestID, Kind: kindBegin, Reason: "client account " + request.Account.Name + ", service " + request.Service.Name + ", model " + request.Model})
 	end, err := g.next.Generate(ctx, request, answerWriter{writer, g.tracker, running})
 	g.tracker.ended(err)
+	g.recorder.Record(endDecision(request.RequestID, "the answer is complete: "+strconv.Itoa(end.Tokens)+" tokens", err))
 	return end, err
 }
 
--- a/serving/inflight/tracker.go
+++ b/serving/inflight/tracker.go
@@ -32,9 +32,16 @@
 // latencySamples is the size of the sample of resume latencies.
 const latencySamples = 1024
 
-// kindResumed is the kind of decision that continues a broken answer; it is
-// recorded just before the first token after the loss.
-const kindResumed = "resumed"
+// Kinds of decision.
+const (
+	kindBegin  = "begin"
+	kindEnd    = "end"
+	kindRoute  = "route"
+	kindRefuse = "refuse"
+	// kindResumed continues a broken answer; it is recorded just before the
+	// first token after the loss.
+	kindResumed = "resumed"
+)
 
 // Tracker holds what is in flight. It is safe for concurrent use.
 type Tracker struct {
@@ -122,3 +129,12 @@
 		t.latency.Update(t.now().Sub(running.lastToken).Milliseconds())
 	}
 }
+
+// endDecision describes how a request ended.
+func endDecision(subject, success string, err error) serving.Decision {
+	decision := serving.Decision{Subject: subject, Kind: kindEnd, Reason: success}
+	if err != nil {
+		decision.Reason = "failed: " + err.Error()
+	}
+	return decision
+}
