--- a/operator/marks_test.go
+++ b/operator/marks_test.go
@@ -94,7 +94,8 @@
 		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Outcome, operatorapi.Marked)
 		is.Equal(o.run(t, o.executor, "c1", "drain backend-server b1 --local").Expires, o.now.Add(operator.MarkLifetime))
 		is.Equal(effective.Current().Drains, []estate.Drain{drainB1})
-		is.True(effective.Current() == effective.Current()) // the same pointer until something changes
+		before := effective.Current()
+		is.True(effective.Current() == before) // the same pointer until something changes
 		is.Equal(len(o.source.configuration.Drains), 0)
 		o.now = o.now.Add(operator.MarkLifetime)
 		is.Equal(len(effective.Current().Drains), 0)
