Never say not-run about a key that was not looked up

Cause: requests refused before their key was read (wrong bearer key, stopping instance, malformed body) said not-run, although an earlier submission of the key may have run. Change: such refusals of a keyed or resumed request say refused-here. Conclusion: not-run now comes only from the claim's own answer.

--- a/transport/caller/call.go
+++ b/transport/caller/call.go
@@ -42,15 +42,6 @@
 	return nil
 }
 
-// unsentExecution is the execution of a call that is refused before its key
-// was read: earlier submissions of a key may have run.
-func unsentExecution(ctx *fasthttp.RequestCtx) fault.Execution {
-	if len(ctx.Request.Header.Peek(IdempotencyKey)) > 0 {
-		return fault.ExecutionRefusedHere
-	}
-	return fault.ExecutionNotRun
-}
-
 // findOperation resolves "service/operation".
 func (s *Server) findOperation(target string) (estate.Service, estate.Operation, *fault.Error) {
 	configuration := s.backends.Configuration.Current()
--- a/transport/caller/routes.go
+++ b/transport/caller/routes.go
@@ -44,30 +44,37 @@
 // route sends the request to its handler and returns a typed error when the
 // answer has not begun.
 func (s *Server) route(ctx *fasthttp.RequestCtx, requestID string) error {
+	account, err := s.accept(ctx)
+	if err != nil {
+		return unsent(ctx, err)
+	}
+	s.inFlight.Add(1)
+	if target, isService := strings.CutPrefix(string(ctx.Path()), servicesPath); isService {
+		defer s.inFlight.Add(-1)
+		return s.handleCall(ctx, requestID, account, target)
+	}
+	if err := s.handleCompletion(ctx, requestID, account); err != nil {
+		return unsent(ctx, err)
+	}
+	return nil
+}
+
+// accept checks what all requests have in common.
+func (s *Server) accept(ctx *fasthttp.RequestCtx) (estate.ClientAccount, error) {
 	path := string(ctx.Path())
-	isService := strings.HasPrefix(path, servicesPath)
-	if path != completionsPath && !isService {
-		return fault.New(fault.NotFound, "no such path: "+path)
+	if path != completionsPath && !strings.HasPrefix(path, servicesPath) {
+		return estate.ClientAccount{}, fault.New(fault.NotFound, "no such path: "+path)
 	}
 	if !ctx.IsPost() {
-		return fault.New(fault.MethodNotAllowed, "use POST")
+		return estate.ClientAccount{}, fault.New(fault.MethodNotAllowed, "use POST")
 	}
 	if s.stopping.Load() {
-		return fault.New(fault.Stopping, "the instance is stopping").WithExecution(fault.ExecutionNotRun)
-	}
-	account, err := s.authenticate(ctx)
-	if err != nil {
-		return err
+		return estate.ClientAccount{}, fault.New(fault.Stopping, "the instance is stopping").WithExecution(fault.ExecutionNotRun)
 	}
 	if key := ctx.Request.Header.Peek(IdempotencyKey); len(key) > maxKeyBytes {
-		return fault.Invalid(IdempotencyKey, fmt.Sprintf("is longer than %d bytes", maxKeyBytes))
-	}
-	s.inFlight.Add(1)
-	if isService {
-		defer s.inFlight.Add(-1)
-		return s.handleCall(ctx, requestID, account, strings.TrimPrefix(path, servicesPath))
+		return estate.ClientAccount{}, fault.Invalid(IdempotencyKey, fmt.Sprintf("is longer than %d bytes", maxKeyBytes))
 	}
-	return s.handleCompletion(ctx, requestID, account)
+	return s.authenticate(ctx)
 }
 
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (estate.ClientAccount, error) {
@@ -85,7 +92,7 @@
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		failure = fault.New(fault.BodyTooLarge, fmt.Sprintf("the body is over %d bytes", s.options.BodyBytes))
 	}
-	s.writeError(ctx, "", failure.WithExecution(fault.ExecutionNotRun))
+	s.writeError(ctx, "", failure.WithExecution(unsentExecution(ctx)))
 }
 
 func (s *Server) writeError(ctx *fasthttp.RequestCtx, requestID string, failure *fault.Error) {
