--- a/cmd/wisteriahaven/ctl.go
+++ b/cmd/wisteriahaven/ctl.go
@@ -33,7 +33,7 @@
 var ctlTools = []string{"run", "watch", "dump", "generate", "call", "reference"}
 
 // ctlFlagsWithValue are the flags of ctl whose next word is their value.
-var ctlFlagsWithValue = []string{"--address", "--token", "--output", "--wait", "--id", "--file", "--define"}
+var ctlFlagsWithValue = []string{"--address", "--token", "--output", "--wait", "--id", "--read-revision", "--file", "--define"}
 
 // ctlArguments adds the subcommand "run" where none is named, so that
 // "ctl show regions" runs a command.
@@ -62,6 +62,7 @@
 // ctlRunCommand runs commands.
 type ctlRunCommand struct {
 	ID     string   `arg:"--id" help:"id of an earlier command to repeat"`
+	Read   uint64   `arg:"--read-revision" help:"revision that the command with --id was evaluated on"`
 	File   string   `arg:"--file" help:"script to run"`
 	Define []string `arg:"--define,separate" help:"name=value: replaces $name in a script"`
 	Local  bool     `arg:"--local" help:"same as --local at the end of a drain command"`
@@ -92,15 +93,15 @@
 	}
 }
 
-func (c *ctlCommand) session(id string) *ctl.Session {
+func (c *ctlCommand) session(id string, readRevision uint64) *ctl.Session {
 	return ctl.NewSession(ctl.Options{
-		Addresses: c.Addresses, Token: c.Token, Output: c.Output, Wait: c.Wait, ID: id,
+		Addresses: c.Addresses, Token: c.Token, Output: c.Output, Wait: c.Wait, ID: id, ReadRevision: readRevision,
 		Writer: os.Stdout, ErrorWriter: os.Stderr,
 	})
 }
 
 func (c *ctlRunCommand) run(ctx context.Context, parent *ctlCommand) int {
-	session := parent.session(c.ID)
+	session := parent.session(c.ID, c.Read)
 	switch {
 	case len(c.Words) > 0:
 		text := strings.Join(c.Words, " ")
--- a/cmd/wisteriahaven/ctl_dump.go
+++ b/cmd/wisteriahaven/ctl_dump.go
@@ -14,7 +14,7 @@
 }
 
 func (c *ctlDumpCommand) run(ctx context.Context, parent *ctlCommand) int {
-	session := parent.session("")
+	session := parent.session("", 0)
 	if c.All {
 		states, err := session.Dumps(ctx)
 		if err != nil {
--- a/cmd/wisteriahaven/ctl_watch.go
+++ b/cmd/wisteriahaven/ctl_watch.go
@@ -15,5 +15,5 @@
 }
 
 func (c *ctlWatchCommand) run(ctx context.Context, parent *ctlCommand) int {
-	return parent.session("").Watch(ctx, ctl.WatchOptions{Interval: c.Interval, Count: c.Count, Terminal: isTerminal(os.Stdout)})
+	return parent.session("", 0).Watch(ctx, ctl.WatchOptions{Interval: c.Interval, Count: c.Count, Terminal: isTerminal(os.Stdout)})
 }
--- a/configstore/snapshot.go
+++ b/configstore/snapshot.go
@@ -50,6 +50,15 @@
 	return Applied{}, false
 }
 
+// Covers reports whether the history names every command applied after a
+// revision.
+func (s Snapshot) Covers(revision uint64) bool {
+	if len(s.History) <= recentCommands {
+		return true
+	}
+	return s.History[len(s.History)-1].Revision <= revision
+}
+
 // forgetOthers removes the chunks that the head does not name.
 func (h Head) forgetOthers(known map[string][]byte) {
 	named := make(map[string]bool, len(h.Chunks))
--- a/ctl/session.go
+++ b/ctl/session.go
@@ -28,6 +28,9 @@
 	// ID is the id of the first change; a repeat of an earlier command. Empty
 	// makes a new one for each change.
 	ID string
+	// ReadRevision is the revision that the command with the ID was evaluated
+	// on; zero when it is not known.
+	ReadRevision uint64
 	// Writer takes the answers, ErrorWriter the failures.
 	Writer      io.Writer
 	ErrorWriter io.Writer
@@ -54,7 +57,7 @@
 
 // NewSession returns a session.
 func NewSession(options Options) *Session {
-	return &Session{options: options, id: options.ID}
+	return &Session{options: options, id: options.ID, readRevision: options.ReadRevision}
 }
 
 // Run runs one command, prints the answer and returns the exit code.
@@ -74,11 +77,10 @@
 
 // request prepares a command with its id and files.
 func (s *Session) request(text string) (operatorapi.Request, error) {
-	request := operatorapi.Request{Command: text, ID: s.id, Repeat: s.id != "", Wait: estate.Duration(s.options.Wait)}
+	request := operatorapi.Request{Command: text, ID: s.id, Repeat: s.id != "", ReadRevision: s.readRevision, Wait: estate.Duration(s.options.Wait)}
 	s.id = ""
 	if request.ID == "" {
 		request.ID = newID()
-		request.ReadRevision = s.readRevision
 	}
 	parsed, err := command.ParseOne(text)
 	if err != nil {
@@ -141,7 +143,7 @@
 	s.print(operatorapi.Response{
 		ID:      request.ID,
 		Outcome: operatorapi.Unknown,
-		Settle:  "ctl --id " + request.ID + " '" + request.Command + "'",
+		Settle:  operatorapi.SettleCommand(request.ID, request.ReadRevision, parsed.String()),
 		Failure: operatorapi.FailureOf(err),
 	})
 	return ExitUnknown
--- a/operator/change.go
+++ b/operator/change.go
@@ -34,6 +34,9 @@
 	if applied, found := snapshot.Find(current.request.ID); found {
 		return x.repeated(ctx, current, response, applied)
 	}
+	if current.request.Repeat && !snapshot.Covers(current.request.ReadRevision) {
+		return x.refused(current, response, fault.New(fault.CommandUnknown, "the history no longer reaches back to the command; look at the configuration"))
+	}
 	if err := current.checkRevision(snapshot.Configuration.Revision); err != nil {
 		return x.refused(current, response, err)
 	}
@@ -138,7 +141,7 @@
 	switch {
 	case fault.HasCode(err, fault.CommandUnknown) || (unread && current.request.Repeat):
 		response.Outcome = operatorapi.Unknown
-		response.Settle = "ctl --id " + current.request.ID + " '" + current.command.String() + "'"
+		response.Settle = operatorapi.SettleCommand(current.request.ID, response.ReadRevision, current.command.String())
 		definition = event.CommandUncertain
 	case errors.As(err, &conflict):
 		response.Outcome = operatorapi.Conflict
--- a/operator/http_peers.go
+++ b/operator/http_peers.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
@@ -23,14 +25,15 @@
 // HTTPPeers implements Peers by the operator listeners of the instances, with
 // the operator's own token.
 type HTTPPeers struct {
-	self  func() dump.Instance
-	peers func() []settings.Peer
+	self      func() dump.Instance
+	peers     func() []settings.Peer
+	transport *fasthttp.Client
 }
 
 // NewHTTPPeers returns the peers of an instance: its own state, and the other
 // instances as known now.
 func NewHTTPPeers(self func() dump.Instance, peers func() []settings.Peer) *HTTPPeers {
-	return &HTTPPeers{self: self, peers: peers}
+	return &HTTPPeers{self: self, peers: peers, transport: operatorclient.NewTransport()}
 }
 
 // Dumps implements Peers.
@@ -40,7 +43,7 @@
 		err   error
 	}
 	peers := p.peers()
-	answers := each(ctx, peers, token, func(ctx context.Context, client *operatorclient.Client) answer {
+	answers := each(ctx, p.transport, peers, token, func(ctx context.Context, client *operatorclient.Client) answer {
 		state, err := client.Dump(ctx)
 		return answer{state, err}
 	})
@@ -59,7 +62,7 @@
 func (p *HTTPPeers) Revisions(ctx context.Context, token string) []operatorapi.InstanceRevision {
 	self := p.self()
 	peers := p.peers()
-	answers := each(ctx, peers, token, func(ctx context.Context, client *operatorclient.Client) operatorapi.InstanceRevision {
+	answers := each(ctx, p.transport, peers, token, func(ctx context.Context, client *operatorclient.Client) operatorapi.InstanceRevision {
 		revision, err := client.Revision(ctx)
 		if err != nil {
 			revision.Unreachable = reason(err)
@@ -80,8 +83,7 @@
 		if peer.Instance != instance {
 			continue
 		}
-		client := operatorclient.New(peer.Operators, token)
-		defer client.Close()
+		client := operatorclient.NewOver(p.transport, peer.Operators, token)
 		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		return client.Dump(bounded)
@@ -95,7 +97,7 @@
 	if dataCentre != "" {
 		peers = slices.DeleteFunc(slices.Clone(peers), func(peer settings.Peer) bool { return peer.DataCentre != dataCentre })
 	}
-	answers := each(ctx, peers, token, func(ctx context.Context, client *operatorclient.Client) error {
+	answers := each(ctx, p.transport, peers, token, func(ctx context.Context, client *operatorclient.Client) error {
 		response, err := client.Execute(ctx, request)
 		if err == nil {
 			err = response.Err()
@@ -114,7 +116,7 @@
 }
 
 // each asks every peer, a bounded number at a time.
-func each[T any](ctx context.Context, peers []settings.Peer, token string, ask func(context.Context, *operatorclient.Client) T) []T {
+func each[T any](ctx context.Context, transport *fasthttp.Client, peers []settings.Peer, token string, ask func(context.Context, *operatorclient.Client) T) []T {
 	answers := make([]T, len(peers))
 	slots := make(chan struct{}, peersAtATime)
 	var wait sync.WaitGroup
@@ -122,8 +124,7 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			client := operatorclient.New(peer.Operators, token)
-			defer client.Close()
+			client := operatorclient.NewOver(transport, peer.Operators, token)
 			bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
 			answers[i] = ask(bounded, client)
--- a/operator/mark_writer.go
+++ b/operator/mark_writer.go
@@ -71,19 +71,14 @@
 	if len(estate.Validate(withMark(mark, snapshot.Configuration))) > 0 {
 		return "the object is no longer declared"
 	}
-	covered := snapshot.Configuration.Revision <= mark.ReadRevision
+	if !snapshot.Covers(mark.ReadRevision) {
+		return "the history does not reach back to the mark's revision"
+	}
 	for _, applied := range snapshot.History {
-		if applied.Revision <= mark.ReadRevision {
-			covered = true
-			break
-		}
-		if concerns(applied.Text, mark.Drain) {
+		if applied.Revision > mark.ReadRevision && concerns(applied.Text, mark.Drain) {
 			return "the newer command " + applied.ID + " concerns the same object"
 		}
 	}
-	if !covered {
-		return "the history does not reach back to the mark's revision"
-	}
 	return ""
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -58,6 +58,7 @@
 		Name:               "wisteriahaven-operator",
 		Handler:            server.handle,
 		CloseOnShutdown:    true,
+		NoDefaultDate:      true,
 		MaxRequestBodySize: maxBodyBytes,
 		ReadBufferSize:     headerBytes,
 		ReadTimeout:        readTimeout,
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -32,14 +32,25 @@
 
 // New returns a client for the operator address "ip:port" of an instance.
 func New(address, token string) *Client {
-	return &Client{address: address, token: token, http: &fasthttp.Client{
+	return NewOver(NewTransport(), address, token)
+}
+
+// NewTransport returns a transport that the clients of many instances share.
+// It makes no retries.
+func NewTransport() *fasthttp.Client {
+	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
+}
+
+// NewOver returns a client over a shared transport.
+func NewOver(transport *fasthttp.Client, address, token string) *Client {
+	return &Client{address: address, token: token, http: transport}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections of the transport.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Execute runs one command. A lost answer of a change is CommandUnknown:
