Keep the home region of a client account

Cause: a change of a firm's home region, or of an account's firm, moves the account's claims to shards that do not know its keys; a key could run twice. Change: such a change is refused as invalid with the account's path. Conclusion: an account's shards stay while the account exists. Removing an account and declaring it again elsewhere is still the operator's duty to avoid within the retention.

--- a/command/change.go
+++ b/command/change.go
@@ -13,26 +13,33 @@
 // a *fault.Error or document.Problems. Equal(current, next) tells whether the
 // command changes anything.
 func Change(command *Command, current *estate.Configuration, files Files) (*estate.Configuration, error) {
+	next, err := follow(command, current, files)
+	if err != nil {
+		return nil, err
+	}
+	if err := invalid(estate.Validate(next)); err != nil {
+		return nil, err
+	}
+	return next, invalid(estate.ValidateChange(current, next))
+}
+
+// follow carries a command out on a copy of the current configuration.
+func follow(command *Command, current *estate.Configuration, files Files) (*estate.Configuration, error) {
 	next := clone(current)
-	var err error
 	switch {
 	case command.Admit != nil:
 		return admit(command.Admit, next, files)
 	case command.Apply != nil:
 		return apply(command.Apply, next, files)
 	case command.Drain != nil:
-		err = drain(command.Drain, next)
+		return next, drain(command.Drain, next)
 	case command.Shift != nil:
-		err = shift(command.Shift, next)
+		return next, shift(command.Shift, next)
 	case command.Set != nil:
-		err = set(command.Set, next)
+		return next, set(command.Set, next)
 	default:
-		err = fault.New(fault.CommandInvalid, "the command changes nothing")
-	}
-	if err != nil {
-		return nil, err
+		return nil, fault.New(fault.CommandInvalid, "the command changes nothing")
 	}
-	return next, invalid(estate.Validate(next))
 }
 
 // invalid turns problems into the error of a command.
