--- a/cmd/wisteriahaven/ctl_test.go
+++ b/cmd/wisteriahaven/ctl_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
 func TestCtlArguments(t *testing.T) {
@@ -27,9 +28,12 @@
 	}
 }
 
-func TestEventsPageIsCurrent(t *testing.T) {
+func TestPagesAreCurrent(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/EVENTS.md")
 	is.NoErr(err)
 	is.Equal(string(page), event.Markdown()) // go run ./cmd/wisteriahaven events > docs/EVENTS.md
+	page, err = os.ReadFile("../../docs/operations/errors.md")
+	is.NoErr(err)
+	is.Equal(string(page), fault.Markdown()) // go run ./cmd/wisteriahaven errors > docs/operations/errors.md
 }
--- a/cmd/wisteriahaven/main.go
+++ b/cmd/wisteriahaven/main.go
@@ -22,6 +22,7 @@
 	Ctl    *ctlCommand    `arg:"subcommand:ctl" help:"run operators' commands"`
 	Check  *checkCommand  `arg:"subcommand:check" help:"validate settings or an estate"`
 	Events *eventsCommand `arg:"subcommand:events" help:"print the catalogue of log events"`
+	Errors *errorsCommand `arg:"subcommand:errors" help:"print the catalogue of error codes"`
 }
 
 // Description is printed above the help.
@@ -49,6 +50,8 @@
 		os.Exit(parsed.Check.run())
 	case parsed.Events != nil:
 		os.Exit(parsed.Events.run())
+	case parsed.Errors != nil:
+		os.Exit(parsed.Errors.run())
 	default:
 		parser.WriteHelp(os.Stderr)
 		os.Exit(exitUsage)
--- a/estate/load_test.go
+++ b/estate/load_test.go
@@ -74,3 +74,30 @@
 		})
 	}
 }
+
+// FuzzParse checks that no input ends the process and that every problem of a
+// readable document has a position.
+func FuzzParse(f *testing.F) {
+	valid, err := os.ReadFile("../examples/bavaria/estate.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add([]byte(`{"firms": [{"name": "a", "home_region": "b"}], "rules": [{"name": "r", "firms": ["*", "c"]}], "shifts": [{}]}`))
+	f.Add([]byte(`{"client_accounts": [{"limits": {"requests_per_second": -1}}], "services": [{"deadline": "9999999h"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := estate.Parse("fuzz.json", data)
+		if err == nil {
+			return
+		}
+		var problems document.Problems
+		if !errors.As(err, &problems) || len(problems) == 0 {
+			t.Fatalf("an error without a type: %v", err)
+		}
+		for _, problem := range problems {
+			if problem.Line < 1 || problem.Column < 1 || problem.Reason == "" {
+				t.Fatalf("a problem without a position: %v", problem)
+			}
+		}
+	})
+}
