--- a/ctl/json_response.go
+++ b/ctl/json_response.go
@@ -18,7 +18,7 @@
 // jsonResult is a result whose rows are objects.
 type jsonResult struct {
 	Columns []command.Column `json:"columns,omitempty"`
-	Rows    []jsonRow        `json:"rows,omitempty"`
+	Rows    []jsonRow        `json:"rows,omitzero"`
 	Text    string           `json:"text,omitempty"`
 	Missing []dump.Missing   `json:"missing,omitempty"`
 }
