--- /dev/null
+++ b/experiment/overhead/experiment.go
@@ -0,0 +1,77 @@
+package overhead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// Experiment measures what an entry instance adds to a stream of tokens.
+var Experiment = experiment.Experiment{
+	Name:    "overhead",
+	Summary: "added delay, tokens a second and processor time a token against the engine asked directly",
+	Run:     run,
+}
+
+// Bounds.
+const (
+	// maxDelayAtShare bounds the delay of 95 in 100 tokens, in milliseconds.
+	// The whole delay from the engine to the caller is held against it, which
+	// includes what a direct caller has too.
+	maxDelayAtShare = 2.0
+	// minSaturated is the tokens a second over the direct ones.
+	minSaturated = 0.5
+	// percentile is the part of tokens that the delay's bound is for.
+	percentile = 95
+)
+
+// paths holds the measurements of both paths.
+type paths struct {
+	direct, entry *measurement
+}
+
+func newPaths() paths { return paths{newMeasurement(), newMeasurement()} }
+
+func (p paths) failure() error { return errors.Join(p.direct.failure, p.entry.failure) }
+
+func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
+	report := experiment.Report{Experiment: "overhead", Seed: options.Seed, Settings: settingsUsed(options.Scale)}
+	s, err := startSystem(ctx)
+	if err != nil {
+		return report, err
+	}
+	defer s.stop()
+	direct, through := s.engine.address(), s.entry.Addresses().Callers
+	length := time.Duration(float64(shareTime) * options.Scale)
+	tokens := int(saturatedTokens * options.Scale)
+	share, saturated := newPaths(), newPaths()
+	for range turns {
+		share.direct.share(ctx, s, direct, options.Seed, length)
+		share.entry.share(ctx, s, through, options.Seed, length)
+		saturated.direct.saturate(ctx, s, direct, tokens)
+		saturated.entry.saturate(ctx, s, through, tokens)
+	}
+	if err := errors.Join(share.failure(), saturated.failure()); err != nil {
+		return report, err
+	}
+	report.Figures = figures(share, saturated)
+	report.Targets = []experiment.Target{
+		experiment.AtMost("delay of 95% of tokens at the share", "ms", maxDelayAtShare, share.entry.delayAt(percentile)),
+		experiment.AtLeast("tokens/s at saturation over direct", "ratio", minSaturated, saturated.entry.rate()/saturated.direct.rate()),
+	}
+	return report, nil
+}
+
+func figures(share, saturated paths) []experiment.Figure {
+	return []experiment.Figure{
+		{Name: "share: tokens/s through the entry instance", Value: share.entry.rate(), Unit: "tokens/s"},
+		{Name: "share: delay of 95% of tokens, direct", Value: share.direct.delayAt(percentile), Unit: "ms"},
+		{Name: "share: delay of 99% of tokens", Value: share.entry.delayAt(99), Unit: "ms"},
+		{Name: "share: processor time a token over direct", Value: share.entry.processorPerToken() / share.direct.processorPerToken(), Unit: "ratio"},
+		{Name: "saturation: tokens/s, direct", Value: saturated.direct.rate(), Unit: "tokens/s"},
+		{Name: "saturation: tokens/s through the entry instance", Value: saturated.entry.rate(), Unit: "tokens/s"},
+		{Name: "saturation: processor time a token over direct", Value: saturated.entry.processorPerToken() / saturated.direct.processorPerToken(), Unit: "ratio"},
+	}
+}
--- /dev/null
+++ b/experiment/overhead/measure.go
@@ -0,0 +1,114 @@
+package overhead
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// maxDelay bounds the recorded delays.
+const maxDelay = time.Minute
+
+// measurement sums the turns of one path.
+type measurement struct {
+	mu     sync.Mutex
+	delays *hdrhistogram.Histogram
+	tokens int
+	// processor is the process's processor time, all parts together.
+	processor time.Duration
+	elapsed   time.Duration
+	failure   error
+}
+
+func newMeasurement() *measurement {
+	return &measurement{delays: hdrhistogram.New(1, int64(maxDelay/time.Microsecond), 3)}
+}
+
+// delay records one token's delay.
+func (m *measurement) delay(value time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.delays.RecordValue(max(value.Microseconds(), 1))
+}
+
+// add counts one finished answer.
+func (m *measurement) add(tokens, wanted int, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tokens += tokens
+	if err == nil && tokens != wanted {
+		err = fault.New(fault.GenerationStopped, fmt.Sprintf("%d of %d tokens came", tokens, wanted))
+	}
+	if err != nil && m.failure == nil {
+		m.failure = err
+	}
+}
+
+// time runs one turn and adds its times.
+func (m *measurement) time(turn func()) {
+	before, started := processorTime(), time.Now()
+	turn()
+	m.elapsed += time.Since(started)
+	m.processor += processorTime() - before
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// share sends one node's share of requests for the given time.
+func (m *measurement) share(ctx context.Context, s *system, address string, seed uint64, length time.Duration) {
+	s.engine.pace.Store(int64(tokenTime))
+	random := rand.New(rand.NewPCG(seed, 1))
+	var answers sync.WaitGroup
+	m.time(func() {
+		for end := time.Now().Add(length); time.Now().Before(end); {
+			prompt := fmt.Sprintf("prompt %x", random.Uint64())
+			answers.Go(func() {
+				count, err := readAnswer(ctx, address, prompt, shareTokens, s.engine.started, m.delay)
+				m.add(count, shareTokens, err)
+			})
+			time.Sleep(time.Duration(random.ExpFloat64() / shareRate * float64(time.Second)))
+		}
+		answers.Wait()
+	})
+}
+
+// saturate reads many answers as fast as they come.
+func (m *measurement) saturate(ctx context.Context, s *system, address string, tokens int) {
+	s.engine.pace.Store(0)
+	var answers sync.WaitGroup
+	m.time(func() {
+		for i := range saturatedStreams {
+			answers.Go(func() {
+				count, err := readAnswer(ctx, address, fmt.Sprint("prompt ", i), tokens, s.engine.started, nil)
+				m.add(count, tokens, err)
+			})
+		}
+		answers.Wait()
+	})
+}
+
+// rate returns the tokens a second.
+func (m *measurement) rate() float64 { return float64(m.tokens) / m.elapsed.Seconds() }
+
+// processorPerToken returns the processor time for one token.
+func (m *measurement) processorPerToken() float64 {
+	return float64(m.processor) / float64(max(1, m.tokens))
+}
+
+// delayAt returns the delay of the given percentage of tokens in milliseconds.
+func (m *measurement) delayAt(percent float64) float64 {
+	return float64(m.delays.ValueAtQuantile(percent)) / float64(time.Millisecond/time.Microsecond)
+}
--- /dev/null
+++ b/experiment/overhead/settings.go
@@ -0,0 +1,32 @@
+package overhead
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// The size of a run: one node's share of the peak, and saturation.
+const (
+	shareRate        = 25.0
+	shareTokens      = 220
+	tokenTime        = 29 * time.Millisecond
+	shareTime        = 6 * time.Second
+	turns            = 2
+	saturatedStreams = 64
+	saturatedTokens  = 4000
+	finishTimeout    = 60 * time.Second
+)
+
+func settingsUsed(scale float64) []experiment.Setting {
+	return []experiment.Setting{
+		{Name: "share: requests a second", Value: strconv.FormatFloat(shareRate, 'f', 0, 64)},
+		{Name: "share: tokens an answer", Value: strconv.Itoa(shareTokens)},
+		{Name: "share: time between tokens", Value: tokenTime.String()},
+		{Name: "share: time of requests in a turn", Value: time.Duration(float64(shareTime) * scale).String()},
+		{Name: "saturation: streams", Value: strconv.Itoa(saturatedStreams)},
+		{Name: "saturation: tokens an answer", Value: strconv.Itoa(int(saturatedTokens * scale))},
+		{Name: "turns of each path", Value: strconv.Itoa(turns)},
+	}
+}
