--- a/experiment/overhead/experiment.go
+++ b/experiment/overhead/experiment.go
@@ -45,13 +45,13 @@
 	defer s.stop()
 	direct, through := s.engine.address(), s.entry.Addresses().Callers
 	length := time.Duration(float64(shareTime) * options.Scale)
-	tokens := int(saturatedTokens * options.Scale)
+	each := answersEach(options.Scale)
 	share, saturated := newPaths(), newPaths()
 	for range turns {
 		share.direct.share(ctx, s, direct, options.Seed, length)
 		share.entry.share(ctx, s, through, options.Seed, length)
-		saturated.direct.saturate(ctx, s, direct, tokens)
-		saturated.entry.saturate(ctx, s, through, tokens)
+		saturated.direct.saturate(ctx, s, direct, each)
+		saturated.entry.saturate(ctx, s, through, each)
 	}
 	if err := errors.Join(share.failure(), saturated.failure()); err != nil {
 		return report, err
--- a/experiment/overhead/measure.go
+++ b/experiment/overhead/measure.go
@@ -85,15 +85,18 @@
 	})
 }
 
-// saturate reads many answers as fast as they come.
-func (m *measurement) saturate(ctx context.Context, s *system, address string, tokens int) {
+// saturate reads many answers as fast as they come, one after the other in
+// each of many streams.
+func (m *measurement) saturate(ctx context.Context, s *system, address string, answersEach int) {
 	s.engine.pace.Store(0)
 	var answers sync.WaitGroup
 	m.time(func() {
 		for i := range saturatedStreams {
 			answers.Go(func() {
-				count, err := readAnswer(ctx, address, fmt.Sprint("prompt ", i), tokens, s.engine.started, nil)
-				m.add(count, tokens, err)
+				for j := range answersEach {
+					count, err := readAnswer(ctx, address, fmt.Sprint("prompt ", i, " ", j), saturatedTokens, s.engine.started, nil)
+					m.add(count, saturatedTokens, err)
+				}
 			})
 		}
 		answers.Wait()
--- a/experiment/overhead/settings.go
+++ b/experiment/overhead/settings.go
@@ -15,7 +15,8 @@
 	shareTime        = 6 * time.Second
 	turns            = 2
 	saturatedStreams = 64
-	saturatedTokens  = 4000
+	saturatedTokens  = 2000
+	saturatedAnswers = 20
 	finishTimeout    = 60 * time.Second
 )
 
@@ -26,7 +27,11 @@
 		{Name: "share: time between tokens", Value: tokenTime.String()},
 		{Name: "share: time of requests in a turn", Value: time.Duration(float64(shareTime) * scale).String()},
 		{Name: "saturation: streams", Value: strconv.Itoa(saturatedStreams)},
-		{Name: "saturation: tokens an answer", Value: strconv.Itoa(int(saturatedTokens * scale))},
+		{Name: "saturation: tokens an answer", Value: strconv.Itoa(saturatedTokens)},
+		{Name: "saturation: answers a stream", Value: strconv.Itoa(answersEach(scale))},
 		{Name: "turns of each path", Value: strconv.Itoa(turns)},
 	}
 }
+
+// answersEach returns the answers of each stream at saturation.
+func answersEach(scale float64) int { return max(1, int(saturatedAnswers*scale)) }
