--- a/cmd/wisteriahaven/ctl_dump.go
+++ b/cmd/wisteriahaven/ctl_dump.go
@@ -9,14 +9,15 @@
 
 // ctlDumpCommand prints states.
 type ctlDumpCommand struct {
-	All      bool   `arg:"--all" help:"gather the states of every instance"`
-	Instance string `arg:"positional" help:"name of an instance; the one that answers when not given"`
+	Decisions int    `arg:"--decisions" default:"100" help:"newest decisions of each instance with --all"`
+	All       bool   `arg:"--all" help:"gather the states of every instance"`
+	Instance  string `arg:"positional" help:"name of an instance; the one that answers when not given"`
 }
 
 func (c *ctlDumpCommand) run(ctx context.Context, parent *ctlCommand) int {
 	session := parent.session("", 0)
 	if c.All {
-		states, err := session.Dumps(ctx)
+		states, err := session.Dumps(ctx, c.Decisions)
 		if err != nil {
 			return fail(err, ctl.ExitFailure)
 		}
--- a/command/query.go
+++ b/command/query.go
@@ -29,11 +29,8 @@
 // NeedsStatus reports whether the answer depends on the state of the other
 // instances.
 func (c *Command) NeedsStatus() bool {
-	if c.Explain != nil {
-		return true
-	}
 	if c.Show == nil {
-		return false
+		return c.Explain != nil
 	}
 	kind, known := lookupKind(c.Show.Kind.String())
 	return known && (kind.running || kind.name == "backend-servers")
--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -184,12 +184,12 @@
 	operator := newTerminal(estate, "betrieb")
 	estate.ObjectAPI.SetFaults(objectapi.Faults{Outage: true})
 	is.Equal(operator.Run(t.Context(), "set client-account/jahresbericht/weight 2"), ctl.ExitNotApplied)
-	is.Equal(operator.Run(t.Context(), "drain data-centre "+estate.Entries[0].Dump().DataCentre+" --local"), ctl.ExitOK)
+	is.Equal(operator.Run(t.Context(), "drain data-centre "+estate.Entries[0].Dump(0).DataCentre+" --local"), ctl.ExitOK)
 	is.True(strings.Contains(operator.out.String(), "not persisted"))
-	is.Equal(len(estate.Entries[0].Dump().LocalMarks), 1)
+	is.Equal(len(estate.Entries[0].Dump(0).LocalMarks), 1)
 	estate.ObjectAPI.SetFaults(objectapi.Faults{})
 	for range 100 {
-		if len(estate.Entries[0].Dump().LocalMarks) == 0 {
+		if len(estate.Entries[0].Dump(0).LocalMarks) == 0 {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/ctl/session.go
+++ b/ctl/session.go
@@ -149,12 +149,13 @@
 	return ExitUnknown
 }
 
-// Dumps gathers the states of every instance through the first that answers.
-func (s *Session) Dumps(ctx context.Context) (dump.Estate, error) {
+// Dumps gathers the states of every instance, with their newest decisions,
+// through the first that answers.
+func (s *Session) Dumps(ctx context.Context, decisions int) (dump.Estate, error) {
 	err := fault.Invalid("--address", "at least one operator address is needed")
 	for _, address := range s.options.Addresses {
 		client := operatorclient.New(address, s.options.Token)
-		states, failure := client.Dumps(ctx)
+		states, failure := client.Dumps(ctx, decisions)
 		client.Close()
 		if failure == nil {
 			return states, nil
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -29,7 +29,7 @@
 func (s *Session) Watch(ctx context.Context, options WatchOptions) int {
 	var previous *view
 	for looks := 1; ; looks++ {
-		states, err := s.Dumps(ctx)
+		states, err := s.Dumps(ctx, 0)
 		if err != nil {
 			return s.fail(err, ExitFailure)
 		}
--- a/demo/data_centre.go
+++ b/demo/data_centre.go
@@ -11,7 +11,7 @@
 // callers in it stream; they continue at the instances of the others.
 func (d *Demo) dataCentreDies(ctx context.Context) Result {
 	gathered := &collector{result: Result{Scenario: "data centre lost in mid-answer"}}
-	lost := d.estate.Entries[len(d.estate.Entries)-1].Dump().DataCentre
+	lost := d.estate.Entries[len(d.estate.Entries)-1].Dump(0).DataCentre
 	inside, outside := d.split(lost)
 	addresses := []string{inside[0].Addresses().Callers}
 	for _, instance := range outside {
@@ -38,7 +38,7 @@
 // split parts the running instances into those of a data centre and the others.
 func (d *Demo) split(dataCentre string) (inside, outside []*entry.Entry) {
 	for _, instance := range d.estate.Entries {
-		dump := instance.Dump()
+		dump := instance.Dump(0)
 		switch {
 		case dump.Stopping:
 		case dump.DataCentre == dataCentre:
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -6,11 +6,8 @@
 	"github.com/wisteriahaven/wisteriahaven/dump"
 )
 
-// dumpedDecisions bounds the decisions in a dump.
-const dumpedDecisions = 1000
-
-// Dump returns the state of the instance.
-func (e *Entry) Dump() dump.Instance {
+// Dump returns the state of the instance with its newest decisions.
+func (e *Entry) Dump(decisions int) dump.Instance {
 	state := dump.Instance{
 		Instance:    e.settings.Instance,
 		DataCentre:  e.settings.DataCentre,
@@ -27,7 +24,7 @@
 		Leases:      e.dumpLeases(),
 		LocalMarks:  e.marks.All(),
 		Counters:    dump.Counters(e.metrics),
-		Decisions:   e.recorder.Recent(dumpedDecisions),
+		Decisions:   e.recorder.Recent(decisions),
 		Sections: []dump.Section{
 			dump.NewSection("orders", e.orders.Status()),
 			dump.NewSection("queues", e.admitter.Services()),
@@ -83,3 +80,11 @@
 	}
 	return ids
 }
+
+// About returns the state of the instance with its kept decisions about a
+// subject or a backend server.
+func (e *Entry) About(name string) dump.Instance {
+	state := e.Dump(0)
+	state.Decisions = e.recorder.About(name)
+	return state
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -15,7 +15,7 @@
 		DataCentre:     e.settings.DataCentre,
 		Configurations: operator.NewStoredConfigurations(e.store),
 		Current:        e.follower,
-		Peers:          operator.NewHTTPPeers(e.Dump, e.peers),
+		Peers:          operator.NewHTTPPeers(e, e.peers),
 		Marks:          e.marks,
 		Quarantines:    noQuarantines{},
 		Logger:         e.logger,
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -106,8 +106,11 @@
 // answer answers a question from the configuration in force.
 func (x *Executor) answer(ctx context.Context, current *run) operatorapi.Response {
 	source := command.Source{Configuration: x.parts.Current.Current()}
-	if current.command.NeedsStatus() {
-		source.Status = x.parts.Peers.Dumps(ctx, current.operator.Token)
+	switch {
+	case current.command.Explain != nil:
+		source.Status = x.parts.Peers.About(ctx, current.operator.Token, current.command.Explain.ID.String())
+	case current.command.NeedsStatus():
+		source.Status = x.parts.Peers.Dumps(ctx, current.operator.Token, 0)
 	}
 	if current.command.NeedsHistory() {
 		snapshot, err := x.parts.Configurations.Load(ctx)
--- a/operator/http_peers.go
+++ b/operator/http_peers.go
@@ -25,29 +25,43 @@
 // HTTPPeers implements Peers by the operator listeners of the instances, with
 // the operator's own token.
 type HTTPPeers struct {
-	self      func() dump.Instance
+	self      Instance
 	peers     func() []settings.Peer
 	transport *fasthttp.Client
 }
 
 // NewHTTPPeers returns the peers of an instance: its own state, and the other
 // instances as known now.
-func NewHTTPPeers(self func() dump.Instance, peers func() []settings.Peer) *HTTPPeers {
+func NewHTTPPeers(self Instance, peers func() []settings.Peer) *HTTPPeers {
 	return &HTTPPeers{self: self, peers: peers, transport: operatorclient.NewTransport()}
 }
 
 // Dumps implements Peers.
-func (p *HTTPPeers) Dumps(ctx context.Context, token string) dump.Estate {
+func (p *HTTPPeers) Dumps(ctx context.Context, token string, decisions int) dump.Estate {
+	return p.gather(ctx, token, p.self.Dump(decisions), func(ctx context.Context, client *operatorclient.Client) (dump.Instance, error) {
+		return client.Dump(ctx, decisions)
+	})
+}
+
+// About implements Peers.
+func (p *HTTPPeers) About(ctx context.Context, token, name string) dump.Estate {
+	return p.gather(ctx, token, p.self.About(name), func(ctx context.Context, client *operatorclient.Client) (dump.Instance, error) {
+		return client.About(ctx, name)
+	})
+}
+
+// gather asks every peer for its state.
+func (p *HTTPPeers) gather(ctx context.Context, token string, self dump.Instance, ask func(context.Context, *operatorclient.Client) (dump.Instance, error)) dump.Estate {
 	type answer struct {
 		state dump.Instance
 		err   error
 	}
 	peers := p.peers()
 	answers := each(ctx, p.transport, peers, token, func(ctx context.Context, client *operatorclient.Client) answer {
-		state, err := client.Dump(ctx)
+		state, err := ask(ctx, client)
 		return answer{state, err}
 	})
-	states := dump.Estate{Instances: []dump.Instance{p.self()}}
+	states := dump.Estate{Instances: []dump.Instance{self}}
 	for i, answer := range answers {
 		if answer.err != nil {
 			states.Missing = append(states.Missing, dump.Missing{Instance: peers[i].Instance, DataCentre: peers[i].DataCentre, Reason: reason(answer.err)})
@@ -60,7 +74,7 @@
 
 // Revisions implements Peers.
 func (p *HTTPPeers) Revisions(ctx context.Context, token string) []operatorapi.InstanceRevision {
-	self := p.self()
+	self := p.self.Dump(0)
 	peers := p.peers()
 	answers := each(ctx, p.transport, peers, token, func(ctx context.Context, client *operatorclient.Client) operatorapi.InstanceRevision {
 		revision, err := client.Revision(ctx)
@@ -86,7 +100,7 @@
 		client := operatorclient.NewOver(p.transport, peer.Operators, token)
 		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
-		return client.Dump(bounded)
+		return client.Dump(bounded, operatorapi.DefaultDecisions)
 	}
 	return dump.Instance{}, fault.New(fault.NotFound, "no instance is named \""+instance+"\"")
 }
--- a/operator/parts.go
+++ b/operator/parts.go
@@ -24,8 +24,12 @@
 
 // Peers reaches the other instances on behalf of an operator.
 type Peers interface {
-	// Dumps returns the states of every instance, this one included.
-	Dumps(ctx context.Context, token string) dump.Estate
+	// Dumps returns the states of every instance, this one included, with their
+	// newest decisions.
+	Dumps(ctx context.Context, token string, decisions int) dump.Estate
+	// About returns the states of every instance, this one included, with their
+	// kept decisions about a subject or a backend server.
+	About(ctx context.Context, token, name string) dump.Estate
 	// Revisions returns the revision in force on every instance, this one
 	// included.
 	Revisions(ctx context.Context, token string) []operatorapi.InstanceRevision
--- a/operator/race_test.go
+++ b/operator/race_test.go
@@ -38,7 +38,8 @@
 // alone is the operator.Peers of a single instance.
 type alone struct{}
 
-func (alone) Dumps(context.Context, string) dump.Estate { return dump.Estate{} }
+func (alone) Dumps(context.Context, string, int) dump.Estate    { return dump.Estate{} }
+func (alone) About(context.Context, string, string) dump.Estate { return dump.Estate{} }
 func (alone) Revisions(context.Context, string) []operatorapi.InstanceRevision {
 	return nil
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -31,8 +31,11 @@
 type Instance interface {
 	// Ready reports whether the instance can serve.
 	Ready() bool
-	// Dump returns the state of the instance.
-	Dump() dump.Instance
+	// Dump returns the state of the instance with its newest decisions.
+	Dump(decisions int) dump.Instance
+	// About returns the state of the instance with its kept decisions about a
+	// subject or a backend server.
+	About(name string) dump.Instance
 }
 
 // Server is the operator listener of an entry instance.
@@ -112,7 +115,7 @@
 	case operatorapi.DumpPath:
 		s.dump(work, ctx, operator)
 	case operatorapi.DumpsPath:
-		s.write(ctx, fasthttp.StatusOK, s.parts.Peers.Dumps(work, operator.Token))
+		s.write(ctx, fasthttp.StatusOK, s.parts.Peers.Dumps(work, operator.Token, decisionsOf(ctx)))
 	case operatorapi.MetricsPath:
 		s.write(ctx, fasthttp.StatusOK, s.metrics)
 	case operatorapi.RevisionPath:
@@ -126,8 +129,14 @@
 
 func (s *Server) dump(work context.Context, ctx *fasthttp.RequestCtx, operator Operator) {
 	peer := string(ctx.QueryArgs().Peek(operatorapi.PeerArgument))
-	if peer == "" || peer == s.parts.Instance {
-		s.write(ctx, fasthttp.StatusOK, s.instance.Dump())
+	about := string(ctx.QueryArgs().Peek(operatorapi.AboutArgument))
+	switch {
+	case peer != "" && peer != s.parts.Instance:
+	case about != "":
+		s.write(ctx, fasthttp.StatusOK, s.instance.About(about))
+		return
+	default:
+		s.write(ctx, fasthttp.StatusOK, s.instance.Dump(decisionsOf(ctx)))
 		return
 	}
 	state, err := s.parts.Peers.Dump(work, operator.Token, peer)
@@ -138,6 +147,15 @@
 	s.write(ctx, fasthttp.StatusOK, state)
 }
 
+// decisionsOf returns the number of decisions that a request asks for.
+func decisionsOf(ctx *fasthttp.RequestCtx) int {
+	count, err := ctx.QueryArgs().GetUint(operatorapi.DecisionsArgument)
+	if err != nil {
+		return operatorapi.DefaultDecisions
+	}
+	return count
+}
+
 // revision returns the revision in force on this instance.
 func (s *Server) revision() operatorapi.InstanceRevision {
 	revision := operatorapi.InstanceRevision{Instance: s.parts.Instance, DataCentre: s.parts.DataCentre}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -21,6 +21,7 @@
 	"github.com/wisteriahaven/wisteriahaven/operator"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
 	"github.com/wisteriahaven/wisteriahaven/operatorclient"
+	"github.com/wisteriahaven/wisteriahaven/serving"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -28,9 +29,12 @@
 type shownInstance struct{ ready bool }
 
 func (i *shownInstance) Ready() bool { return i.ready }
-func (i *shownInstance) Dump() dump.Instance {
+func (i *shownInstance) Dump(int) dump.Instance {
 	return dump.Instance{Instance: "i1", Ready: i.ready}
 }
+func (i *shownInstance) About(name string) dump.Instance {
+	return dump.Instance{Instance: "i1", Decisions: []serving.Decision{{Subject: name}}}
+}
 
 // unquarantined is an instance without quarantines.
 type unquarantined struct{}
@@ -112,6 +116,7 @@
 		{"dump needs a token", "GET", "/v1/dump", "", "", 401, "unauthenticated"},
 		{"a wrong token", "GET", "/v1/dump", "x", "", 401, "unauthenticated"},
 		{"dump", "GET", "/v1/dump", "r", "", 200, `"instance":"i1"`},
+		{"about", "GET", "/v1/dump?about=r7", "r", "", 200, `"subject":"r7"`},
 		{"metrics", "GET", "/v1/metrics", "r", "", 200, "{"},
 		{"revision", "GET", "/v1/revision", "r", "", 200, `"revision":0`},
 		{"unknown path", "GET", "/v1/nothing", "r", "", 404, "not_found"},
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -66,10 +67,20 @@
 	return response, err
 }
 
-// Dump returns the state of the instance.
-func (c *Client) Dump(ctx context.Context) (dump.Instance, error) {
+// Dump returns the state of the instance with its newest decisions.
+func (c *Client) Dump(ctx context.Context, decisions int) (dump.Instance, error) {
 	var state dump.Instance
-	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpPath, nil, &state)
+	query := url.Values{operatorapi.DecisionsArgument: {strconv.Itoa(decisions)}}
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpPath+"?"+query.Encode(), nil, &state)
+	return state, err
+}
+
+// About returns the state of the instance with its kept decisions about a
+// subject or a backend server.
+func (c *Client) About(ctx context.Context, name string) (dump.Instance, error) {
+	var state dump.Instance
+	query := url.Values{operatorapi.AboutArgument: {name}}
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpPath+"?"+query.Encode(), nil, &state)
 	return state, err
 }
 
@@ -81,10 +92,11 @@
 	return state, err
 }
 
-// Dumps returns the states of every instance.
-func (c *Client) Dumps(ctx context.Context) (dump.Estate, error) {
+// Dumps returns the states of every instance with their newest decisions.
+func (c *Client) Dumps(ctx context.Context, decisions int) (dump.Estate, error) {
 	var states dump.Estate
-	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpsPath, nil, &states)
+	query := url.Values{operatorapi.DecisionsArgument: {strconv.Itoa(decisions)}}
+	err := c.call(ctx, fasthttp.MethodGet, operatorapi.DumpsPath+"?"+query.Encode(), nil, &states)
 	return states, err
 }
 
--- a/serving/explain/recorder.go
+++ b/serving/explain/recorder.go
@@ -3,23 +3,26 @@
 package explain
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/serving"
 )
 
-// Recorder implements serving.Recorder with a circular buffer.
+// Recorder implements serving.Recorder with a circular buffer, which grows up
+// to its capacity.
 type Recorder struct {
-	mu        sync.Mutex
+	capacity int
+	mu       sync.Mutex
+	// decisions is in order from next on, then from the start.
 	decisions []serving.Decision
 	next      int
-	full      bool
 }
 
 // NewRecorder returns a recorder that keeps the given number of decisions.
 func NewRecorder(capacity int) *Recorder {
-	return &Recorder{decisions: make([]serving.Decision, capacity)}
+	return &Recorder{capacity: capacity}
 }
 
 // Record implements serving.Recorder. A decision without a time gets the
@@ -30,18 +33,36 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.decisions[r.next] = decision
-	r.next++
-	if r.next == len(r.decisions) {
-		r.next, r.full = 0, true
+	if len(r.decisions) < r.capacity {
+		r.decisions = append(r.decisions, decision)
+		return
 	}
+	r.decisions[r.next] = decision
+	r.next = (r.next + 1) % r.capacity
 }
 
 // Explain implements serving.Recorder.
 func (r *Recorder) Explain(subject string) []serving.Decision {
-	var found []serving.Decision
-	for _, decision := range r.Recent(len(r.decisions)) {
-		if decision.Subject == subject {
+	return r.find(func(decision serving.Decision) bool { return decision.Subject == subject })
+}
+
+// About returns the kept decisions about a subject or a backend server, oldest
+// first.
+func (r *Recorder) About(name string) []serving.Decision {
+	return r.find(func(decision serving.Decision) bool { return decision.Subject == name || decision.Server == name })
+}
+
+// find returns the kept decisions that match, oldest first.
+func (r *Recorder) find(match func(serving.Decision) bool) []serving.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := appendMatches(nil, r.decisions[r.next:], match)
+	return appendMatches(found, r.decisions[:r.next], match)
+}
+
+func appendMatches(found, decisions []serving.Decision, match func(serving.Decision) bool) []serving.Decision {
+	for _, decision := range decisions {
+		if match(decision) {
 			found = append(found, decision)
 		}
 	}
@@ -52,10 +73,11 @@
 func (r *Recorder) Recent(count int) []serving.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var ordered []serving.Decision
-	if r.full {
-		ordered = append(ordered, r.decisions[r.next:]...)
+	newest := r.decisions[:r.next]
+	if count <= len(newest) {
+		return slices.Clone(newest[len(newest)-count:])
 	}
-	ordered = append(ordered, r.decisions[:r.next]...)
-	return ordered[max(0, len(ordered)-count):]
+	older := r.decisions[r.next:]
+	rest := min(count-len(newest), len(older))
+	return slices.Concat(older[len(older)-rest:], newest)
 }
