--- a/decision/routing/filter/filter_test.go
+++ b/decision/routing/filter/filter_test.go
@@ -11,13 +11,13 @@
 	"github.com/wisteriahaven/wisteriahaven/serving"
 )
 
-// view has server 0 near, 1 in the region, 2 elsewhere and 3 drained.
+// view has server 0 near, 1 in the region, 2 elsewhere, 3 drained and 4 spare.
 func view(request serving.RouteRequest, states ...snapshot.State) *snapshot.View {
 	configuration := &estate.Configuration{
 		DataCentres: []estate.DataCentre{{Name: "d1", Region: "r1"}, {Name: "d2", Region: "r1"}, {Name: "d3", Region: "r2"}},
 		Rules:       []estate.Rule{{Name: "local", Regions: []string{"r1"}}},
 		BackendServers: []estate.BackendServer{
-			{Name: "s0", DataCentre: "d1"}, {Name: "s1", DataCentre: "d2"}, {Name: "s2", DataCentre: "d3"}, {Name: "s3", DataCentre: "d1"},
+			{Name: "s0", DataCentre: "d1"}, {Name: "s1", DataCentre: "d2"}, {Name: "s2", DataCentre: "d3"}, {Name: "s3", DataCentre: "d1"}, {Name: "s4", DataCentre: "d1", Spare: true},
 		},
 		Drains: []estate.Drain{{Kind: "backend-server", Name: "s3"}},
 	}
@@ -40,7 +40,8 @@
 		{filter.Rules{}, serving.RouteRequest{}, snapshot.State{}, 2},
 		{filter.Leaving{}, serving.RouteRequest{}, snapshot.State{Leaving: true}, 0},
 		{filter.Leaving{}, serving.RouteRequest{}, snapshot.State{}, 3},
-		{filter.Loaded{}, serving.RouteRequest{}, snapshot.State{OtherVersion: true}, 0},
+		{filter.Loaded{}, serving.RouteRequest{Model: "m"}, snapshot.State{Reported: true, LoadedModel: "other"}, 0},
+		{filter.Loaded{}, serving.RouteRequest{Model: "m"}, snapshot.State{}, 4},
 		{filter.Reachable{}, serving.RouteRequest{}, snapshot.State{Unreachable: true}, 0},
 		{filter.Breaker{}, serving.RouteRequest{}, snapshot.State{BreakerOpen: true}, 0},
 		{filter.Excluded{}, serving.RouteRequest{Exclude: []string{"s0"}}, snapshot.State{}, 0},
--- a/decision/routing/filter/loaded.go
+++ b/decision/routing/filter/loaded.go
@@ -2,7 +2,9 @@
 
 import "github.com/wisteriahaven/wisteriahaven/decision/routing/snapshot"
 
-// Loaded removes servers that report another model or version than configured.
+// Loaded removes servers that report another model or version than the
+// request needs, and spare servers that reported nothing. Requests without a model, as calls to
+// plain services have none, pass.
 type Loaded struct{}
 
 // Name implements Filter.
@@ -10,5 +12,12 @@
 
 // Keep implements Filter.
 func (Loaded) Keep(view *snapshot.View, server int) bool {
-	return !view.States.State(server).OtherVersion
+	state := view.States.State(server)
+	if view.Request.Model == "" {
+		return true
+	}
+	if !state.Reported {
+		return !view.Servers[server].Spare
+	}
+	return state.LoadedModel == view.Request.Model && state.LoadedVersion == view.Version
 }
--- a/decision/routing/rules_test.go
+++ b/decision/routing/rules_test.go
@@ -54,6 +54,10 @@
 			Version:    rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version"),
 			Slots:      4,
 		})
+		last := &configuration.BackendServers[i]
+		if last.Spare = rapid.IntRange(0, 4).Draw(t, "spare") == 0; last.Spare {
+			last.Model, last.Version = "", ""
+		}
 	}
 	return configuration
 }
@@ -66,19 +70,36 @@
 		return len(list) == 0 || slices.Contains(list, "*") || slices.Contains(list, value)
 	}
 	return has(rule.Firms, request.Firm) && has(rule.ClientAccounts, request.ClientAccount) &&
-		has(rule.Services, server.Service) && has(rule.Models, server.Model) &&
-		has(rule.Versions, server.Version) && has(rule.Regions, region) && has(rule.DataCentres, server.DataCentre)
+		has(rule.Services, server.Service) && has(rule.Models, request.Model) &&
+		has(rule.Versions, neededVersion(request)) && has(rule.Regions, region) && has(rule.DataCentres, server.DataCentre)
+}
+
+func neededVersion(request serving.RouteRequest) string {
+	if request.Version == "" {
+		return "1"
+	}
+	return request.Version
+}
+
+// hasLoaded reports whether the server has the model, as far as it said so.
+func hasLoaded(server estate.BackendServer, state snapshot.State, version string) bool {
+	if !state.Reported {
+		return !server.Spare
+	}
+	return state.LoadedModel == "m1" && state.LoadedVersion == version
 }
 
 func drawState(t *rapid.T) snapshot.State {
 	return snapshot.State{
-		Held:         rapid.IntRange(0, 6).Draw(t, "held"),
-		Capacity:     4,
-		Leaving:      rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
-		BreakerOpen:  rapid.IntRange(0, 5).Draw(t, "breaker") == 0,
-		OtherVersion: rapid.IntRange(0, 5).Draw(t, "other version") == 0,
-		Unreachable:  rapid.IntRange(0, 5).Draw(t, "unreachable") == 0,
-		Suspects:     rapid.IntRange(0, 1).Draw(t, "suspects"),
+		Held:          rapid.IntRange(0, 6).Draw(t, "held"),
+		Capacity:      4,
+		Leaving:       rapid.IntRange(0, 5).Draw(t, "leaving") == 0,
+		BreakerOpen:   rapid.IntRange(0, 5).Draw(t, "breaker") == 0,
+		Reported:      rapid.Bool().Draw(t, "reported"),
+		LoadedModel:   rapid.SampledFrom([]string{"", "m1", "m1", "m1"}).Draw(t, "loaded"),
+		LoadedVersion: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "loaded version"),
+		Unreachable:   rapid.IntRange(0, 5).Draw(t, "unreachable") == 0,
+		Suspects:      rapid.IntRange(0, 1).Draw(t, "suspects"),
 	}
 }
 
@@ -117,13 +138,10 @@
 // checkChoice compares a choice or refusal with a reading of every rule for
 // every declared server.
 func checkChoice(is *is.I, configuration *estate.Configuration, states snapshot.States, request serving.RouteRequest, choice routing.Choice, err error) {
-	version := request.Version
-	if version == "" {
-		version = "1"
-	}
+	version := neededVersion(request)
 	ruled, usable, declared := 0, map[int]bool{}, 0
 	for i, server := range configuration.BackendServers {
-		if server.Service != request.Service || server.Version != version {
+		if server.Service != request.Service || (server.Version != version && !server.Spare) {
 			continue
 		}
 		declared++
@@ -133,7 +151,7 @@
 		}
 		ruled++
 		state := states[i]
-		usable[i] = !state.Leaving && !state.BreakerOpen && !state.OtherVersion && !state.Unreachable &&
+		usable[i] = !state.Leaving && !state.BreakerOpen && hasLoaded(server, state, version) && !state.Unreachable &&
 			!slices.Contains(request.Exclude, server.Name) && (!request.IsolatedSuspect || state.Suspects == 0)
 	}
 	if err == nil {
--- a/decision/routing/snapshot/snapshot.go
+++ b/decision/routing/snapshot/snapshot.go
@@ -1,6 +1,8 @@
 package snapshot
 
 import (
+	"slices"
+
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/rendezvous"
 )
@@ -29,6 +31,7 @@
 	Rules    []estate.Rule
 
 	groups   map[group][]int
+	spares   map[string][]int
 	indices  map[string]int
 	regions  map[string]string
 	services map[string]bool
@@ -43,6 +46,7 @@
 		Home:     options.Place,
 		Rules:    configuration.Rules,
 		groups:   make(map[group][]int),
+		spares:   make(map[string][]int),
 		indices:  make(map[string]int, len(configuration.BackendServers)),
 		regions:  make(map[string]string, len(configuration.DataCentres)),
 		services: make(map[string]bool, len(configuration.Services)),
@@ -85,10 +89,15 @@
 	return s.versions[model]
 }
 
-// Candidates returns the servers of a service, model and version. The result
-// must not be changed.
+// Candidates returns the servers of a service, model and version, and the
+// service's spare servers, which may have it loaded. The result must not be
+// changed.
 func (s *Snapshot) Candidates(service, model, version string) []int {
-	return s.groups[group{service, model, version}]
+	declared, spares := s.groups[group{service, model, version}], s.spares[service]
+	if model == "" || len(spares) == 0 {
+		return declared
+	}
+	return slices.Concat(declared, spares)
 }
 
 func (s *Snapshot) addServers(configuration *estate.Configuration, options Options) {
@@ -106,6 +115,10 @@
 			Digest:        rendezvous.Key(declared.Name),
 		})
 		s.indices[declared.Name] = index
+		if declared.Spare {
+			s.spares[declared.Service] = append(s.spares[declared.Service], index)
+			continue
+		}
 		key := group{declared.Service, declared.Model, declared.Version}
 		s.groups[key] = append(s.groups[key], index)
 	}
--- a/decision/routing/snapshot/state.go
+++ b/decision/routing/snapshot/state.go
@@ -16,9 +16,11 @@
 	BreakerOpen bool
 	// Unreachable means that nothing was heard of it for too long.
 	Unreachable bool
-	// OtherVersion means that the server reports another model or version
-	// than the configuration names.
-	OtherVersion bool
+	// Reported means that the server said what it has loaded.
+	Reported bool
+	// LoadedModel and LoadedVersion are what it said, empty for nothing.
+	LoadedModel   string
+	LoadedVersion string
 	// Suspects is how many suspect requests run on the server.
 	Suspects int
 }
--- a/serving/routing/router.go
+++ b/serving/routing/router.go
@@ -30,10 +30,6 @@
 	servers   map[string]*server
 	byIndex   []*server
 	instances int
-	// spares holds what spare servers report; stale means that the snapshot
-	// does not show it yet.
-	spares map[string]served
-	stale  bool
 }
 
 // New returns a router over the configuration in force.
@@ -51,7 +47,6 @@
 		random:        rand.New(rand.NewPCG(seed, seed)),
 		servers:       make(map[string]*server),
 		instances:     1,
-		spares:        make(map[string]served),
 	}
 }
 
@@ -137,12 +132,12 @@
 // refresh takes the configuration in force and reports whether there is one.
 func (r *Router) refresh() bool {
 	current := r.configuration.Current()
-	if current == nil || (current == r.current && !r.stale) {
+	if current == nil || current == r.current {
 		return r.current != nil
 	}
 	first := r.current == nil
-	r.current, r.stale = current, false
-	r.snapshot = snapshot.Build(r.withSpares(current), snapshot.Options{
+	r.current = current
+	r.snapshot = snapshot.Build(current, snapshot.Options{
 		Instance:   r.options.Instance,
 		Place:      snapshot.Place(r.options.Place),
 		SubsetSize: r.options.SubsetSize,
@@ -182,7 +177,6 @@
 	at := received.Sub(r.started)
 	lag := received.Sub(time.UnixMilli(report.ObservedUnixMilli))
 	s.reportedLoad(r.now(), at-min(max(lag, 0), r.options.Load.MaxLag), report)
-	r.noteSpare(name, report)
 }
 
 func (r *Router) now() time.Duration { return time.Since(r.started) }
--- a/serving/routing/router_test.go
+++ b/serving/routing/router_test.go
@@ -134,7 +134,7 @@
 		routing.NewPoller(router, 10*time.Millisecond, zerolog.Nop()).Run(ctx)
 		close(done)
 	}()
-	for !router.Status()[0].OtherVersion {
+	for router.Status()[0].LoadedVersion != "2" {
 		time.Sleep(time.Millisecond)
 	}
 	_, err = router.Route(request())
--- a/serving/routing/server.go
+++ b/serving/routing/server.go
@@ -35,24 +35,19 @@
 	if !s.settled {
 		factor = load.SlowStart(now-s.since, options.SlowStart, options.SlowStartFloor)
 	}
-	return snapshot.State{
-		Held:         s.tracker.Estimate(now, instances),
-		Expected:     s.tracker.Expected(now, instances),
-		Capacity:     factor * float64(declared.Slots),
-		Leaving:      s.leaving || (s.reported && s.report.Leaving),
-		BreakerOpen:  !s.breaker.Allows(now),
-		OtherVersion: s.otherVersion(declared),
-		Suspects:     s.suspects,
+	state := snapshot.State{
+		Held:        s.tracker.Estimate(now, instances),
+		Expected:    s.tracker.Expected(now, instances),
+		Capacity:    factor * float64(declared.Slots),
+		Leaving:     s.leaving || (s.reported && s.report.Leaving),
+		BreakerOpen: !s.breaker.Allows(now),
+		Suspects:    s.suspects,
 	}
-}
-
-// otherVersion reports whether the server said that it has another model or
-// version loaded than declared.
-func (s *server) otherVersion(declared estate.BackendServer) bool {
-	if !s.reported || declared.Model == "" || s.report.Model == "" {
-		return false
+	if s.reported {
+		state.Reported = true
+		state.LoadedModel, state.LoadedVersion = s.report.Model, s.report.Version
 	}
-	return s.report.Model != declared.Model || s.report.Version != declared.Version
+	return state
 }
 
 // reportedLoad takes a load report. A new boot starts slowly again, because
--- a/serving/routing/status.go
+++ b/serving/routing/status.go
@@ -10,9 +10,10 @@
 	Breaker  string  `json:"breaker"`
 	Leaving  bool    `json:"leaving,omitempty"`
 	Drained  bool    `json:"drained,omitempty"`
-	// OtherVersion means that the server reports another model or version.
-	OtherVersion bool `json:"other_version,omitempty"`
-	Suspects     int  `json:"suspects,omitempty"`
+	// LoadedModel and LoadedVersion are what the server reports.
+	LoadedModel   string `json:"loaded_model,omitempty"`
+	LoadedVersion string `json:"loaded_version,omitempty"`
+	Suspects      int    `json:"suspects,omitempty"`
 }
 
 // Status returns the state of every backend server of the snapshot.
@@ -27,15 +28,16 @@
 	for i, s := range r.byIndex {
 		state := states{r, now}.State(i)
 		all = append(all, ServerStatus{
-			Name:         r.snapshot.Servers[i].Name,
-			InFlight:     s.tracker.InFlight(),
-			Held:         state.Held,
-			Capacity:     state.Capacity,
-			Breaker:      string(s.breaker.State(now)),
-			Leaving:      state.Leaving,
-			Drained:      r.snapshot.Servers[i].Drained,
-			OtherVersion: state.OtherVersion,
-			Suspects:     state.Suspects,
+			Name:          r.snapshot.Servers[i].Name,
+			InFlight:      s.tracker.InFlight(),
+			Held:          state.Held,
+			Capacity:      state.Capacity,
+			Breaker:       string(s.breaker.State(now)),
+			Leaving:       state.Leaving,
+			Drained:       r.snapshot.Servers[i].Drained,
+			LoadedModel:   state.LoadedModel,
+			LoadedVersion: state.LoadedVersion,
+			Suspects:      state.Suspects,
 		})
 	}
 	return all
