--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,8 +33,7 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/service"
 )
 
-// keptDecisions bounds the decisions kept for explanations: some minutes at a
-// node's share of requests, in at most some 16 MB.
+// keptDecisions bounds the decisions kept for explanations.
 const keptDecisions = 65536
 
 // Entry is one running entry instance.
