--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -176,6 +177,22 @@
 	is.Equal(newTerminal(estate, "nobody").Run(t.Context(), "show rules"), ctl.ExitRejected)
 }
 
+// TestLostAnswersOfThePlatform changes the estate while the platform applies
+// writes and loses their answers.
+func TestLostAnswersOfThePlatform(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	operator := newTerminal(estate, "betrieb")
+	for weight, lost := range []int{1, 2, 3} {
+		estate.ObjectAPI.SetFaults(objectapi.Faults{LoseAnswers: lost})
+		text := "set client-account/jahresbericht/weight " + strconv.Itoa(weight+2)
+		is.Equal(operator.Run(t.Context(), text), ctl.ExitOK)
+		operator.out.Reset()
+		is.Equal(operator.Run(t.Context(), "show revisions where command ~ \""+text+"\""), ctl.ExitOK)
+		is.True(strings.HasSuffix(operator.out.String(), "(1)\n")) // applied once
+	}
+}
+
 // TestPlatformOutage drains locally while the platform is away and sees the
 // drain written when it is back.
 func TestPlatformOutage(t *testing.T) {
--- a/operator/change.go
+++ b/operator/change.go
@@ -86,7 +86,7 @@
 		Text:     shorten(current.command.String()),
 		Time:     x.parts.Now().UTC(),
 	}
-	var lost error
+	var lost, failed error
 	for try := range settleTries {
 		if try > 0 && !x.parts.Pause(ctx, settlePause<<(try-1)) {
 			break
@@ -99,11 +99,22 @@
 			return 0, err
 		case fault.HasCode(err, fault.CommandUnknown):
 			lost = err
-		case lost == nil:
+		case lost == nil && !passing(err):
 			return 0, err
+		default:
+			failed = err
 		}
 	}
-	return 0, lost
+	if lost != nil {
+		return 0, lost
+	}
+	return 0, failed
+}
+
+// passing reports whether a write that was not applied is worth a repeat: the
+// answer to a chunk was lost, or a rate was reached.
+func passing(err error) bool {
+	return fault.HasCode(err, fault.PlatformAnswerLost) || fault.HasCode(err, fault.PlatformRateLimited)
 }
 
 func shorten(text string) string {
--- a/operator/race_test.go
+++ b/operator/race_test.go
@@ -110,6 +110,7 @@
 		r.executors = append(r.executors, newExecutor(r.store, &fixedSource{}, operator.NewMarks(), time.Now))
 	}
 	r.store.beforeHead = r.beforeHead
+	r.store.loseChunk = func() bool { return rapid.IntRange(0, 5).Draw(r.t, "chunk") == 0 }
 }
 
 // beforeHead lets another operator come in between and picks the fault.
--- a/operator/store_test.go
+++ b/operator/store_test.go
@@ -40,10 +40,12 @@
 	outage  bool
 	// beforeHead runs before each write of the head and says what happens.
 	beforeHead func() headFault
+	// loseChunk says whether the answer to the write of a chunk is lost.
+	loseChunk func() bool
 }
 
 func newFaultyStore() *faultyStore {
-	return &faultyStore{objects: make(map[string]platform.Object), beforeHead: func() headFault { return headWritten }}
+	return &faultyStore{objects: make(map[string]platform.Object), beforeHead: func() headFault { return headWritten }, loseChunk: func() bool { return false }}
 }
 
 func (s *faultyStore) Get(_ context.Context, key string) (platform.Object, error) {
@@ -62,7 +64,7 @@
 		return 0, fault.New(fault.PlatformUnavailable, "outage")
 	}
 	if key != configstore.HeadKey {
-		return s.put(key, value, condition)
+		return s.putChunk(key, value, condition)
 	}
 	switch s.beforeHead() {
 	case answerLost:
@@ -92,6 +94,15 @@
 	return s.version, nil
 }
 
+// putChunk writes a chunk, whose answer may be lost.
+func (s *faultyStore) putChunk(key string, value []byte, condition platform.Condition) (uint64, error) {
+	version, err := s.put(key, value, condition)
+	if s.loseChunk() {
+		return 0, fault.New(fault.PlatformAnswerLost, "timeout")
+	}
+	return version, err
+}
+
 // land lets the oldest delayed write arrive.
 func (s *faultyStore) land() {
 	if len(s.delayed) > 0 {
