Check settings against one another and against the estate

The test of two valid files paired an estate with an instance of the other one, which is a fault now; it pairs files of one estate, and a new test demands the problem.

--- a/ctl/check.go
+++ b/ctl/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/wisteriahaven/wisteriahaven/document"
 	"github.com/wisteriahaven/wisteriahaven/estate"
@@ -12,32 +13,119 @@
 // settingsFields are fields that only settings have at their top level.
 var settingsFields = []string{"instance", "data_centre", "region", "listen", "platform", "keys", "seeds", "operators", "limits", "intervals"}
 
-// Check validates files of settings or of an estate. It prints each problem
-// with its file, line, column and path, and returns ExitUsage when there is
-// one.
+// checker validates files, alone and together.
+type checker struct {
+	out       io.Writer
+	errors    io.Writer
+	instances []checkedSettings
+	estates   []estate.Configuration
+	failed    bool
+}
+
+// checkedSettings are valid settings with their document.
+type checkedSettings struct {
+	settings.Settings
+	document *document.Document
+}
+
+// Check validates files of settings or of an estate, each alone and all
+// together. It prints each problem with its file, line, column and path, and
+// returns ExitUsage when there is one.
 func Check(files []string, out, errors io.Writer) int {
-	code := ExitOK
+	c := &checker{out: out, errors: errors}
 	for _, file := range files {
-		kind, err := checkFile(file)
-		if err != nil {
-			_, _ = fmt.Fprintln(errors, err)
-			code = ExitUsage
-			continue
-		}
-		_, _ = fmt.Fprintf(out, "%s: valid %s\n", file, kind)
+		c.file(file)
+	}
+	c.instancesTogether()
+	c.instancesInEstates()
+	if c.failed {
+		return ExitUsage
+	}
+	return ExitOK
+}
+
+func (c *checker) fail(err error) {
+	if err != nil {
+		c.failed = true
+		_, _ = fmt.Fprintln(c.errors, err)
 	}
-	return code
 }
 
-func checkFile(file string) (kind string, err error) {
+// file validates one file.
+func (c *checker) file(file string) {
 	parsed, err := document.Load(file)
 	if err != nil {
-		return "", err
+		c.fail(err)
+		return
 	}
+	kind := "estate"
 	if parsed.HasAnyField(settingsFields) {
-		_, err = settings.Load(file)
-		return "settings", err
+		kind = "settings"
+		err = c.settings(file, parsed)
+	} else {
+		err = c.estate(file)
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	_, _ = fmt.Fprintf(c.out, "%s: valid %s\n", file, kind)
+}
+
+func (c *checker) settings(file string, parsed *document.Document) error {
+	loaded, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	_ = parsed.Decode(&settings.Settings{}) // learns the positions of the paths
+	c.instances = append(c.instances, checkedSettings{loaded, parsed})
+	return nil
+}
+
+func (c *checker) estate(file string) error {
+	loaded, err := estate.Load(file)
+	if err == nil {
+		c.estates = append(c.estates, loaded)
+	}
+	return err
+}
+
+// instancesTogether demands that names and addresses are unique over the
+// instances.
+func (c *checker) instancesTogether() {
+	owners := make(map[string]string)
+	for _, instance := range c.instances {
+		var problems document.Problems
+		for _, use := range []struct{ path, key string }{
+			{"instance", "instance " + instance.Instance},
+			{"listen.callers", "tcp " + instance.Listen.Callers},
+			{"listen.operators", "tcp " + instance.Listen.Operators},
+			{"listen.peers", "tcp " + instance.Listen.Peers},
+			{"listen.gossip", "udp " + instance.Listen.Gossip},
+		} {
+			if owner, taken := owners[use.key]; taken && !strings.HasSuffix(use.key, ":0") {
+				problems.Add(use.path, "instance \""+owner+"\" has the same")
+			}
+			owners[use.key] = instance.Instance
+		}
+		c.fail(instance.document.Locate(problems).Err())
+	}
+}
+
+// instancesInEstates demands that the data centre and region of each instance
+// are declared.
+func (c *checker) instancesInEstates() {
+	for _, declared := range c.estates {
+		for _, instance := range c.instances {
+			var problems document.Problems
+			switch declared.Region(instance.DataCentre) {
+			case "":
+				problems.Add("data_centre", "the estate declares no data centre \""+instance.DataCentre+"\"")
+			case instance.Region:
+			default:
+				problems.Add("region", "the estate puts data centre \""+instance.DataCentre+"\" in region \""+declared.Region(instance.DataCentre)+"\"")
+			}
+			c.fail(instance.document.Locate(problems).Err())
+		}
 	}
-	_, err = estate.Load(file)
-	return "estate", err
 }
--- a/ctl/session_test.go
+++ b/ctl/session_test.go
@@ -209,7 +209,20 @@
 func TestCheck(t *testing.T) {
 	is := is.New(t)
 	var out, errs bytes.Buffer
-	is.Equal(ctl.Check([]string{"../examples/bavaria/estate.json", "../examples/portugal/instances/faro-1-a.json"}, &out, &errs), ctl.ExitOK)
+	is.Equal(ctl.Check([]string{"../examples/bavaria/estate.json", "../examples/bavaria/instances/kempten-1-a.json"}, &out, &errs), ctl.ExitOK)
 	is.Equal(ctl.Check([]string{"testdata/wrong-settings.json"}, &out, &errs), ctl.ExitUsage)
 	is.True(strings.Contains(errs.String(), "testdata/wrong-settings.json:3:2: regoin: unknown field"))
 }
+
+func TestCheckTogether(t *testing.T) {
+	is := is.New(t)
+	const instance = "../examples/bavaria/instances/kempten-1-a.json"
+	var out, errs bytes.Buffer
+	is.Equal(ctl.Check([]string{instance, instance}, &out, &errs), ctl.ExitUsage)
+	is.Equal(strings.Count(errs.String(), "has the same"), 5)
+	is.True(strings.Contains(errs.String(), instance+":7:2: instance: "))
+	errs.Reset()
+	is.Equal(ctl.Check([]string{instance, "../examples/portugal/estate.json"}, &out, &errs), ctl.ExitUsage)
+	is.True(strings.Contains(errs.String(), "data_centre: the estate declares no data centre"))
+	is.Equal(ctl.Check([]string{instance, "../examples/bavaria/estate.json"}, &out, &errs), ctl.ExitOK)
+}
