--- a/command/command_test.go
+++ b/command/command_test.go
@@ -260,6 +260,9 @@
 	result, err = query(t, "explain revision 7", source)
 	is.NoErr(err)
 	is.Equal(len(result.Table.Rows), 2)
+	result, err = query(t, "explain client-account kaufhaus-isar-theke", source)
+	is.NoErr(err)
+	is.Equal(len(result.Table.Rows), 3) // declared and two rules
 	_, err = query(t, "explain request r2", source)
 	is.True(fault.HasCode(err, fault.NotFound))
 }
--- a/command/explain_query.go
+++ b/command/explain_query.go
@@ -25,6 +25,8 @@
 	switch question.Kind {
 	case "revision":
 		err = answer.revision(question.ID, source)
+	case "client-account":
+		err = answer.clientAccount(question.ID, source.Configuration)
 	case "backend-server":
 		err = answer.backendServer(question.ID, source)
 	}
@@ -52,6 +54,33 @@
 	slices.SortStableFunc(e.rows[first:], func(a, b Row) int { return strings.Compare(a[0].text, b[0].text) })
 }
 
+// clientAccount adds what is declared about an account and the rules that
+// concern it.
+func (e *explanation) clientAccount(id Name, configuration *estate.Configuration) error {
+	name := id.String()
+	index := slices.IndexFunc(configuration.ClientAccounts, func(a estate.ClientAccount) bool { return a.Name == name })
+	if index < 0 {
+		return errorAt(fault.CommandInvalid, id.Pos, "no client account is named \""+name+"\"")
+	}
+	account := configuration.ClientAccounts[index]
+	limits := account.Limits
+	e.add(Cell{}, "", "declared", "", "firm "+account.Firm+", weight "+strconv.Itoa(account.Weight)+
+		", limits "+strconv.Itoa(limits.RequestsPerSecond)+" requests/s, "+strconv.Itoa(limits.RequestsInFlight)+" requests in flight, "+
+		strconv.Itoa(limits.TokensPerSecond)+" tokens/s, "+strconv.Itoa(limits.TokensInFlight)+" tokens in flight (0 is no limit)")
+	for _, rule := range configuration.Rules {
+		if listed(rule.Firms, account.Firm) && listed(rule.ClientAccounts, account.Name) {
+			e.add(Cell{}, "", "rule", "", "rule "+rule.Name+" allows services "+anyList(rule.Services).text+", models "+anyList(rule.Models).text+
+				", regions "+anyList(rule.Regions).text+", data centres "+anyList(rule.DataCentres).text)
+		}
+	}
+	return nil
+}
+
+// listed reports whether a rule's list matches a name.
+func listed(names []string, name string) bool {
+	return len(names) == 0 || slices.Contains(names, estate.Any) || slices.Contains(names, name)
+}
+
 // backendServer adds what is declared about a server and how each instance
 // sees it.
 func (e *explanation) backendServer(id Name, source Source) error {
--- a/command/verb.go
+++ b/command/verb.go
@@ -24,9 +24,9 @@
 	},
 	{
 		name: "explain", role: settings.RoleRead,
-		syntax:  []string{"explain request|generation|backend-server|revision <id>"},
+		syntax:  []string{"explain request|generation|backend-server|client-account|revision <id>"},
 		meaning: "Says why something was decided.",
-		details: "Asks every instance for its kept decisions. A caller finds the id of its request in the X-Request-Id header of the answer.",
+		details: "Asks every instance for its kept decisions. For a client account they say why its share of a limit grew or shrank. A caller finds the id of its request in the X-Request-Id header of the answer.",
 		example: "explain backend-server auskunft-07",
 	},
 	{
--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -107,7 +107,8 @@
 	is.NoErr(err)
 	_, session, _ := strings.Cut(string(recorded), "```\n")
 	is.Equal(stable(strings.TrimSuffix(session, "```\n")), stable(screen.out.String()))
-	is.True(strings.Count(section(screen.out.String(), "> explain generation"), "auskunft-") >= 2) // the engine that ended and another
+	is.True(strings.Count(section(screen.out.String(), "> explain generation"), "auskunft-") >= 2)                  // the engine that ended and another
+	is.True(strings.Contains(section(screen.out.String(), "> explain client-account"), "requests-per-second 0 to")) // a share
 	server := section(screen.out.String(), "> explain backend-server")
 	is.True(strings.Contains(server, "the backend-server auskunft-07 is drained"))
 	is.Equal(strings.Count(server, "state leaving"), len(estate.Entries))
@@ -130,7 +131,7 @@
 // stable removes what differs between two runs: times, ids, numbers, and the
 // answers of explain.
 func stable(output string) string {
-	for _, command := range []string{"> explain backend-server", "> explain request", "> explain generation"} {
+	for _, command := range []string{"> explain backend-server", "> explain request", "> explain generation", "> explain client-account"} {
 		output = strings.Replace(output, section(output, command), "", 1)
 	}
 	output = variable.ReplaceAllString(output, "N")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,6 +139,7 @@
 		Instance:   e.settings.Instance,
 		DataCentre: e.settings.DataCentre,
 		Others:     others,
+		Recorder:   e.recorder,
 	})
 	return e.router, e.admitter
 }
--- a/serving/admission/controller.go
+++ b/serving/admission/controller.go
@@ -32,6 +32,7 @@
 	waiting map[string]chan *fault.Error
 	next    uint64
 	limited *estate.Configuration
+	noted   map[string]notedShares
 }
 
 // New returns a controller. The exchange may be nil.
@@ -49,6 +50,7 @@
 		started: time.Now(),
 		core:    admission.New(options.Config, random),
 		waiting: make(map[string]chan *fault.Error),
+		noted:   make(map[string]notedShares),
 	}
 	if exchange != nil {
 		c.book = share.NewBook(share.DefaultConfig(exchange.Period()), options.Instance, options.DataCentre, random)
--- /dev/null
+++ b/serving/admission/share_notes.go
@@ -0,0 +1,72 @@
+package admission
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/share"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+const (
+	// notedChange is the least change of a share that is recorded, as a part of
+	// the share recorded last.
+	notedChange = 0.25
+	// notedInterval is the least time between two records of one account.
+	notedInterval = 5 * time.Second
+)
+
+// notedShares are the shares of one account that were recorded last.
+type notedShares struct {
+	shares share.Amounts
+	at     time.Duration
+}
+
+// setShares puts the shares of an account into use and records why they
+// changed. The caller holds the lock.
+func (c *Controller) setShares(account share.Account, shares share.Amounts, peers int) {
+	c.core.SetShares(account.Name, account.Limits, shares)
+	if c.options.Recorder == nil {
+		return
+	}
+	now := c.now()
+	noted, known := c.noted[account.Name]
+	if known && (now-noted.at < notedInterval || !differs(noted.shares, shares)) {
+		return
+	}
+	c.noted[account.Name] = notedShares{shares, now}
+	c.options.Recorder.Record(serving.Decision{
+		Subject: account.Name,
+		Kind:    "share",
+		Reason:  shareReason(account, noted.shares, shares, peers),
+	})
+}
+
+// differs reports whether a share changed enough to be recorded.
+func differs(noted, shares share.Amounts) bool {
+	for kind := range shares {
+		change := float64(shares[kind] - noted[kind])
+		if change < 0 {
+			change = -change
+		}
+		if change > 0 && change >= notedChange*float64(noted[kind]) {
+			return true
+		}
+	}
+	return false
+}
+
+// shareReason names each limited share before and after, the account's limit
+// and its demand here.
+func shareReason(account share.Account, before, after share.Amounts, peers int) string {
+	var parts []string
+	for kind, limit := range account.Limits {
+		if limit == 0 {
+			continue
+		}
+		parts = append(parts, share.Kind(kind).String()+" "+strconv.Itoa(before[kind])+" to "+strconv.Itoa(after[kind])+
+			" of "+strconv.Itoa(limit)+" with a demand of "+strconv.Itoa(account.Demand[kind])+" here")
+	}
+	return strings.Join(parts, ", ") + "; " + strconv.Itoa(peers) + " other instances count"
+}
--- a/serving/admission/shares.go
+++ b/serving/admission/shares.go
@@ -66,7 +66,7 @@
 			key := account.Name + "/" + share.Kind(kind).String()
 			shares[kind] = share.Equal(key, limit, c.options.Instance, c.options.Others)
 		}
-		c.core.SetShares(account.Name, limits, shares)
+		c.setShares(share.Account{Name: account.Name, Limits: limits}, shares, len(c.options.Others))
 	}
 }
 
@@ -90,7 +90,7 @@
 	}
 	reports := c.book.Step(c.now(), accounts, peers)
 	for _, account := range accounts {
-		c.core.SetShares(account.Name, account.Limits, c.book.Shares(account.Name))
+		c.setShares(account, c.book.Shares(account.Name), len(peers))
 	}
 	c.mu.Unlock()
 	c.exchange.Publish(reports)
