Measure what survives when everything fails one after the other

Cause: losses were tried one by one, never under load with the platform away. Change: experiment survival loses an engine, connections, a lease holder, the platform, a paused engine and a data centre while generations and non-idempotent calls arrive; load sends calls and verifies answers.

--- a/cmd/wisteriahaven-bench/load.go
+++ b/cmd/wisteriahaven-bench/load.go
@@ -20,6 +20,9 @@
 	Rate     float64       `arg:"--rate" default:"25" help:"generations started in a second"`
 	Duration time.Duration `arg:"--duration" default:"20s" help:"how long generations are started"`
 	Tokens   int           `arg:"--tokens" default:"100" help:"length of each answer"`
+	CallRate float64       `arg:"--call-rate" default:"0" help:"calls to a plain service started in a second"`
+	Service  string        `arg:"--service" default:"bestand" help:"plain service to call"`
+	Call     string        `arg:"--operation" default:"lookup" help:"operation to call"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of prompts and arrival times"`
 }
 
@@ -31,6 +34,9 @@
 		Rate:      c.Rate,
 		Duration:  c.Duration,
 		Tokens:    c.Tokens,
+		CallRate:  c.CallRate,
+		Service:   c.Service,
+		Operation: c.Call,
 		Seed:      c.Seed,
 	})
 	if err != nil {
@@ -53,11 +59,26 @@
 	for code, count := range report.Failures {
 		_, _ = fmt.Fprintf(table, "failed with %s\t%d\n", code, count)
 	}
+	writeCalls(table, report)
 	writeQuantiles(table, "first token", report.FirstToken)
 	writeQuantiles(table, "longest gap in an answer", report.LongestGap)
 	return table.Flush()
 }
 
+func writeCalls(table *tabwriter.Writer, report *load.Report) {
+	counts := make(map[string]int)
+	for _, outcome := range report.Calls {
+		name := "calls answered"
+		if !outcome.Answered {
+			name = "calls " + string(outcome.Execution)
+		}
+		counts[name]++
+	}
+	for name, count := range counts {
+		_, _ = fmt.Fprintf(table, "%s\t%d\n", name, count)
+	}
+}
+
 func writeQuantiles(table *tabwriter.Writer, name string, histogram *hdrhistogram.Histogram) {
 	for _, quantile := range []float64{50, 95, 100} {
 		value := time.Duration(histogram.ValueAtQuantile(quantile)) * time.Microsecond
--- /dev/null
+++ b/experiment/survival/run.go
@@ -0,0 +1,120 @@
+package survival
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/load"
+	"github.com/wisteriahaven/wisteriahaven/standin/engine"
+	"github.com/wisteriahaven/wisteriahaven/standin/loopback"
+)
+
+// Experiment is the experiment "survival".
+var Experiment = experiment.Experiment{
+	Name:    "survival",
+	Summary: "answers and calls while engines, instances, a data centre and the platform are lost, over real sockets",
+	Run:     run,
+}
+
+func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
+	estate, err := loopback.Start(loopback.Options{
+		Directory: directory,
+		Engine:    engine.Settings{TokenTime: tokenTime},
+		Logger:    zerolog.Nop(),
+	})
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	defer estate.Stop()
+	broken := &breaker{estate: estate, random: rand.New(rand.NewPCG(options.Seed, 0))}
+	faultContext, stopFaults := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { broken.run(faultContext) })
+	report, err := load.Run(ctx, load.Options{
+		Addresses: estate.CallerAddresses(),
+		Key:       estate.Keys.ClientAccounts[account],
+		Model:     model,
+		Rate:      rate,
+		Duration:  time.Duration(float64(loadLength) * max(options.Scale, 1)),
+		Tokens:    tokens,
+		CallRate:  callRate,
+		Service:   service,
+		Operation: operation,
+		Verify:    true,
+		Seed:      options.Seed,
+	})
+	stopFaults()
+	wait.Wait()
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	return describe(options, broken, report, runsByKey(estate)), nil
+}
+
+// runsByKey counts how often each key ran at the service's servers.
+func runsByKey(estate *loopback.Estate) map[string]int {
+	total := make(map[string]int)
+	for _, server := range estate.Services {
+		for key, runs := range server.Runs() {
+			total[key] += runs
+		}
+	}
+	return total
+}
+
+// describe builds the report. Its targets are the users' promises: no answer
+// is lost or wrong, no key runs twice, and not-run is true.
+func describe(options experiment.Options, broken *breaker, report *load.Report, runs map[string]int) experiment.Report {
+	doubles, falseNotRun, answered, refused, unknown := 0, 0, 0, 0, 0
+	for key, outcome := range report.Calls {
+		switch {
+		case runs[key] > 1:
+			doubles++
+		case outcome.Execution == fault.ExecutionNotRun && runs[key] > 0:
+			falseNotRun++
+		}
+		switch {
+		case outcome.Answered:
+			answered++
+		case outcome.Execution == fault.ExecutionUnknown:
+			unknown++
+		default:
+			refused++
+		}
+	}
+	failed := 0
+	for _, count := range report.Failures {
+		failed += count
+	}
+	settings := settingsUsed()
+	for _, fault := range broken.broken {
+		settings = append(settings, experiment.Setting{Name: "fault", Value: fault})
+	}
+	gap := float64(report.LongestGap.Max()) / float64(time.Second/time.Microsecond)
+	return experiment.Report{
+		Experiment: "survival",
+		Seed:       options.Seed,
+		Settings:   settings,
+		Figures: []experiment.Figure{
+			{Name: "complete answers", Value: float64(report.Complete), Unit: "answers"},
+			{Name: "reconnections by callers", Value: float64(report.Resumes), Unit: "connections"},
+			{Name: "longest gap between two tokens, 95% of answers", Value: float64(report.LongestGap.ValueAtQuantile(95)) / 1e6, Unit: "s"},
+			{Name: "calls answered", Value: float64(answered), Unit: "calls"},
+			{Name: "calls refused", Value: float64(refused), Unit: "calls"},
+			{Name: "calls unknown", Value: float64(unknown), Unit: "calls"},
+		},
+		Targets: []experiment.Target{
+			experiment.AtMost("generations lost", "answers", 0, float64(failed)),
+			experiment.AtMost("answers with a wrong, missing or repeated token", "answers", 0, float64(len(report.Wrong))),
+			experiment.AtMost("longest gap between two tokens", "s", 5, gap),
+			experiment.AtMost("keys that ran twice", "keys", 0, float64(doubles)),
+			experiment.AtMost("false not-run", "keys", 0, float64(falseNotRun)),
+		},
+	}
+}
--- a/load/options.go
+++ b/load/options.go
@@ -24,6 +24,14 @@
 	Duration time.Duration
 	// Tokens is the length of each answer.
 	Tokens int
+	// CallRate is the calls to a plain service started in a second; zero sends
+	// none. Each call has a key of its own.
+	CallRate  float64
+	Service   string
+	Operation string
+	// Verify compares each answer with the one that the stand-in engines
+	// define.
+	Verify bool
 	// Seed fixes the prompts and the times between requests.
 	Seed uint64
 }
@@ -33,6 +41,9 @@
 	if o.Rate <= 0 || o.Rate > MaxRate {
 		return fault.Invalid("rate", "must be above 0 and at most 2000 a second")
 	}
+	if o.CallRate < 0 || o.CallRate > MaxRate {
+		return fault.Invalid("call-rate", "must be at least 0 and at most 2000 a second")
+	}
 	if o.Duration <= 0 || o.Duration > MaxDuration {
 		return fault.Invalid("duration", "must be above 0 and at most 10m")
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -23,6 +23,10 @@
 	Resumes  int
 	// Failures counts failed generations by code.
 	Failures map[fault.Code]int
+	// Wrong lists what was wrong with complete answers, when they are verified.
+	Wrong []string
+	// Calls holds the outcome of each call by its key.
+	Calls map[string]CallOutcome
 	// FirstToken and LongestGap hold microseconds.
 	FirstToken *hdrhistogram.Histogram
 	LongestGap *hdrhistogram.Histogram
@@ -33,6 +37,7 @@
 func newReport() *Report {
 	return &Report{
 		Failures:   make(map[fault.Code]int),
+		Calls:      make(map[string]CallOutcome),
 		FirstToken: hdrhistogram.New(1, maxRecorded, histogramDigits),
 		LongestGap: hdrhistogram.New(1, maxRecorded, histogramDigits),
 	}
@@ -53,6 +58,25 @@
 	record(r.LongestGap, answer.LongestGap)
 }
 
+// addWrong records a complete answer that is not the right one.
+func (r *Report) addWrong(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Wrong = append(r.Wrong, what)
+}
+
+// addCall records one finished call.
+func (r *Report) addCall(key string, err error) {
+	outcome := CallOutcome{Answered: err == nil}
+	if err != nil {
+		outcome.Execution = fault.From(err).Execution
+		outcome.Code = fault.From(err).Code
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Calls[key] = outcome
+}
+
 // record adds a time, cut to the histogram's range.
 func record(histogram *hdrhistogram.Histogram, value time.Duration) {
 	_ = histogram.RecordValue(min(max(value.Microseconds(), 1), maxRecorded))
--- a/load/run.go
+++ b/load/run.go
@@ -8,31 +8,60 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/client"
+	"github.com/wisteriahaven/wisteriahaven/standin/engine"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
 )
 
 // finishTimeout bounds the wait for the last answers.
 const finishTimeout = 2 * time.Minute
 
-// Run starts generations at the given rate and waits for all of them.
+// Streams of random numbers of one run.
+const (
+	generationStream = iota
+	callStream
+)
+
+// Run starts generations and calls at the given rates and waits for all of
+// them.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	if err := options.check(); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, options.Duration+finishTimeout)
 	defer cancel()
-	random := rand.New(rand.NewPCG(options.Seed, 0))
-	caller := client.New(client.Options{Addresses: options.Addresses, Key: options.Key})
+	from := client.New(client.Options{Addresses: options.Addresses, Key: options.Key})
 	report := newReport()
 	var wait sync.WaitGroup
+	wait.Go(func() {
+		arrivals(ctx, options, options.Rate, generationStream, func(index int, salt uint64) {
+			prompt := fmt.Sprintf("request %d of run %d: %x", index, options.Seed, salt)
+			generate(ctx, from, options, prompt, report)
+		})
+	})
+	wait.Go(func() {
+		arrivals(ctx, options, options.CallRate, callStream, func(index int, salt uint64) {
+			key := fmt.Sprintf("call-%d-%d-%x", options.Seed, index, salt)
+			call(ctx, from, options, key, report)
+		})
+	})
+	wait.Wait()
+	return report, nil
+}
+
+// arrivals starts work at random times of a mean rate and waits for all of it.
+func arrivals(ctx context.Context, options Options, rate float64, stream uint64, work func(index int, salt uint64)) {
+	if rate == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(options.Seed, stream))
 	end := time.Now().Add(options.Duration)
+	var wait sync.WaitGroup
 	for index := 0; time.Now().Before(end) && ctx.Err() == nil; index++ {
-		prompt := fmt.Sprintf("request %d of run %d: %x", index, options.Seed, random.Uint64())
-		wait.Go(func() { generate(ctx, caller, options, prompt, report) })
-		sleep(ctx, time.Duration(random.ExpFloat64()/options.Rate*float64(time.Second)))
+		salt := random.Uint64()
+		wait.Go(func() { work(index, salt) })
+		sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 	}
 	wait.Wait()
-	return report, nil
 }
 
 func generate(ctx context.Context, from *client.Client, options Options, prompt string, report *Report) {
@@ -49,6 +78,23 @@
 		}
 	})
 	report.add(answer, firstToken, err)
+	if err != nil || !options.Verify {
+		return
+	}
+	right := engine.Answer{Model: options.Model, Version: answer.Version, Prompt: prompt, Seed: answer.Seed, MaxTokens: options.Tokens}
+	if wrong := right.Difference(answer.Tokens); wrong != "" {
+		report.addWrong(wrong)
+	}
+}
+
+func call(ctx context.Context, from *client.Client, options Options, key string, report *Report) {
+	_, err := from.Call(ctx, client.Call{
+		Service:        options.Service,
+		Operation:      options.Operation,
+		IdempotencyKey: key,
+		Body:           []byte(`{"key":"` + key + `"}`),
+	})
+	report.addCall(key, err)
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
