--- /dev/null
+++ b/decision/cursor/reader.go
@@ -0,0 +1,46 @@
+package cursor
+
+import "encoding/binary"
+
+// reader takes fields from a byte slice; after a failure it returns zeros.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) bytes(size int) []byte {
+	if r.failed || size > len(r.rest) {
+		r.failed = true
+		return nil
+	}
+	taken := r.rest[:size]
+	r.rest = r.rest[size:]
+	return taken
+}
+
+func (r *reader) byte() byte {
+	if taken := r.bytes(1); taken != nil {
+		return taken[0]
+	}
+	return 0
+}
+
+// uvarint returns a number below maxOffset.
+func (r *reader) uvarint() uint64 {
+	value, size := binary.Uvarint(r.rest)
+	if r.failed || size <= 0 || value >= maxOffset {
+		r.failed = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
+
+func (r *reader) uint64() uint64 {
+	if taken := r.bytes(8); taken != nil {
+		return binary.LittleEndian.Uint64(taken)
+	}
+	return 0
+}
+
+func (r *reader) string() string { return string(r.bytes(int(r.uvarint()))) }
--- /dev/null
+++ b/decision/generation/ending.go
@@ -0,0 +1,82 @@
+package generation
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// retryAdvice tells a caller of a stopped generation when to come back.
+const retryAdvice = time.Second
+
+// stop gives the answer up and tells the caller what it has.
+func (m *Machine) stop(reason string) {
+	execution := fault.ExecutionNotRun
+	switch {
+	case m.answer.offset > 0:
+		execution = fault.ExecutionPartial
+	case m.mayHaveRun || len(m.attempts) > 0:
+		execution = fault.ExecutionUnknown
+	}
+	failure := fault.New(fault.GenerationStopped, reason+": "+m.has())
+	m.fail(failure.WithExecution(execution).WithRetryAfter(retryAdvice))
+}
+
+// has says what part of the answer the caller has.
+func (m *Machine) has() string {
+	return "the caller has the first " + strconv.Itoa(m.answer.offset) + " tokens"
+}
+
+func (m *Machine) fail(failure *fault.Error) {
+	m.closeAll(true)
+	m.retain()
+	m.phase = phaseEnded
+	m.note("fail", failure.Error(), "")
+	m.emit(Fail{Fault: failure})
+}
+
+func (m *Machine) retain() {
+	if tokens, ok := m.answer.text(); ok && len(tokens) > 0 {
+		m.emit(Retain{Tokens: tokens})
+	}
+}
+
+// callerGone keeps the stream of a keyed caller for its grace period.
+func (m *Machine) callerGone(now time.Duration) {
+	if m.phase != phaseRunning {
+		return
+	}
+	keep := m.config.Keyed && m.config.Policy.GracePeriod > 0 && m.answer.offset > 0
+	for len(m.attempts) > 0 {
+		a := m.attempts[0]
+		m.close(a, !keep || a.stream != m.source, serving.OutcomeCancelled)
+	}
+	m.retain()
+	if !keep || m.source.ID == "" {
+		m.release()
+		return
+	}
+	m.phase = phaseDetached
+	m.graceEnd = now + m.config.Policy.GracePeriod
+	m.note("detach", "the caller's connection broke; its stream is kept", m.source.Server)
+}
+
+// endGrace cancels a stream to which the caller did not come back.
+func (m *Machine) endGrace() {
+	m.emit(CancelStream{Stream: m.source})
+	m.note("cancel", "the caller did not come back within the grace period", m.source.Server)
+	m.release()
+}
+
+func (m *Machine) callerBack() {
+	if m.phase == phaseDetached {
+		m.release()
+	}
+}
+
+func (m *Machine) release() {
+	m.phase = phaseEnded
+	m.emit(Release{})
+}
--- /dev/null
+++ b/decision/generation/repair.go
@@ -0,0 +1,259 @@
+package generation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// freeFailures is how many failures in a row are retried without a pause.
+const freeFailures = 2
+
+// plan starts what is missing for the answer to go on.
+func (m *Machine) plan(now time.Duration) {
+	if m.phase != phaseRunning || now < m.retryAt || m.healthy() {
+		return
+	}
+	m.retryAt = 0
+	if m.answer.offset > 0 {
+		m.broken = true
+	}
+	m.reattach(now)
+	if !m.config.Policy.Overlap && m.probing() {
+		return
+	}
+	m.startElsewhere(now)
+}
+
+// healthy reports whether an attempt can be expected to produce.
+func (m *Machine) healthy() bool {
+	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.suspected && !a.probing() })
+}
+
+func (m *Machine) probing() bool {
+	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.suspected && a.probing() })
+}
+
+// reattach opens a new connection to the source once between two tokens.
+func (m *Machine) reattach(now time.Duration) {
+	if m.source.ID == "" || m.sourceTried {
+		return
+	}
+	m.sourceTried = true
+	for _, a := range slices.Clone(m.attempts) {
+		if a.probing() {
+			m.close(a, false, serving.OutcomeCancelled)
+		}
+	}
+	anchor := m.answer.anchor()
+	a := m.open(now, KindReattach, m.source, now+m.config.Policy.ProbeBudget)
+	a.next, a.hash = anchor.offset, anchor.hash
+	a.verified = a.next == m.answer.offset
+	a.cadence = m.cadence
+	m.emit(OpenAttempt{
+		Attempt: a.number, Kind: KindReattach, Server: m.source.Server, Version: m.version, Seed: m.seed,
+		Stream: m.source, Offset: a.next,
+	})
+	m.note("reattach", "a new connection to the same engine stream", m.source.Server)
+}
+
+// startElsewhere asks for a server for a new stream.
+func (m *Machine) startElsewhere(now time.Duration) {
+	if m.asking {
+		return
+	}
+	if m.kindOfStart() == KindReplay && m.replayDiffers {
+		if len(m.attempts) == 0 {
+			m.mismatch(now)
+		}
+		return
+	}
+	if m.failures >= m.config.Policy.MaxFailures {
+		if len(m.attempts) == 0 {
+			m.stop("every attempt failed")
+		}
+		return
+	}
+	if !m.config.Policy.Overlap {
+		m.closeAll(false)
+	}
+	m.ask++
+	m.asking = true
+	m.emit(AskRoute{Ask: m.ask, Purpose: m.purpose(), Version: m.version, Exclude: m.openServers(), Avoid: slices.Clone(m.avoid)})
+}
+
+func (m *Machine) kindOfStart() AttemptKind {
+	switch {
+	case m.answer.offset == 0:
+		return KindFresh
+	case m.answer.whole:
+		return KindContinue
+	default:
+		return KindReplay
+	}
+}
+
+func (m *Machine) purpose() serving.Purpose {
+	switch {
+	case m.answer.offset == 0 && m.counters.Attempts == 0:
+		return serving.PurposeFirst
+	case len(m.attempts) > 0:
+		return serving.PurposeOverlap
+	case m.answer.offset > 0:
+		return serving.PurposeResume
+	default:
+		return serving.PurposeRetry
+	}
+}
+
+// openServers names the servers with a new stream that is still open.
+func (m *Machine) openServers() []string {
+	var servers []string
+	for _, a := range m.attempts {
+		if !slices.Contains(servers, a.stream.Server) {
+			servers = append(servers, a.stream.Server)
+		}
+	}
+	return servers
+}
+
+func (m *Machine) routeChosen(now time.Duration, in RouteChosen) {
+	if m.phase != phaseRunning || !m.asking || in.Ask != m.ask {
+		return
+	}
+	m.asking = false
+	if m.healthy() {
+		return
+	}
+	kind := m.kindOfStart()
+	bytes := m.config.PromptBytes
+	tokens, _ := m.answer.text()
+	if kind == KindContinue {
+		for _, token := range tokens {
+			bytes += len(token)
+		}
+		m.counters.Prefilled += len(tokens)
+	}
+	a := m.open(now, kind, Stream{Server: in.Server}, now+m.config.Policy.Suspicion.Prefill(bytes))
+	opened := OpenAttempt{Attempt: a.number, Kind: kind, Server: in.Server, Ask: in.Ask, Version: m.version, Seed: m.seed}
+	a.verified = true
+	switch kind {
+	case KindContinue:
+		a.next, a.hash = m.answer.offset, m.answer.hash
+		opened.Prefix = tokens
+	case KindReplay:
+		a.verified = false
+	}
+	m.emit(opened)
+	m.note(string(kind), "a new stream", in.Server)
+}
+
+func (m *Machine) routeFailed(now time.Duration, in RouteFailed) {
+	if m.phase != phaseRunning || !m.asking || in.Ask != m.ask {
+		return
+	}
+	m.asking = false
+	temporary := in.Fault.Code == fault.NoBackendServer || in.Fault.Code == fault.Overloaded
+	if len(m.attempts) == 0 && !m.mayHaveRun {
+		m.fail(in.Fault.WithExecution(fault.ExecutionNotRun))
+		return
+	}
+	if len(m.attempts) == 0 && !temporary {
+		m.stop("no server may serve the request: " + in.Fault.Reason)
+		return
+	}
+	m.note("wait", "no backend server: "+in.Fault.Reason, "")
+	m.avoid = nil
+	m.sourceTried = false
+	m.retryAt = now + m.pause(freeFailures+1+m.failures)
+}
+
+// open adds an attempt and makes room for it.
+func (m *Machine) open(now time.Duration, kind AttemptKind, stream Stream, deadline time.Duration) *attempt {
+	if len(m.attempts) >= maxOpen {
+		m.close(m.attempts[0], true, serving.OutcomeCancelled)
+	}
+	m.number++
+	m.counters.Attempts++
+	a := &attempt{number: m.number, kind: kind, stream: stream, last: now, deadline: deadline}
+	m.attempts = append(m.attempts, a)
+	return a
+}
+
+// lose removes an attempt that ended and plans the next.
+func (m *Machine) lose(now time.Duration, a *attempt, reason LossReason) {
+	m.failures++
+	m.mayHaveRun = m.mayHaveRun || reason.mayHaveRun()
+	if reason == LossProtocol {
+		m.counters.Protocol++
+	}
+	if reason == LossUnknownStream && a.stream == m.source {
+		m.source = Stream{}
+	}
+	if !slices.Contains(m.avoid, a.stream.Server) && reason != LossUnknownStream {
+		m.avoid = append(m.avoid, a.stream.Server)
+	}
+	m.note("lost", "attempt ended: "+string(reason), a.stream.Server)
+	m.close(a, reason == LossProtocol || reason == LossSilent, reason.outcome())
+	if m.failures > freeFailures && len(m.attempts) == 0 {
+		m.retryAt = now + m.pause(m.failures)
+	}
+	m.plan(now)
+}
+
+// pause returns a random wait that grows with the failures in a row.
+func (m *Machine) pause(failures int) time.Duration {
+	policy := m.config.Policy
+	wait := policy.BackoffBase << min(failures-freeFailures, 16)
+	wait = min(wait, policy.BackoffCap)
+	return wait/2 + time.Duration(m.random.Int64N(int64(wait/2)+1))
+}
+
+// close ends an attempt. The engine's stream is cancelled only when no other
+// open attempt reads it.
+func (m *Machine) close(a *attempt, cancel bool, outcome serving.AttemptOutcome) {
+	m.attempts = slices.DeleteFunc(m.attempts, func(other *attempt) bool { return other == a })
+	shared := slices.ContainsFunc(m.attempts, func(other *attempt) bool {
+		return other.stream.ID != "" && other.stream == a.stream
+	})
+	m.emit(CloseAttempt{Attempt: a.number, Cancel: cancel && !shared, Outcome: outcome})
+}
+
+func (m *Machine) closeAll(cancel bool) {
+	for len(m.attempts) > 0 {
+		m.close(m.attempts[0], cancel, serving.OutcomeCancelled)
+	}
+}
+
+// tick suspects attempts that were silent for too long.
+func (m *Machine) tick(now time.Duration) {
+	if m.phase == phaseDetached && now >= m.graceEnd {
+		m.endGrace()
+		return
+	}
+	if m.phase != phaseRunning {
+		return
+	}
+	if now >= m.config.Deadline {
+		m.stop("the deadline passed")
+		return
+	}
+	for _, a := range slices.Clone(m.attempts) {
+		if !a.suspected && now >= a.deadline {
+			m.suspect(now, a)
+		}
+	}
+	m.plan(now)
+}
+
+// suspect marks a silent attempt. Under the cost objective a new stream that
+// sends nothing is given up, so that two never run side by side.
+func (m *Machine) suspect(now time.Duration, a *attempt) {
+	a.suspected = true
+	m.note("suspect", "silent for "+(now-a.last).Round(time.Millisecond).String(), a.stream.Server)
+	if a.starting() && !m.config.Policy.Overlap {
+		m.lose(now, a, LossSilent)
+	}
+}
