--- a/decision/generation/attempt.go
+++ b/decision/generation/attempt.go
@@ -16,9 +16,13 @@
 	// and the hash over everything before.
 	next int
 	hash rollinghash.Hash
+	// newest is the token before next, once the connection sent one.
+	newest string
 	// verified means that the stream arrived at the delivered hash.
 	verified bool
 	opened   bool
+	version  string
+	seed     uint64
 	// produced means that the stream sent a token on this connection.
 	produced bool
 	// won means that a token of the attempt was delivered.
@@ -29,9 +33,10 @@
 	cadence   suspicion.Cadence
 }
 
-// active notes a token and moves the deadline.
-func (a *attempt) active(now time.Duration, policy suspicion.Policy) {
-	if a.produced {
+// active notes a token and moves the deadline. Tokens that an engine sends
+// again from its memory say nothing about its cadence.
+func (a *attempt) active(now time.Duration, policy suspicion.Policy, resent bool) {
+	if a.produced && !resent {
 		a.cadence.Observe(now - a.last)
 	}
 	a.produced = true
@@ -40,6 +45,11 @@
 	a.deadline = now + a.cadence.Budget(policy)
 }
 
+// repeats reports whether the token is the newest one again.
+func (a *attempt) repeats(in Token) bool {
+	return a.produced && in.Offset == a.next-1 && in.Text == a.newest
+}
+
 // probing reports whether the attempt still looks for its old stream.
 func (a *attempt) probing() bool { return a.kind == KindReattach && !a.produced }
 
--- a/decision/generation/produce.go
+++ b/decision/generation/produce.go
@@ -29,10 +29,8 @@
 	}
 	a.opened = true
 	a.stream = stream
+	a.version, a.seed = in.Version, in.Seed
 	m.mayHaveRun = true
-	if !m.pinned {
-		m.version, m.seed = in.Version, in.Seed
-	}
 	if m.answer.offset == 0 && m.source.ID == "" {
 		m.source = stream
 	}
@@ -45,7 +43,7 @@
 		m.counters.Discarded++
 		return
 	}
-	if in.Offset < a.next && m.delivered(in.Offset, in.Text) {
+	if in.Offset < a.next && (a.repeats(in) || m.delivered(in.Offset, in.Text)) {
 		m.counters.Resent++
 		return
 	}
@@ -55,7 +53,8 @@
 	}
 	a.next++
 	a.hash = a.hash.Extend(in.Text)
-	a.active(now, m.config.Policy.Suspicion)
+	a.newest = in.Text
+	a.active(now, m.config.Policy.Suspicion, a.kind == KindReattach && a.next <= m.answer.offset)
 	if a.next > m.answer.offset {
 		m.deliver(now, a, in.Text)
 		return
@@ -106,10 +105,11 @@
 
 // win makes an attempt the only one.
 func (m *Machine) win(now time.Duration, a *attempt) {
-	if !a.won {
+	if !m.pinned {
 		m.pinned = true
-		m.begin()
+		m.version, m.seed = a.version, a.seed
 	}
+	m.begin()
 	if m.broken {
 		m.broken = false
 		m.emit(Resumed{Kind: a.kind, Latency: now - m.lastDeliver})
--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -11,6 +11,9 @@
 // freeFailures is how many failures in a row are retried without a pause.
 const freeFailures = 2
 
+// maxBudgetDoublings bounds the growth of the prefill budget.
+const maxBudgetDoublings = 5
+
 // plan starts what is missing for the answer to go on.
 func (m *Machine) plan(now time.Duration) {
 	if m.phase != phaseRunning || now < m.retryAt || m.healthy() {
@@ -21,12 +24,18 @@
 		m.broken = true
 	}
 	m.reattach(now)
-	if !m.config.Policy.Overlap && m.probing() {
+	if m.probing() && !m.overlaps() {
 		return
 	}
 	m.startElsewhere(now)
 }
 
+// overlaps reports whether a new stream may start beside a probe. A caller who
+// just came back usually finds its stream, so that probe runs alone first.
+func (m *Machine) overlaps() bool {
+	return m.config.Policy.Overlap && (m.begun || !m.fromCursor)
+}
+
 // healthy reports whether an attempt can be expected to produce.
 func (m *Machine) healthy() bool {
 	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.suspected && !a.probing() })
@@ -65,23 +74,21 @@
 		return
 	}
 	if m.kindOfStart() == KindReplay && m.replayDiffers {
-		if len(m.attempts) == 0 {
+		if !m.probing() {
 			m.mismatch(now)
 		}
 		return
 	}
 	if m.failures >= m.config.Policy.MaxFailures {
-		if len(m.attempts) == 0 {
+		if !m.probing() {
 			m.stop("every attempt failed")
 		}
 		return
 	}
-	if !m.config.Policy.Overlap {
-		m.closeAll(false)
-	}
 	m.ask++
 	m.asking = true
-	m.emit(AskRoute{Ask: m.ask, Purpose: m.purpose(), Version: m.version, Exclude: m.openServers(), Avoid: slices.Clone(m.avoid)})
+	exclude, avoid := m.otherServers()
+	m.emit(AskRoute{Ask: m.ask, Purpose: m.purpose(), Version: m.version, Exclude: exclude, Avoid: avoid})
 }
 
 func (m *Machine) kindOfStart() AttemptKind {
@@ -108,15 +115,20 @@
 	}
 }
 
-// openServers names the servers with a new stream that is still open.
-func (m *Machine) openServers() []string {
-	var servers []string
+// otherServers names the servers that are being tried now and those that
+// failed or are suspected. A suspected one may be the only one left.
+func (m *Machine) otherServers() (exclude, avoid []string) {
+	avoid = slices.Clone(m.avoid)
 	for _, a := range m.attempts {
-		if !slices.Contains(servers, a.stream.Server) {
-			servers = append(servers, a.stream.Server)
+		list := &exclude
+		if a.suspected {
+			list = &avoid
+		}
+		if !slices.Contains(*list, a.stream.Server) {
+			*list = append(*list, a.stream.Server)
 		}
 	}
-	return servers
+	return exclude, avoid
 }
 
 func (m *Machine) routeChosen(now time.Duration, in RouteChosen) {
@@ -127,6 +139,9 @@
 	if m.healthy() {
 		return
 	}
+	if !m.config.Policy.Overlap {
+		m.closeAll(false)
+	}
 	kind := m.kindOfStart()
 	bytes := m.config.PromptBytes
 	tokens, _ := m.answer.text()
@@ -136,7 +151,7 @@
 		}
 		m.counters.Prefilled += len(tokens)
 	}
-	a := m.open(now, kind, Stream{Server: in.Server}, now+m.config.Policy.Suspicion.Prefill(bytes))
+	a := m.open(now, kind, Stream{Server: in.Server}, now+m.prefillBudget(bytes))
 	opened := OpenAttempt{Attempt: a.number, Kind: kind, Server: in.Server, Ask: in.Ask, Version: m.version, Seed: m.seed}
 	a.verified = true
 	switch kind {
@@ -150,6 +165,12 @@
 	m.note(string(kind), "a new stream", in.Server)
 }
 
+// prefillBudget doubles with each failure in a row, so that a prefill that
+// takes longer than expected is not started again for ever.
+func (m *Machine) prefillBudget(bytes int) time.Duration {
+	return m.config.Policy.Suspicion.Prefill(bytes) << min(m.failures, maxBudgetDoublings)
+}
+
 func (m *Machine) routeFailed(now time.Duration, in RouteFailed) {
 	if m.phase != phaseRunning || !m.asking || in.Ask != m.ask {
 		return
@@ -253,7 +274,12 @@
 func (m *Machine) suspect(now time.Duration, a *attempt) {
 	a.suspected = true
 	m.note("suspect", "silent for "+(now-a.last).Round(time.Millisecond).String(), a.stream.Server)
-	if a.starting() && !m.config.Policy.Overlap {
-		m.lose(now, a, LossSilent)
+	if !a.starting() {
+		return
+	}
+	if m.config.Policy.Overlap {
+		m.failures++
+		return
 	}
+	m.lose(now, a, LossSilent)
 }
