Let simulated engines leave tokens out, end falsely and serve another version

The machine refused too little: it took a first stream of another version than asked for, and said "not run" of a key that another instance may have run.

--- a/decision/generation/ending.go
+++ b/decision/generation/ending.go
@@ -13,7 +13,7 @@
 
 // stop gives the answer up and tells the caller what it has.
 func (m *Machine) stop(reason string) {
-	execution := fault.ExecutionNotRun
+	execution := m.nothingSent()
 	switch {
 	case m.answer.offset > 0:
 		execution = fault.ExecutionPartial
@@ -24,6 +24,15 @@
 	m.fail(failure.WithExecution(execution).WithRetryAfter(retryAdvice))
 }
 
+// nothingSent is the execution of a request that this instance sent nowhere.
+// Another instance may have run an earlier submission of a key.
+func (m *Machine) nothingSent() fault.Execution {
+	if m.config.Keyed {
+		return fault.ExecutionRefusedHere
+	}
+	return fault.ExecutionNotRun
+}
+
 // has says what part of the answer the caller has.
 func (m *Machine) has() string {
 	return "the caller has the first " + strconv.Itoa(m.answer.offset) + " tokens"
--- a/decision/generation/fuzz_test.go
+++ b/decision/generation/fuzz_test.go
@@ -36,6 +36,8 @@
 	config   generation.Config
 	instance *simengine.Instance
 	sendText bool
+	// notRun holds the instances that answered "not run".
+	notRun []*simengine.Instance
 
 	tokens    []string
 	positions []cursor.Position
@@ -69,7 +71,7 @@
 	c.is.True(!c.complete) // nothing follows the end
 	switch out := output.(type) {
 	case generation.Deliver:
-		c.is.True(c.world.Oracle.Valid(c.hash, out.Text)) // a token that no engine produced after this prefix
+		c.is.True(c.world.Oracle.Valid(pinned, c.hash, out.Text)) // a token that no engine produced after this prefix
 		c.tokens = append(c.tokens, out.Text)
 		c.hash = c.hash.Extend(out.Text)
 		c.is.Equal(out.Position.Offset, len(c.tokens))
@@ -87,17 +89,11 @@
 	case generation.Fail:
 		c.failed = out.Fault
 		c.is.Equal(out.Fault.Execution == fault.ExecutionPartial, len(c.tokens) > 0)
-		c.is.True(out.Fault.Execution != fault.ExecutionNotRun || c.started() == 0) // "not run" is true
-	}
-}
-
-// started counts the streams that engines began for the request.
-func (c *caller) started() int {
-	total := 0
-	for _, engine := range c.world.Engines {
-		total += engine.Started()
+		if out.Fault.Execution == fault.ExecutionNotRun {
+			c.is.True(!c.config.Keyed) // an earlier submission of the key may have run
+			c.notRun = append(c.notRun, c.instance)
+		}
 	}
-	return total
 }
 
 // loseTail drops tokens that were on their way when the connection broke.
@@ -122,7 +118,7 @@
 	}
 }
 
-func addEngines(t *rapid.T, world *simengine.World) (unseeded bool) {
+func addEngines(t *rapid.T, world *simengine.World) (mayDiffer bool) {
 	count := rapid.IntRange(1, 4).Draw(t, "engines")
 	for i := range count {
 		engine := &simengine.Engine{
@@ -132,13 +128,15 @@
 			Duplicates:  rapid.IntRange(0, 4).Draw(t, "duplicates") == 0,
 		}
 		engine.Gaps = rapid.IntRange(0, 4).Draw(t, "gaps") == 0
-		if i > 0 && rapid.IntRange(0, 4).Draw(t, "otherVersion") == 0 {
-			engine.Version = "v2"
+		engine.FalseEnds = rapid.IntRange(0, 4).Draw(t, "falseEnds") == 0
+		if i > 0 {
+			engine.Version = rapid.SampledFrom([]string{pinned, pinned, "v2"}).Draw(t, "version")
+			engine.Loaded = rapid.SampledFrom([]string{"", "", "v2"}).Draw(t, "loaded")
 		}
-		unseeded = unseeded || engine.Unseeded
+		mayDiffer = mayDiffer || engine.Unseeded || engine.FalseEnds
 		world.AddEngine(engine)
 	}
-	return unseeded
+	return mayDiffer
 }
 
 // TestAnswersAreWholeUnderFailures drives one generation, its engines and its
@@ -146,12 +144,13 @@
 func TestAnswersAreWholeUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		world := simengine.NewWorld(rapid.Uint64().Draw(t, "world"))
-		unseeded := addEngines(t, world)
+		mayDiffer := addEngines(t, world)
 		c := &caller{is: is.NewRelaxed(t), world: world, config: drawConfig(t)}
 		c.connect(places[0])
 		t.Repeat(faults(c))
+		world.RouterOff = false
 		for _, engine := range world.Engines {
-			engine.Refuses, engine.Gaps = false, false
+			engine.Refuses, engine.Gaps, engine.FalseEnds = false, false, false
 			if engine.Dead() {
 				engine.Restart()
 			}
@@ -163,11 +162,14 @@
 			limit := world.Now() + 2*time.Minute
 			world.RunUntil(limit, func() bool { return c.complete || c.failed != nil })
 			if fault.HasCode(errorOf(c.failed), fault.GenerationMismatch) {
-				c.is.True(unseeded) // engines that honour the seed never differ
+				c.is.True(mayDiffer) // sound engines that honour the seed never differ
 				c.is.Equal(c.config.OnMismatch, serving.OnMismatchError)
 				return
 			}
 		}
+		for _, instance := range c.notRun {
+			c.is.Equal(instance.Started, 0) // "not run" is true
+		}
 		c.is.True(c.complete) // healed engines complete every answer
 	})
 }
@@ -197,6 +199,7 @@
 		"pause":   func(t *rapid.T) { draw(t).Pause(millis(t, 5000)) },
 		"silence": func(t *rapid.T) { draw(t).Silence() },
 		"refuse":  func(t *rapid.T) { engine := draw(t); engine.Refuses = !engine.Refuses },
+		"noRoute": func(*rapid.T) { world.RouterOff = !world.RouterOff },
 		"cut": func(t *rapid.T) {
 			world.Cut(c.instance.Place.DataCentre, rapid.SampledFrom(places).Draw(t, "place").DataCentre, millis(t, 6000))
 		},
--- a/decision/generation/produce.go
+++ b/decision/generation/produce.go
@@ -23,7 +23,8 @@
 		m.lose(now, a, LossUnknownStream)
 		return
 	}
-	if m.pinned && (in.Version != m.version || in.Seed != m.seed) {
+	otherVersion := m.version != "" && in.Version != m.version
+	if otherVersion || (m.pinned && in.Seed != m.seed) {
 		m.lose(now, a, LossProtocol)
 		return
 	}
--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -178,7 +178,7 @@
 	m.asking = false
 	temporary := in.Fault.Code == fault.NoBackendServer || in.Fault.Code == fault.Overloaded
 	if len(m.attempts) == 0 && !m.mayHaveRun {
-		m.fail(in.Fault.WithExecution(fault.ExecutionNotRun))
+		m.fail(in.Fault.WithExecution(m.nothingSent()))
 		return
 	}
 	if len(m.attempts) == 0 && !temporary {
--- a/internal/simengine/connection.go
+++ b/internal/simengine/connection.go
@@ -5,9 +5,12 @@
 	"github.com/wisteriahaven/wisteriahaven/rollinghash"
 )
 
-// One in so many tokens is sent twice or left out by a faulty engine.
+// One in so many tokens is sent twice, left out or followed by a false end by
+// a faulty engine; one in so many repetitions is altered.
 const (
 	duplicateChance = 8
+	alteredChance   = 16
+	falseEndChance  = 100
 	gapChance       = 40
 )
 
@@ -67,12 +70,19 @@
 		text = tokenAfter(s.seed, s.salt, s.hash)
 	}
 	m := message{kind: messageToken, offset: c.next, text: text}
-	if !c.engine.Gaps || c.engine.world.Random.IntN(gapChance) > 0 {
+	left := c.engine.Gaps && c.engine.world.Random.IntN(gapChance) == 0
+	if !left {
 		c.send(m)
 	}
-	if c.engine.Duplicates && c.engine.world.Random.IntN(duplicateChance) == 0 {
+	if !left && c.engine.Duplicates && c.engine.world.Random.IntN(duplicateChance) == 0 {
+		if c.engine.world.Random.IntN(alteredChance) == 0 {
+			m.text = "altered "
+		}
 		c.send(m)
 	}
+	if c.engine.FalseEnds && c.engine.world.Random.IntN(falseEndChance) == 0 {
+		c.send(message{kind: messageDone, offset: c.next + 1, hash: s.hash + 1})
+	}
 	c.next++
 }
 
@@ -83,7 +93,7 @@
 	case messageOpened:
 		return generation.AttemptOpened{
 			Attempt: number, StreamID: m.stream.id, BootID: m.stream.engine.bootID(),
-			Version: m.stream.engine.Version, Seed: m.stream.seed,
+			Version: m.stream.engine.loaded(), Seed: m.stream.seed,
 		}
 	case messageToken:
 		return generation.Token{Attempt: number, Offset: m.offset, Text: m.text}
--- a/internal/simengine/engine.go
+++ b/internal/simengine/engine.go
@@ -19,17 +19,23 @@
 	Name    string
 	Place   Place
 	Version string
-	Speed   Speed
+	// Loaded is the version that the engine really serves; empty means
+	// Version.
+	Loaded string
+	Speed  Speed
 	// Unseeded engines produce other tokens for the same seed.
 	Unseeded bool
 	// Refuses makes the engine take no new stream.
 	Refuses bool
 	// WrongResume makes reattached streams send other tokens than they hold.
 	WrongResume bool
-	// Duplicates makes the engine send some tokens twice.
+	// Duplicates makes the engine send some tokens twice, now and then with
+	// another text.
 	Duplicates bool
 	// Gaps makes the engine leave some tokens out.
 	Gaps bool
+	// FalseEnds makes the engine end some streams early with a wrong hash.
+	FalseEnds bool
 
 	world       *World
 	boot        int
@@ -49,9 +55,6 @@
 	w.Engines = append(w.Engines, engine)
 }
 
-// Started counts the streams that the engine began.
-func (e *Engine) Started() int { return e.streamCount }
-
 // Dead reports whether the engine is down.
 func (e *Engine) Dead() bool { return e.dead }
 
@@ -87,6 +90,14 @@
 	}
 }
 
+// loaded returns the version that the engine serves.
+func (e *Engine) loaded() string {
+	if e.Loaded != "" {
+		return e.Loaded
+	}
+	return e.Version
+}
+
 func (e *Engine) bootID() string { return e.Name + "-" + strconv.Itoa(e.boot) }
 
 // whenRunning runs the action when the engine is not paused, and never when
@@ -117,7 +128,7 @@
 		switch {
 		case c.request.Stream.ID != "":
 			e.resume(c)
-		case e.Refuses || (c.request.Version != "" && c.request.Version != e.Version):
+		case e.Refuses:
 			c.send(message{kind: messageRefused})
 		default:
 			e.begin(c)
@@ -140,6 +151,7 @@
 
 func (e *Engine) begin(c *connection) {
 	e.streamCount++
+	c.instance.Started++
 	held := &stream{
 		engine: e,
 		id:     e.Name + "-s" + strconv.Itoa(e.streamCount),
--- a/internal/simengine/instance.go
+++ b/internal/simengine/instance.go
@@ -19,6 +19,8 @@
 	Observe func(output generation.Output)
 	// CrossRegionBytes counts bytes from and to engines of other regions.
 	CrossRegionBytes int
+	// Started counts the streams that engines began for the instance.
+	Started int
 
 	world       *World
 	promptBytes int
--- a/internal/simengine/network.go
+++ b/internal/simengine/network.go
@@ -39,7 +39,7 @@
 	var best []*Engine
 	bestScore := -1
 	for _, engine := range w.Engines {
-		if slices.Contains(ask.Exclude, engine.Name) || (ask.Version != "" && engine.Version != ask.Version) {
+		if w.RouterOff || slices.Contains(ask.Exclude, engine.Name) || (ask.Version != "" && engine.Version != ask.Version) {
 			continue
 		}
 		score := w.score(from, engine, ask)
--- a/internal/simengine/oracle.go
+++ b/internal/simengine/oracle.go
@@ -11,17 +11,19 @@
 
 // successor is a token after the prefix with the hash.
 type successor struct {
-	prefix rollinghash.Hash
-	token  string
+	version string
+	prefix  rollinghash.Hash
+	token   string
 }
 
 func newOracle() *Oracle {
 	return &Oracle{successors: make(map[successor]bool), ends: make(map[rollinghash.Hash]bool)}
 }
 
-// Valid reports whether an engine produced the token after exactly the prefix.
-func (o *Oracle) Valid(prefix rollinghash.Hash, token string) bool {
-	return o.successors[successor{prefix, token}]
+// Valid reports whether an engine of the version produced the token after
+// exactly the prefix.
+func (o *Oracle) Valid(version string, prefix rollinghash.Hash, token string) bool {
+	return o.successors[successor{version, prefix, token}]
 }
 
 // Complete reports whether an engine ended its answer after the prefix.
--- a/internal/simengine/stream.go
+++ b/internal/simengine/stream.go
@@ -34,6 +34,9 @@
 	return strconv.FormatUint(mix(seed^mix(salt)^uint64(prefix))&0xffff, 16) + " "
 }
 
+// versionSalt makes every version produce other tokens.
+func versionSalt(version string) uint64 { return uint64(rollinghash.Hash(0).Extend(version)) }
+
 // mix is the finalizer of splitmix64.
 func mix(value uint64) uint64 {
 	value += 0x9e3779b97f4a7c15
@@ -53,8 +56,8 @@
 			s.ended = true
 			oracle.ends[s.hash] = true
 		} else {
-			token := tokenAfter(s.seed, s.salt, s.hash)
-			oracle.successors[successor{s.hash, token}] = true
+			token := tokenAfter(s.seed, s.salt+versionSalt(s.engine.loaded()), s.hash)
+			oracle.successors[successor{s.engine.loaded(), s.hash, token}] = true
 			s.tokens = append(s.tokens, token)
 			s.hash = s.hash.Extend(token)
 			s.engine.Computed++
--- a/internal/simengine/world.go
+++ b/internal/simengine/world.go
@@ -24,10 +24,12 @@
 	Random  *rand.Rand
 	Engines []*Engine
 	Oracle  *Oracle
-	now     time.Duration
-	queue   eventQueue
-	order   uint64
-	cuts    map[string]time.Duration
+	// RouterOff makes the router know no server.
+	RouterOff bool
+	now       time.Duration
+	queue     eventQueue
+	order     uint64
+	cuts      map[string]time.Duration
 }
 
 // NewWorld returns an empty world.
