--- a/internal/simengine/connection.go
+++ b/internal/simengine/connection.go
@@ -11,7 +11,7 @@
 	duplicateChance = 8
 	alteredChance   = 16
 	falseEndChance  = 100
-	gapChance       = 40
+	gapChance       = 15
 )
 
 // messageKind tells the messages of a connection apart.
