Drive generations by the decision machine over real connections

Each attempt has a reader of its own; cursors are signed; a keyed caller's stream is kept for its grace period; broken answers are retained in bounded memory. A resumed answer is not refused for its account's limits. The engine states a stream in the answer's header, so that it can be resumed and cancelled in its prefill, and cancels an idle stream only on request.

--- a/client/generation.go
+++ b/client/generation.go
@@ -68,19 +68,28 @@
 		case !reconnectable(err):
 			return run.answer, err
 		}
-		run.answer.Resumes++
-		pause(ctx, reconnectPause)
+		if run.cursor != "" {
+			run.answer.Resumes++
+		}
+		pause(ctx, max(reconnectPause, fault.From(err).RetryAfter))
 	}
 }
 
 // reconnectable reports whether another connection may continue the answer.
 func reconnectable(err error) bool {
-	for _, code := range []fault.Code{fault.EngineUnreachable, fault.Stopping, fault.ConfigurationUnset, fault.GenerationStopped, fault.CallerTooSlow} {
+	for _, code := range reconnectCodes {
 		if fault.HasCode(err, code) {
 			return true
 		}
 	}
-	return false
+	return fault.From(err).RetryAfter > 0
+}
+
+// reconnectCodes are the failures after which the client connects again at
+// once. One with a RetryAfter is repeated after that time.
+var reconnectCodes = []fault.Code{
+	fault.EngineUnreachable, fault.Stopping, fault.ConfigurationUnset, fault.GenerationStopped,
+	fault.CallerTooSlow, fault.CallerGone,
 }
 
 // connect runs one connection to its end.
@@ -138,7 +147,7 @@
 }
 
 func (r *generationRun) restart() {
-	r.answer.Tokens, r.hash = nil, 0
+	r.answer.Tokens, r.hash, r.cursor = nil, 0, ""
 	r.answer.Restarts++
 }
 
--- a/decision/admission/arrival.go
+++ b/decision/admission/arrival.go
@@ -14,6 +14,9 @@
 	// Tokens is the bound on the answer, zero for calls.
 	Tokens   int
 	Priority int
+	// Resumed continues an answer that was admitted before, perhaps by another
+	// instance: it counts in flight but the account's limits don't refuse it.
+	Resumed bool
 	// Deadline is when the request must have ended.
 	Deadline time.Duration
 }
--- a/decision/admission/controller.go
+++ b/decision/admission/controller.go
@@ -39,7 +39,7 @@
 	a := c.account(arrival.Account.Name)
 	a.limits = share.LimitsOf(arrival.Account.Limits)
 	a.use(arrival.Tokens)
-	if refusal := c.limitOf(now, a, arrival); refusal != nil {
+	if refusal := c.limitOf(now, a, arrival); refusal != nil && !arrival.Resumed {
 		return []Output{{arrival.ID, refusal}}
 	}
 	s := c.service(arrival.Service)
--- a/decision/routing/pipeline.go
+++ b/decision/routing/pipeline.go
@@ -38,6 +38,9 @@
 			WithExecution(execution(view.Request.Purpose))
 	}
 	declared := view.Candidates(view.Request.Service, view.Request.Model, view.Version)
+	if view.Request.Server != "" {
+		return demanded(view, declared)
+	}
 	kept, removed := p.filter(view, declared)
 	if len(kept) == 0 {
 		return Choice{}, refusal(view, len(declared), removed)
--- a/engineapi/completion.go
+++ b/engineapi/completion.go
@@ -5,6 +5,19 @@
 // NonceHeader carries a value that the answer must echo.
 const NonceHeader = "X-Request-Nonce"
 
+// Headers of a stream's answer. They name the stream before its first token,
+// so that it can be resumed and cancelled during its prefill.
+const (
+	StreamIDHeader = "X-Stream-ID"
+	BootIDHeader   = "X-Boot-ID"
+	VersionHeader  = "X-Model-Version"
+	SeedHeader     = "X-Seed"
+)
+
+// IdleParameter, set to "true", makes a cancel end the stream only when no
+// connection reads it.
+const IdleParameter = "idle"
+
 // DoneMarker is the data of the last event of a complete stream.
 const DoneMarker = "[DONE]"
 
--- a/engineapi/doc.go
+++ b/engineapi/doc.go
@@ -3,7 +3,8 @@
 // prefix, seed, priority and cancel.
 //
 //	POST /v1/completions             CompletionRequest -> server-sent Chunk events, then [DONE]
-//	POST /v1/streams/{id}/cancel     ends a stream; 404 when it is unknown
+//	POST /v1/streams/{id}/cancel     ends a stream; 404 when it is unknown;
+//	                                 with ?idle=true 409 when it is being read
 //	GET  /v1/load                    LoadReport
 //	GET  /v1/cache-events            CacheEvents, late and with gaps
 //	POST /v1/orders                  Order -> OrderResult
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,7 +29,6 @@
 	"github.com/wisteriahaven/wisteriahaven/serving/routing"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
-	"github.com/wisteriahaven/wisteriahaven/transport/engine"
 	"github.com/wisteriahaven/wisteriahaven/transport/service"
 )
 
@@ -49,9 +48,12 @@
 	router   *routing.Router
 	admitter *admission.Controller
 	callers  *caller.Server
-	calls    *call.Caller
-	tracker  *inflight.Tracker
-	marks    *operator.Marks
+	// invalid is the error of settings that can't be used.
+	invalid   error
+	generator *generation.Generator
+	calls     *call.Caller
+	tracker   *inflight.Tracker
+	marks     *operator.Marks
 	// effective is the configuration in force with the local marks.
 	effective *operator.Effective
 	operators *operator.Server
@@ -94,12 +96,10 @@
 	requestGuard := guard.Open{}
 	recorder := e.tracker.Recorder(e.recorder)
 	recordedRouter := e.tracker.Router(router, recorder)
-	generator := generation.New(generation.Parts{
+	e.generator, e.invalid = e.newGenerator(generation.Parts{
 		Router:   recordedRouter,
-		Admitter: admitter,
 		Guard:    requestGuard,
 		Recorder: recorder,
-		Engines:  engine.NewClient(),
 	})
 	e.calls = call.New(call.Parts{
 		Instance:      e.settings.Instance,
@@ -117,7 +117,7 @@
 	e.callers = caller.NewServer(e.callerOptions(), caller.Backends{
 		Authenticator: admitter,
 		Configuration: e.follower,
-		Generator:     e.tracker.Generator(generator, recorder),
+		Generator:     e.tracker.Generator(e.generator, recorder),
 		Caller:        e.tracker.Caller(e.calls, recorder),
 	}, e.logger)
 	e.orders = e.newOrdersKeeper()
@@ -154,6 +154,9 @@
 
 // Start listens on the instance's addresses and starts its duties.
 func (e *Entry) Start() error {
+	if e.invalid != nil {
+		return e.invalid
+	}
 	callers, err := net.Listen("tcp", e.settings.Listen.Callers)
 	if err != nil {
 		return fault.Wrap(fault.SettingsInvalid, "entry", "listen.callers", err)
@@ -217,6 +220,7 @@
 func (e *Entry) close() {
 	e.callers.Abort()
 	e.calls.Close()
+	e.generator.Close()
 	_ = e.operators.Shutdown()
 	e.duties.Stop()
 	e.serve.Stop()
--- a/fault/codes_generation.go
+++ b/fault/codes_generation.go
@@ -12,6 +12,7 @@
 	EngineProtocol      Code = "engine_protocol"
 	EngineStreamUnknown Code = "engine_stream_unknown"
 	CallerTooSlow       Code = "caller_too_slow"
+	CallerGone          Code = "caller_gone"
 )
 
 var generationDefinitions = map[Code]Definition{
@@ -22,5 +23,6 @@
 	EngineUnreachable:   {http.StatusBadGateway, "the engine did not accept the connection", "check the backend server"},
 	EngineProtocol:      {http.StatusBadGateway, "the engine broke the stream protocol", "check the engine's version"},
 	EngineStreamUnknown: {http.StatusNotFound, "the engine does not hold the stream", "none: the generation continues elsewhere"},
+	CallerGone:          {http.StatusRequestTimeout, "the caller's connection ended", "reconnect with the last cursor"},
 	CallerTooSlow:       {http.StatusRequestTimeout, "the caller read too slowly", "reconnect with the last cursor"},
 }
--- a/serving/admission.go
+++ b/serving/admission.go
@@ -19,6 +19,9 @@
 	Service   string
 	// MaxTokens is the caller's bound on the answer, zero for calls.
 	MaxTokens int
+	// Resumed means that the request continues an answer that was admitted
+	// before; the account's limits don't refuse it.
+	Resumed bool
 	// Priority orders the requests of one account; higher runs first.
 	Priority int
 }
--- a/serving/admission/controller.go
+++ b/serving/admission/controller.go
@@ -121,7 +121,7 @@
 	}
 	c.apply(c.core.Arrive(now, admission.Arrival{
 		ID: id, Account: request.Account, Service: request.Service,
-		Tokens: request.MaxTokens, Priority: request.Priority, Deadline: deadline,
+		Tokens: request.MaxTokens, Priority: request.Priority, Resumed: request.Resumed, Deadline: deadline,
 	}))
 	return id, answer
 }
--- a/serving/generation/generator.go
+++ b/serving/generation/generator.go
@@ -1,188 +1,183 @@
-// Package generation runs generations: it opens attempts at engines, repairs
-// broken ones and delivers each token once.
 package generation
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/wisteriahaven/wisteriahaven/engineapi"
+	"github.com/wisteriahaven/wisteriahaven/decision/cursor"
+	decision "github.com/wisteriahaven/wisteriahaven/decision/generation"
+	"github.com/wisteriahaven/wisteriahaven/decision/retention"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/rollinghash"
 	"github.com/wisteriahaven/wisteriahaven/serving"
-	"github.com/wisteriahaven/wisteriahaven/transport/engine"
 )
 
-// retryPause is the wait between two attempts.
-const retryPause = 100 * time.Millisecond
-
-// Parts are what a Generator works with.
-type Parts struct {
-	Router   serving.Router
-	Admitter serving.Admitter
-	Guard    serving.Guard
-	Recorder serving.Recorder
-	Engines  *engine.Client
-}
+// defaultDeadline bounds a generation of a service without a deadline.
+const defaultDeadline = 10 * time.Minute
 
 // Generator implements serving.Generator.
 type Generator struct {
-	parts Parts
+	parts    Parts
+	meters   meters
+	retained retained
+	detached detachedRuns
+	// background ends the work that outlives a request.
+	background context.Context
+	cancel     context.CancelFunc
+	wait       sync.WaitGroup
+	mu         sync.Mutex
+	closed     bool
 }
 
-// New returns a generator.
-func New(parts Parts) *Generator { return &Generator{parts: parts} }
-
-// run is one generation in progress.
-type run struct {
-	parts   Parts
-	request serving.GenerationRequest
-	writer  serving.AnswerWriter
-	version string
-	seed    uint64
-	tokens  []string
-	hash    rollinghash.Hash
-	avoid   []string
-	attempt uint32
-	begun   bool
+// Status is the state of a generator for the dump.
+type Status struct {
+	Retained retention.Stats `json:"retained"`
+	// Detached counts the streams kept for callers that are gone.
+	Detached int `json:"detached"`
 }
 
-// Generate implements serving.Generator.
-func (g *Generator) Generate(ctx context.Context, request serving.GenerationRequest, writer serving.AnswerWriter) (serving.AnswerEnd, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Service.Deadline.Std())
-	defer cancel()
-	current := &run{parts: g.parts, request: request, writer: writer, version: request.Version, seed: rand.Uint64()}
-	if request.Seed != nil {
-		current.seed = *request.Seed
-	}
-	if err := current.restore(); err != nil {
-		return serving.AnswerEnd{}, err
-	}
-	for ctx.Err() == nil {
-		end, err := current.try(ctx)
-		if err == nil {
-			return end, nil
-		}
-		if current.version == "" && fault.HasCode(err, fault.NoBackendServer) {
-			return serving.AnswerEnd{}, err
-		}
-		pause(ctx)
+// New returns a generator. Close ends what outlives its requests.
+func New(parts Parts) *Generator {
+	parts = parts.withDefaults()
+	g := &Generator{
+		parts:    parts,
+		meters:   meters{parts.Metrics},
+		retained: retained{store: retention.New(parts.RetainedBytes)},
+		detached: detachedRuns{runs: make(map[cursor.Fingerprint]*time.Timer)},
 	}
-	failure := fault.Wrap(fault.GenerationStopped, "serving/generation", "the answer is incomplete", context.Cause(ctx))
-	return serving.AnswerEnd{}, failure.WithExecution(fault.ExecutionPartial)
+	g.background, g.cancel = context.WithCancel(context.Background())
+	return g
 }
 
-// restore takes up the state of a reconnecting caller.
-func (r *run) restore() error {
-	if r.request.Cursor == "" {
-		return nil
-	}
-	position, err := decodeCursor(r.request.Cursor)
-	if err != nil {
-		return err
-	}
-	r.version, r.seed = position.Version, position.Seed
-	r.tokens = r.request.Delivered
-	r.hash = rollinghash.Of(r.tokens)
-	if len(r.tokens) != position.Offset || r.hash != position.Hash {
-		return fault.New(fault.CursorMismatch, "the delivered tokens differ from the cursor's position")
+// enter counts one more piece of work and reports whether it may begin. It
+// ends with wait.Done.
+func (g *Generator) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
 	}
-	return nil
+	g.wait.Add(1)
+	return true
 }
 
-// try runs one attempt until the answer is complete or the attempt breaks.
-func (r *run) try(ctx context.Context) (serving.AnswerEnd, error) {
-	route, err := r.parts.Router.Route(serving.RouteRequest{
-		RequestID:     r.request.RequestID,
-		ClientAccount: r.request.Account.Name,
-		Firm:          r.request.Account.Firm,
-		Service:       r.request.Service.Name,
-		Model:         r.request.Model,
-		Version:       r.version,
-		Purpose:       serving.PurposeFirst,
-		Prompt:        r.request.Prompt,
-		Avoid:         r.avoid,
-	})
+// Close ends running generations and the background work and waits for them.
+func (g *Generator) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.detached.close()
+	g.cancel()
+	g.wait.Wait()
+}
+
+// Status returns the current state.
+func (g *Generator) Status() Status {
+	return Status{Retained: g.retained.stats(), Detached: g.detached.count()}
+}
+
+// Generate implements serving.Generator.
+func (g *Generator) Generate(ctx context.Context, request serving.GenerationRequest, writer serving.AnswerWriter) (serving.AnswerEnd, error) {
+	if !g.enter() {
+		return serving.AnswerEnd{}, fault.New(fault.Stopping, "the instance is stopping").WithExecution(fault.ExecutionRefusedHere)
+	}
+	defer g.wait.Done()
+	codec := cursor.NewCodec(g.parts.Cursors)
+	start, err := startOf(codec, request)
 	if err != nil {
 		return serving.AnswerEnd{}, err
 	}
-	r.attempt++
-	end, err := r.stream(ctx, route)
-	if err != nil {
-		r.avoid = append(r.avoid, route.Server.Name)
-		route.Done(serving.OutcomeBroken)
-		return end, err
+	deadline := request.Service.Deadline.Std()
+	if deadline == 0 {
+		deadline = defaultDeadline
 	}
-	route.Done(serving.OutcomeSucceeded)
-	return end, nil
-}
-
-func (r *run) stream(ctx context.Context, route serving.Route) (serving.AnswerEnd, error) {
-	stream, err := r.parts.Engines.Open(ctx, route.Server.Address, engineapi.CompletionRequest{
-		Model:     r.request.Model,
-		Version:   r.version,
-		Prompt:    r.request.Prompt,
-		MaxTokens: r.request.MaxTokens,
-		Seed:      r.seed,
-		Priority:  r.request.Priority,
-		Prefix:    r.tokens,
-		Attempt:   r.attempt,
-		RequestID: r.request.RequestID,
-	})
+	ticket, err := g.admit(ctx, request, deadline)
 	if err != nil {
 		return serving.AnswerEnd{}, err
 	}
-	defer stream.Close()
-	var usage *engineapi.Usage
-	for {
-		chunk, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return r.finish(usage)
-		}
-		if err != nil {
-			return serving.AnswerEnd{}, err
-		}
-		if chunk.Usage != nil {
-			usage = chunk.Usage
-			continue
-		}
-		if err := r.deliver(chunk); err != nil {
-			return serving.AnswerEnd{}, err
-		}
+	defer ticket.Release()
+	config := g.config(request, deadline)
+	g.detached.back(config.Request)
+	if start.Cursor != nil && start.Delivered == nil {
+		start.Delivered = g.retained.find(config.Request, start.Cursor.Offset, start.Cursor.Hash)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	current := &run{
+		generator: g,
+		parts:     g.parts,
+		request:   request,
+		suspect:   suspectFingerprint(request),
+		codec:     codec,
+		writer:    writer,
+		ticket:    ticket,
+		machine:   decision.New(config, random),
+		config:    config,
+		began:     time.Now(),
+		inputs:    make(chan decision.Input, inputBuffer),
+		attempts:  make(map[uint32]*attempt),
+		addresses: make(map[string]string),
 	}
+	return current.loop(ctx, start)
 }
 
-func (r *run) finish(usage *engineapi.Usage) (serving.AnswerEnd, error) {
-	if usage == nil || usage.CompletionTokens != len(r.tokens) || usage.Hash != r.hash {
-		return serving.AnswerEnd{}, fault.New(fault.EngineProtocol, "the end of the stream does not match its tokens")
+// admit asks for permission within the deadline.
+func (g *Generator) admit(ctx context.Context, request serving.GenerationRequest, deadline time.Duration) (serving.Ticket, error) {
+	if g.parts.Admitter == nil {
+		return openTicket{}, nil
 	}
-	return serving.AnswerEnd{Tokens: len(r.tokens), Hash: r.hash}, nil
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	return g.parts.Admitter.Admit(ctx, serving.AdmissionRequest{
+		RequestID: request.RequestID,
+		Account:   request.Account,
+		Service:   request.Service.Name,
+		MaxTokens: request.MaxTokens,
+		Priority:  request.Priority,
+		Resumed:   request.Cursor != "",
+	})
 }
 
-func (r *run) deliver(chunk engineapi.Chunk) error {
-	if chunk.Offset != len(r.tokens) {
-		return fault.New(fault.EngineProtocol, "the engine sent a token at a wrong offset")
+func (g *Generator) config(request serving.GenerationRequest, deadline time.Duration) decision.Config {
+	config := decision.Config{
+		Request: cursor.Request{
+			Service:       request.Service.Name,
+			Model:         request.Model,
+			Prompt:        request.Prompt,
+			MaxTokens:     request.MaxTokens,
+			Key:           request.Key,
+			ClientAccount: request.Account.Name,
+		}.Fingerprint(),
+		Keyed:       request.Key != "",
+		Model:       request.Model,
+		Version:     request.Version,
+		PromptBytes: len(request.Prompt),
+		Seed:        rand.Uint64(),
+		OnMismatch:  request.OnMismatch,
+		Deadline:    deadline,
+		Policy:      decision.PolicyFor(request.Service.Recovery),
 	}
-	if !r.begun {
-		r.begun = true
-		r.version = chunk.Version
-		if err := r.writer.Begin(r.request.Model, r.version, r.seed); err != nil {
-			return err
-		}
+	if request.Seed != nil {
+		config.Seed = *request.Seed
 	}
-	text := chunk.Choices[0].Text
-	r.tokens = append(r.tokens, text)
-	r.hash = r.hash.Extend(text)
-	position := cursorPosition{Version: r.version, Seed: r.seed, Offset: len(r.tokens), Hash: r.hash}
-	return r.writer.Token(serving.Token{Offset: chunk.Offset, Text: text, Cursor: position.encode()})
+	return config
 }
 
-func pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryPause):
+// startOf verifies the cursor of a reconnecting caller.
+func startOf(codec *cursor.Codec, request serving.GenerationRequest) (decision.Start, error) {
+	if request.Cursor == "" {
+		if len(request.Delivered) > 0 {
+			return decision.Start{}, fault.Invalid("delivered", "needs a Last-Event-ID")
+		}
+		return decision.Start{}, nil
+	}
+	position, err := codec.Decode(request.Cursor)
+	if err != nil {
+		return decision.Start{}, err
+	}
+	start := decision.Start{Cursor: &position}
+	if len(request.Delivered) > 0 {
+		start.Delivered = request.Delivered
 	}
+	return start, nil
 }
--- a/serving/router.go
+++ b/serving/router.go
@@ -47,6 +47,10 @@
 	// NearServer names the server whose data centre and then region are
 	// preferred; empty means the instance's own.
 	NearServer string
+	// Server demands this one server, which already holds a stream of the
+	// request. Only the rules and its configuration are checked, so that a
+	// leaving server finishes its streams.
+	Server string
 	// IsolatedSuspect demands a server that runs no other suspect.
 	IsolatedSuspect bool
 }
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -128,6 +129,11 @@
 func (e *Engine) handleCancel(ctx *fasthttp.RequestCtx, id string) {
 	e.mu.Lock()
 	found := e.streams[id]
+	if found != nil && ctx.QueryArgs().GetBool(engineapi.IdleParameter) && found.read() {
+		e.mu.Unlock()
+		ctx.Error(`{"error":"the stream is being read"}`, fasthttp.StatusConflict)
+		return
+	}
 	delete(e.streams, id)
 	if found != nil {
 		e.counters.Cancelled++
@@ -147,6 +153,11 @@
 	boot := e.boot
 	e.mu.Unlock()
 	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set(engineapi.StreamIDHeader, source.id)
+	ctx.Response.Header.Set(engineapi.BootIDHeader, boot)
+	ctx.Response.Header.Set(engineapi.VersionHeader, source.answer.Version)
+	ctx.Response.Header.Set(engineapi.SeedHeader, strconv.FormatUint(source.request.Seed, 10))
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		sender := sender{engine: e, source: source, writer: w, boot: boot, offset: offset, shift: shift}
 		sender.run()
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -92,6 +92,13 @@
 	s.idle = time.Now()
 }
 
+// read reports whether a connection reads the stream.
+func (s *stream) read() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.readers) > 0
+}
+
 // snapshot is the state of a stream past an offset.
 type snapshot struct {
 	tokens   []string
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -47,15 +47,26 @@
 	message.SetRequestURI("http://" + address + "/v1/completions")
 	message.Header.SetContentType("application/json")
 	message.SetBodyRaw(body)
-	exchange, _, err := sse.Post(ctx, &c.dialer, address, message)
+	exchange, sent, err := sse.Post(ctx, &c.dialer, address, message)
 	if err != nil {
-		return nil, fault.Wrap(fault.EngineUnreachable, domain, "open stream at "+address, err)
+		return nil, unreachable(address, sent, err)
 	}
 	if err := statusError(exchange.Status(), address); err != nil {
 		exchange.Close()
 		return nil, err
 	}
-	return &Stream{exchange: exchange}, nil
+	return newStream(exchange, len(body)), nil
+}
+
+// unreachable is the error for a connection that could not be opened or broke
+// before the answer's header. It says whether the engine may have run the
+// request.
+func unreachable(address string, sent bool, cause error) error {
+	execution := fault.ExecutionNotRun
+	if sent {
+		execution = fault.ExecutionUnknown
+	}
+	return fault.Wrap(fault.EngineUnreachable, domain, "open stream at "+address, cause).WithExecution(execution)
 }
 
 // statusError maps an engine's refusal to a typed error.
@@ -72,8 +83,19 @@
 	}
 }
 
-// Cancel ends a stream on an engine. A stream that is gone is no error.
-func (c *Client) Cancel(ctx context.Context, address, streamID string) error {
+// Reachable reports whether the engine accepts connections.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// Cancel ends a stream on an engine; with onlyIdle it is ended only when no
+// connection reads it. A stream that is gone or being read is no error.
+func (c *Client) Cancel(ctx context.Context, address, streamID string, onlyIdle bool) error {
 	deadline := time.Now().Add(requestTimeout)
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
 		deadline = limit
@@ -84,6 +106,9 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + address + "/v1/streams/" + streamID + "/cancel")
+	if onlyIdle {
+		request.URI().QueryArgs().Set(engineapi.IdleParameter, "true")
+	}
 	request.SetConnectionClose()
 	if err := fasthttp.DoDeadline(request, response, deadline); err != nil {
 		return fault.Wrap(fault.EngineUnreachable, domain, "cancel stream "+streamID, err)
