--- a/engineapi/completion.go
+++ b/engineapi/completion.go
@@ -14,7 +14,7 @@
 	SeedHeader     = "X-Seed"
 )
 
-// IdleParameter, set to "true", makes a cancel end the stream only when no
+// IdleParameter makes a cancel, when it is "true", end the stream only when no
 // connection reads it.
 const IdleParameter = "idle"
 
