--- /dev/null
+++ b/decision/membership/config.go
@@ -0,0 +1,113 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+// Defaults of the exchange.
+const (
+	DefaultPeriod           = time.Second
+	DefaultTickInterval     = 100 * time.Millisecond
+	DefaultFanOut           = 2
+	DefaultNewsFanOut       = 3
+	DefaultNewsRounds       = 4
+	DefaultBridges          = 3
+	DefaultForeignPerCentre = 6
+	DefaultProbeTimeout     = 500 * time.Millisecond
+	DefaultSuspicionTimeout = 4 * time.Second
+	DefaultPauseLimit       = 2 * time.Second
+	DefaultForgetAfter      = 10 * time.Minute
+	DefaultHealEvery        = 5
+	DefaultDigestBytes      = 700
+	DefaultNewsBytes        = 380
+	DefaultBytesPerSecond   = 3600
+	DefaultBurstBytes       = 6000
+	DefaultDemandEntries    = 8
+	DefaultNotices          = 256
+)
+
+// Config is what one table works by.
+type Config struct {
+	// Self names this instance and its addresses.
+	Self settings.Peer
+	// Incarnation is the first incarnation: larger than that of any earlier
+	// process of this name, such as the time of the start in milliseconds.
+	Incarnation uint64
+	// Seeds are probed until they are known.
+	Seeds []settings.Peer
+
+	// Period is the time between two exchanges.
+	Period time.Duration
+	// TickInterval is the time between two ticks, and between two rounds of
+	// news.
+	TickInterval time.Duration
+	// FanOut is how many instances are probed in a period.
+	FanOut int
+	// NewsFanOut and NewsRounds say how often news is sent.
+	NewsFanOut int
+	NewsRounds int
+	// Bridges is how many instances exchange with other data centres.
+	Bridges int
+	// ForeignPerCentre bounds the known instances of each other data centre.
+	ForeignPerCentre int
+	// ProbeTimeout is the wait for a reply; a probe is sent twice.
+	ProbeTimeout time.Duration
+	// SuspicionTimeout is the time in which a suspect can refute.
+	SuspicionTimeout time.Duration
+	// PauseLimit is the gap between inputs that is taken for a pause.
+	PauseLimit time.Duration
+	// ForgetAfter is how long a dead instance is kept.
+	ForgetAfter time.Duration
+	// HealEvery is the number of periods between probes of dead instances.
+	HealEvery int
+	// DigestBytes and NewsBytes bound the encoded digests, in bytes.
+	DigestBytes int
+	NewsBytes   int
+	// BytesPerSecond and BurstBytes bound the datagrams sent, headers
+	// included.
+	BytesPerSecond int
+	BurstBytes     int
+	// DemandEntries bounds the demand of one report.
+	DemandEntries int
+	// Notices bounds the notices kept.
+	Notices int
+}
+
+// WithDefaults returns the configuration with every unset field filled in.
+func (c Config) WithDefaults() Config {
+	c.Period = orDuration(c.Period, DefaultPeriod)
+	c.TickInterval = orDuration(c.TickInterval, DefaultTickInterval)
+	c.ProbeTimeout = orDuration(c.ProbeTimeout, DefaultProbeTimeout)
+	c.SuspicionTimeout = orDuration(c.SuspicionTimeout, DefaultSuspicionTimeout)
+	c.PauseLimit = orDuration(c.PauseLimit, DefaultPauseLimit)
+	c.ForgetAfter = orDuration(c.ForgetAfter, DefaultForgetAfter)
+	c.FanOut = orInt(c.FanOut, DefaultFanOut)
+	c.NewsFanOut = orInt(c.NewsFanOut, DefaultNewsFanOut)
+	c.NewsRounds = orInt(c.NewsRounds, DefaultNewsRounds)
+	c.Bridges = orInt(c.Bridges, DefaultBridges)
+	c.ForeignPerCentre = orInt(c.ForeignPerCentre, DefaultForeignPerCentre)
+	c.HealEvery = orInt(c.HealEvery, DefaultHealEvery)
+	c.DigestBytes = orInt(c.DigestBytes, DefaultDigestBytes)
+	c.NewsBytes = orInt(c.NewsBytes, DefaultNewsBytes)
+	c.BytesPerSecond = orInt(c.BytesPerSecond, DefaultBytesPerSecond)
+	c.BurstBytes = orInt(c.BurstBytes, DefaultBurstBytes)
+	c.DemandEntries = orInt(c.DemandEntries, DefaultDemandEntries)
+	c.Notices = orInt(c.Notices, DefaultNotices)
+	return c
+}
+
+func orDuration(value, fallback time.Duration) time.Duration {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+func orInt(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/decision/membership/probe.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+// probe is one digest that waits for its reply.
+type probe struct {
+	peer     settings.Peer
+	deadline time.Time
+	// again means that an earlier probe of the same exchange got no reply.
+	again bool
+}
+
+// probe sends a digest that asks for a reply.
+func (t *Table) probe(peer settings.Peer, again bool, now time.Time, out *Output) {
+	digest := t.newDigest(Probe, peer.Instance)
+	t.probes[digest.Sequence] = probe{peer: peer, deadline: now.Add(t.config.ProbeTimeout), again: again}
+	t.fillDigest(&digest, peer, t.config.DigestBytes, now)
+	t.counters.Probes++
+	t.send(peer.Gossip, digest, out)
+}
+
+// answer replies to a probe, in full while the byte bucket allows it.
+func (t *Table) answer(digest Digest, now time.Time, out *Output) {
+	peer := digest.From.Peer
+	reply := t.newDigest(Reply, peer.Instance)
+	reply.Answers = digest.Sequence
+	if t.bucket.holds(t.config.DigestBytes) {
+		t.fillDigest(&reply, peer, t.config.DigestBytes, now)
+	}
+	t.counters.Replies++
+	t.send(peer.Gossip, reply, out)
+}
+
+// settleProbe ends the probe that a reply answers. A reply from another
+// instance than the one that was asked settles nothing.
+func (t *Table) settleProbe(digest Digest) {
+	waiting, ok := t.probes[digest.Answers]
+	if ok && waiting.peer.Instance == digest.From.Peer.Instance {
+		delete(t.probes, digest.Answers)
+	}
+}
+
+// expireProbes repeats a probe once and then suspects the instance.
+func (t *Table) expireProbes(now time.Time, out *Output) {
+	var expired []uint64
+	for sequence, waiting := range t.probes {
+		if !now.Before(waiting.deadline) {
+			expired = append(expired, sequence)
+		}
+	}
+	slices.Sort(expired)
+	for _, sequence := range expired {
+		waiting := t.probes[sequence]
+		delete(t.probes, sequence)
+		t.counters.ProbesTimedOut++
+		entry, known := t.members[waiting.peer.Instance]
+		if !known || entry.record.Health != Alive {
+			continue
+		}
+		if !waiting.again {
+			t.probe(waiting.peer, true, now, out)
+			continue
+		}
+		t.suspect(entry, now, out)
+	}
+}
+
+// suspect marks an instance that gave no reply, unless it was heard since.
+func (t *Table) suspect(entry *memberEntry, now time.Time, out *Output) {
+	if now.Sub(entry.heard) < t.config.ProbeTimeout {
+		return
+	}
+	entry.record.Health = Suspect
+	entry.suspectedAt = now
+	t.changed(entry, now, out)
+}
