Fuzz the membership against an onlooker and mend what it found

Three faults found by the state machine, each mended: - a cut longer than the records' life left two parts that no longer knew each other: the addresses of forgotten peers are kept and probed now and then - instances of one data centre that lost each other met only by seeds: another data centre now tells them of each other - datagrams that waited in the socket of a paused instance brought records of understated age back: after a pause every sender proves itself again, and unknown instances are taken in only up to half the forgetting time

--- a/decision/membership/config.go
+++ b/decision/membership/config.go
@@ -26,6 +26,7 @@
 	DefaultBurstBytes       = 6000
 	DefaultDemandEntries    = 8
 	DefaultNotices          = 256
+	DefaultFormerPeers      = 16
 )
 
 // Config is what one table works by.
@@ -73,6 +74,8 @@
 	DemandEntries int
 	// Notices bounds the notices kept.
 	Notices int
+	// FormerPeers bounds the forgotten peers that are still probed.
+	FormerPeers int
 }
 
 // WithDefaults returns the configuration with every unset field filled in.
@@ -95,6 +98,7 @@
 	c.BurstBytes = orInt(c.BurstBytes, DefaultBurstBytes)
 	c.DemandEntries = orInt(c.DemandEntries, DefaultDemandEntries)
 	c.Notices = orInt(c.Notices, DefaultNotices)
+	c.FormerPeers = orInt(c.FormerPeers, DefaultFormerPeers)
 	return c
 }
 
--- a/decision/membership/doc.go
+++ b/decision/membership/doc.go
@@ -26,8 +26,9 @@
 // incarnation the worse health wins. Only the instance itself raises its
 // incarnation, so that a paused instance can't bring old state back. A record
 // carries its age, the time since the instance itself was heard: a record
-// older than Config.ForgetAfter is refused, and a dead instance is kept that
-// long, so that a forgotten instance does not return either.
+// older than half of Config.ForgetAfter adds nobody, and a dead instance is kept that
+// long, so that a forgotten instance does not return either. After a pause every
+// sender has to prove itself again, because waiting digests are of unknown age.
 //
 // Notices (leaving marks and quarantines) carry a stamp that grows with every
 // change, and an absolute expiry. A withdrawn notice stays until its expiry.
--- a/decision/membership/exchange.go
+++ b/decision/membership/exchange.go
@@ -111,6 +111,9 @@
 	for _, peer := range t.config.Seeds {
 		consider(peer)
 	}
+	for _, peer := range t.former {
+		consider(peer)
+	}
 	for _, peer := range t.proposed {
 		consider(peer)
 	}
@@ -161,16 +164,22 @@
 
 // liveNames returns the live instances of a data centre, this one included.
 func (t *Table) liveNames(centre string) []string {
+	own := t.self.Peer.Instance
+	added := centre != t.self.Peer.DataCentre
 	var names []string
-	if centre == t.self.Peer.DataCentre {
-		names = append(names, t.self.Peer.Instance)
-	}
-	for name, entry := range t.members {
+	for _, name := range t.memberNames() {
+		if !added && own < name {
+			names = append(names, own)
+			added = true
+		}
+		entry := t.members[name]
 		if entry.record.Peer.DataCentre == centre && entry.record.Live() {
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
+	if !added {
+		names = append(names, own)
+	}
 	return names
 }
 
--- a/decision/membership/fill.go
+++ b/decision/membership/fill.go
@@ -102,12 +102,12 @@
 }
 
 // recordCandidates returns the records that the receiver may need. Another
-// data centre gets only the bridges of this one.
+// data centre gets only the bridges of this one and what is known of its own
+// instances, so that instances that lost each other meet again.
 func (t *Table) recordCandidates(to settings.Peer, now time.Time, urgentOnly bool) []candidate {
 	names := t.memberNames()
 	if to.DataCentre != t.self.Peer.DataCentre {
-		local := t.liveNames(t.self.Peer.DataCentre)
-		names = rendezvous.Top(bridgeKey+t.self.Peer.DataCentre, local, t.config.Bridges)
+		names = t.namesForForeign(to.DataCentre)
 	}
 	var list []candidate
 	for _, name := range names {
@@ -120,6 +120,14 @@
 	return list
 }
 
+// namesForForeign returns the bridges of the own data centre and the known
+// instances of the other one.
+func (t *Table) namesForForeign(centre string) []string {
+	local := t.liveNames(t.self.Peer.DataCentre)
+	names := rendezvous.Top(bridgeKey+t.self.Peer.DataCentre, local, t.config.Bridges)
+	return append(names, t.liveNames(centre)...)
+}
+
 // noticeCandidates returns the notices that the receiver may get.
 func (t *Table) noticeCandidates(to settings.Peer, urgentOnly bool) []candidate {
 	foreign := to.DataCentre != t.self.Peer.DataCentre
--- a/decision/membership/fleet_test.go
+++ b/decision/membership/fleet_test.go
@@ -31,6 +31,8 @@
 	cut    func(from, to string) bool
 	// onSend sees every digest before it is delivered.
 	onSend func(from string, send membership.Send)
+	// onChange sees every change of a view.
+	onChange func(at string, change membership.Change)
 }
 
 func peerOf(centre string, index int) settings.Peer {
@@ -104,6 +106,11 @@
 
 func (f *fleet) step(n *node, input membership.Input) membership.Output {
 	out := n.table.Step(f.net.Now(), input)
+	for _, change := range out.Changes {
+		if f.onChange != nil {
+			f.onChange(n.peer.Instance, change)
+		}
+	}
 	for _, send := range out.Sends {
 		if f.onSend != nil {
 			f.onSend(n.peer.Instance, send)
--- a/decision/membership/merge.go
+++ b/decision/membership/merge.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// acceptDivisor leaves a margin between the age up to which an unknown
+// instance is taken in and the age at which one is forgotten, for digests that
+// were on their way for long.
+const acceptDivisor = 2
+
 // apply merges a digest and answers a probe.
 func (r Received) apply(t *Table, now time.Time, out *Output) {
 	digest := r.Digest
@@ -156,7 +161,7 @@
 
 // addRecord adds an instance that was not known.
 func (t *Table) addRecord(record Record, now time.Time, out *Output) {
-	if record.Age >= t.config.ForgetAfter {
+	if record.Age >= t.config.ForgetAfter/acceptDivisor {
 		t.counters.OldRecords++
 		return
 	}
@@ -168,7 +173,7 @@
 	if record.Health == Suspect {
 		entry.suspectedAt = now
 	}
-	t.members[record.Peer.Instance] = entry
+	t.addMember(entry)
 	t.changed(entry, now, out)
 }
 
@@ -221,7 +226,7 @@
 	if oldest.record.Health == Alive && now.Sub(oldest.heard) < t.config.SuspicionTimeout {
 		return false
 	}
-	delete(t.members, oldest.record.Peer.Instance)
+	t.removeMember(oldest.record.Peer.Instance)
 	return true
 }
 
--- a/decision/membership/table.go
+++ b/decision/membership/table.go
@@ -15,10 +15,15 @@
 	self   Record
 
 	members map[string]*memberEntry
+	// names holds the keys of members in order, nil after a change of them.
+	names   []string
 	notices map[NoticeKey]*noticeEntry
 	reports map[reportKey]*reportEntry
 	// proposed holds peers of the instance list that are not known yet.
 	proposed []settings.Peer
+	// former holds forgotten peers, the latest last: they are still probed now
+	// and then, because a partition may outlast the records.
+	former []settings.Peer
 
 	probes       map[uint64]probe
 	queue        []string
@@ -79,7 +84,8 @@
 }
 
 // notePause gives every suspect a new chance when this instance was paused:
-// the silence was its own.
+// the silence was its own. Digests that waited in the meantime are of unknown
+// age, so that every sender has to prove itself again.
 func (t *Table) notePause(now time.Time, out *Output) {
 	if t.lastStep.IsZero() || now.Sub(t.lastStep) < t.config.PauseLimit {
 		return
@@ -87,6 +93,7 @@
 	t.counters.Pauses++
 	clear(t.probes)
 	for _, entry := range t.members {
+		entry.proven = false
 		if entry.record.Health == Suspect {
 			entry.suspectedAt = now
 		}
@@ -124,8 +131,9 @@
 	for _, name := range t.memberNames() {
 		entry := t.members[name]
 		if entry.record.Health == Dead && now.Sub(entry.heard) >= t.config.ForgetAfter {
-			delete(t.members, name)
+			t.removeMember(name)
 			delete(t.reports, reportKey{source: name})
+			t.keepFormer(entry.record.Peer)
 			out.Changes = append(out.Changes, Change{Kind: ChangeForgotten, Record: entry.record})
 		}
 	}
@@ -138,6 +146,14 @@
 	}
 }
 
+// keepFormer remembers the address of a forgotten instance.
+func (t *Table) keepFormer(peer settings.Peer) {
+	t.former = append(t.former, peer)
+	if len(t.former) > t.config.FormerPeers {
+		t.former = t.former[1:]
+	}
+}
+
 // changed reports a record's new state and makes it urgent.
 func (t *Table) changed(entry *memberEntry, now time.Time, out *Output) {
 	entry.urgent = t.spreadLimit()
@@ -152,18 +168,36 @@
 	return record
 }
 
-// memberNames returns the names of the known instances in order.
+// memberNames returns the names of the known instances in order. The result
+// must not be changed.
 func (t *Table) memberNames() []string {
-	names := make([]string, 0, len(t.members))
-	for name := range t.members {
-		names = append(names, name)
+	if t.names == nil && len(t.members) > 0 {
+		t.names = make([]string, 0, len(t.members))
+		for name := range t.members {
+			t.names = append(t.names, name)
+		}
+		slices.Sort(t.names)
 	}
-	slices.Sort(names)
-	return names
+	return t.names
+}
+
+// addMember adds an instance to the table.
+func (t *Table) addMember(entry *memberEntry) {
+	t.members[entry.record.Peer.Instance] = entry
+	t.names = nil
+}
+
+// removeMember removes an instance from the table.
+func (t *Table) removeMember(name string) {
+	delete(t.members, name)
+	t.names = nil
 }
 
 // noticeKeys returns the keys of the notices in order.
 func (t *Table) noticeKeys() []NoticeKey {
+	if len(t.notices) == 0 {
+		return nil
+	}
 	keys := make([]NoticeKey, 0, len(t.notices))
 	for key := range t.notices {
 		keys = append(keys, key)
--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -34,3 +34,15 @@
 		_ = flag.Set(name, value)
 	}
 }
+
+// Checks sets the number of cases of every property unless the command line
+// gives one. Call it after Apply.
+func Checks(count int) {
+	given := false
+	flag.Visit(func(f *flag.Flag) {
+		given = given || f.Name == "rapid.checks"
+	})
+	if !given {
+		_ = flag.Set("rapid.checks", strconv.Itoa(count))
+	}
+}
