--- a/decision/membership/commands.go
+++ b/decision/membership/commands.go
@@ -43,14 +43,21 @@
 	out.Changes = append(out.Changes, Change{Kind: ChangeReport})
 }
 
+// Bounds of the texts of a notice, in bytes, so that it fits into a digest.
+const (
+	maxNoticeName   = 100
+	maxNoticeReason = 60
+)
+
 // apply stamps and publishes a notice. A notice that says what is known
 // already changes nothing, so that many instances may post the same one.
 func (p Post) apply(t *Table, now time.Time, out *Output) {
 	notice := p.Notice
-	if !notice.Kind.Valid() || notice.Name == "" || !now.Before(notice.Expires) {
+	if !notice.Kind.Valid() || notice.Name == "" || len(notice.Name) > maxNoticeName || !now.Before(notice.Expires) {
 		t.counters.InvalidItems++
 		return
 	}
+	notice.Reason = notice.Reason[:min(len(notice.Reason), maxNoticeReason)]
 	entry, ok := t.notices[notice.NoticeKey]
 	if ok && entry.notice.Withdrawn == notice.Withdrawn && !notice.Expires.After(entry.notice.Expires) {
 		return
--- /dev/null
+++ b/transport/gossip/transport.go
@@ -0,0 +1,108 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/membership"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// stopTimeout bounds the end of the event loop.
+const stopTimeout = 5 * time.Second
+
+// Receiver takes verified digests. Calls come from the event loop and must not
+// block. Bytes is the size of the datagram with its headers.
+type Receiver func(digest membership.Digest, bytes int)
+
+// Transport sends and receives digests on one UDP address.
+type Transport struct {
+	codec    *Codec
+	counters counters
+	engine   gnet.Engine
+	socket   net.PacketConn
+	stopped  chan struct{}
+}
+
+// Listen opens the UDP address, "ip:port", and hands what arrives to receive.
+func Listen(address string, codec *Codec, receive Receiver) (*Transport, error) {
+	t := &Transport{codec: codec, stopped: make(chan struct{})}
+	handler := &handler{transport: t, receive: receive, booted: make(chan gnet.Engine, 1)}
+	failed := make(chan error, 1)
+	go func() {
+		defer close(t.stopped)
+		failed <- gnet.Run(handler, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogLevel(silent))
+	}()
+	select {
+	case t.engine = <-handler.booted:
+	case err := <-failed:
+		return nil, fault.Wrap(fault.SettingsInvalid, "gossip", "listen.gossip", err)
+	}
+	if err := t.openSocket(); err != nil {
+		_ = t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+// openSocket opens the event loop's socket a second time for sending from
+// other goroutines.
+func (t *Transport) openSocket() error {
+	descriptor, err := t.engine.Dup()
+	if err != nil {
+		return fault.Wrap(fault.Internal, "gossip", "open the socket for sending", err)
+	}
+	file := os.NewFile(uintptr(descriptor), "gossip")
+	defer func() { _ = file.Close() }()
+	t.socket, err = net.FilePacketConn(file)
+	if err != nil {
+		return fault.Wrap(fault.Internal, "gossip", "open the socket for sending", err)
+	}
+	return nil
+}
+
+// Address returns the address the transport listens on.
+func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
+
+// Counters returns what the transport counted.
+func (t *Transport) Counters() Counters { return t.counters.copy() }
+
+// Send sends one digest. A digest that can't be sent is counted and lost, as
+// any datagram may be.
+func (t *Transport) Send(address string, digest membership.Digest) {
+	datagram, err := t.codec.Encode(digest)
+	if err != nil {
+		t.counters.encodeFailed.Add(1)
+		return
+	}
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		t.counters.sendFailed.Add(1)
+		return
+	}
+	if _, err := t.socket.WriteTo(datagram, net.UDPAddrFromAddrPort(target)); err != nil {
+		t.counters.sendFailed.Add(1)
+		return
+	}
+	t.counters.sent.Add(1)
+	t.counters.sentBytes.Add(uint64(len(datagram)))
+}
+
+// Close ends the event loop and waits for it.
+func (t *Transport) Close() error {
+	if t.socket != nil {
+		_ = t.socket.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := t.engine.Stop(ctx); err != nil {
+		return fault.Wrap(fault.Internal, "gossip", "stop the event loop", err)
+	}
+	<-t.stopped
+	return nil
+}
