Call peers over drpc with a proof of the peer key on each connection; measure the exchange slopes

Joining 185 instances at once took minutes, so that listed but unknown instances are now probed every period.

--- a/decision/membership/exchange.go
+++ b/decision/membership/exchange.go
@@ -24,7 +24,7 @@
 // targets returns the peers to probe in this period, Config.FanOut at most.
 func (t *Table) targets() []settings.Peer {
 	var picked []settings.Peer
-	if t.exchanges%uint64(t.config.HealEvery) == 0 || len(t.liveNames(t.self.Peer.DataCentre)) == 1 {
+	if t.exchanges%uint64(t.config.HealEvery) == 0 || len(t.liveNames(t.self.Peer.DataCentre)) == 1 || t.unknownListed() {
 		picked = appendPeer(picked, t.nextHealed())
 	}
 	if t.isBridge() {
@@ -97,6 +97,17 @@
 	return settings.Peer{}
 }
 
+// unknownListed reports whether the platform lists an instance of this data
+// centre that is not known yet.
+func (t *Table) unknownListed() bool {
+	for _, peer := range t.proposed {
+		if _, known := t.members[peer.Instance]; !known && peer.DataCentre == t.self.Peer.DataCentre {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) refillHealQueue() {
 	alone := len(t.members) == 0
 	candidates := make(map[string]settings.Peer)
--- /dev/null
+++ b/experiment/slopes/exchange.go
@@ -0,0 +1,211 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/control/membership"
+	decision "github.com/wisteriahaven/wisteriahaven/decision/membership"
+	"github.com/wisteriahaven/wisteriahaven/duty"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/transport/gossip"
+	"github.com/wisteriahaven/wisteriahaven/transport/peerauth"
+)
+
+// What the exchange duties do while they are measured.
+const (
+	exchangeDataCentre = "dc-01"
+	exchangeRegion     = "region-1"
+	// joinLimit ends a run whose instances never find each other.
+	joinLimit     = 120 * time.Second
+	demandPeriod  = time.Second
+	seedInstances = 3
+	// changePeriod is the time between changes of the configuration: 6,100 a
+	// day.
+	changePeriod = 14 * time.Second
+)
+
+// exchangeCosts are the costs of one exchange duty.
+var exchangeCosts = []cost{
+	{"bytes both ways", "B/s"},
+	{"processor time", "ms/s"},
+	{"memory", "KB"},
+}
+
+// exchangeFleet is a number of exchange duties on loopback UDP.
+type exchangeFleet struct {
+	services []*membership.Service
+	duties   *duty.Group
+}
+
+// measureExchange runs a fleet of each size and measures one node.
+func measureExchange(ctx context.Context, sizes []int, span time.Duration, seed uint64) (series, error) {
+	result := series{duty: "exchange", variable: "instances", costs: exchangeCosts}
+	for _, size := range sizes {
+		measured, err := measureFleet(ctx, size, span, seed)
+		if err != nil {
+			return series{}, err
+		}
+		result.points = append(result.points, measured)
+	}
+	return result, nil
+}
+
+func measureFleet(ctx context.Context, size int, span time.Duration, seed uint64) (point, error) {
+	heap := heapBytes()
+	fleet, err := startExchange(size, seed)
+	defer fleet.stop()
+	if err != nil {
+		return point{}, err
+	}
+	if err := fleet.join(ctx); err != nil {
+		return point{}, err
+	}
+	before, bytes := readUsage(), fleet.bytes()
+	if err := fleet.work(ctx, span); err != nil {
+		return point{}, err
+	}
+	elapsed, processor := readUsage().since(before)
+	perNode := float64(size) * elapsed.Seconds()
+	return point{value: float64(size), cost: []float64{
+		(fleet.bytes() - bytes) / perNode,
+		float64(processor.Microseconds()) / 1000 / perNode,
+		(heapBytes() - heap) / 1024 / float64(size),
+	}}, nil
+}
+
+func startExchange(size int, seed uint64) (*exchangeFleet, error) {
+	fleet := &exchangeFleet{duties: duty.NewGroup(context.Background(), zerolog.Nop())}
+	ring, err := peerauth.NewRing(settings.KeyRing{
+		Active: "k", Keys: []settings.Key{{ID: "k", Secret: strings.Repeat("5a", 32)}},
+	})
+	if err != nil {
+		return fleet, err
+	}
+	codec := gossip.NewCodec(ring)
+	var seeds []settings.Peer
+	for index := range size {
+		service, err := membership.New(membership.Options{
+			Config: decision.Config{Self: exchangePeer(index), Incarnation: uint64(time.Now().UnixMilli()), Seeds: seeds},
+			Listen: "127.0.0.1:0",
+			Codec:  codec,
+			Seed:   seed + uint64(index),
+			Logger: zerolog.Nop(),
+		})
+		if err != nil {
+			return fleet, err
+		}
+		if index < seedInstances {
+			seeds = append(seeds, service.View().Self.Peer)
+		}
+		fleet.services = append(fleet.services, service)
+		fleet.duties.Go("membership", service.Run)
+	}
+	return fleet, nil
+}
+
+func exchangePeer(index int) settings.Peer {
+	return settings.Peer{
+		Instance:   fmt.Sprintf("%s-entry-%03d", exchangeDataCentre, index),
+		DataCentre: exchangeDataCentre,
+		Region:     exchangeRegion,
+		Peers:      "127.0.0.1:7402",
+		Callers:    "127.0.0.1:7403",
+		Operators:  "127.0.0.1:7404",
+	}
+}
+
+// join tells every instance the platform's list and waits until each knows
+// all.
+func (f *exchangeFleet) join(ctx context.Context) error {
+	var listed []settings.Peer
+	for _, service := range f.services {
+		listed = append(listed, service.View().Self.Peer)
+	}
+	for _, service := range f.services {
+		service.SetListed(listed)
+	}
+	deadline := time.Now().Add(joinLimit)
+	for !f.joined() {
+		if time.Now().After(deadline) {
+			return fault.New(fault.PeerUnreachable, "the instances did not find each other")
+		}
+		if err := wait(ctx, time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *exchangeFleet) joined() bool {
+	for _, service := range f.services {
+		if len(service.View().Live(exchangeDataCentre)) != len(f.services) {
+			return false
+		}
+	}
+	return true
+}
+
+// work lets the duties exchange for a span, with changing demand and with
+// configuration changes.
+func (f *exchangeFleet) work(ctx context.Context, span time.Duration) error {
+	end := time.Now().Add(span)
+	changed := time.Time{}
+	for round := uint64(1); time.Now().Before(end); round++ {
+		for index, service := range f.services {
+			service.SetDemand(demandOf(index, round))
+		}
+		if time.Since(changed) >= changePeriod {
+			changed = time.Now()
+			for _, service := range f.services {
+				service.SetRevision(round)
+			}
+		}
+		if err := wait(ctx, demandPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func demandOf(index int, round uint64) []decision.Demand {
+	demand := make([]decision.Demand, decision.DefaultDemandEntries)
+	for i := range demand {
+		account := decision.AccountIDOf(fmt.Sprintf("account-%d", (index*7+i)%880))
+		demand[i] = decision.Demand{Account: account, Requests: uint32(60 + round%10), Tokens: 300_000}
+	}
+	return demand
+}
+
+// bytes returns the bytes of all datagrams, sent and received, with headers.
+func (f *exchangeFleet) bytes() float64 {
+	total := uint64(0)
+	for _, service := range f.services {
+		counted := service.Status().Datagrams
+		total += counted.SentBytes + counted.ReceivedBytes
+		total += (counted.Sent + counted.Received) * decision.DatagramHeaderBytes
+	}
+	return float64(total)
+}
+
+func (f *exchangeFleet) stop() {
+	f.duties.Stop()
+	for _, service := range f.services {
+		_ = service.Close()
+	}
+}
+
+// wait sleeps unless the context ends.
+func wait(ctx context.Context, span time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(fault.Internal, "slopes", "interrupted", ctx.Err())
+	case <-time.After(span):
+		return nil
+	}
+}
--- /dev/null
+++ b/experiment/slopes/experiment.go
@@ -0,0 +1,50 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// The share of a node that control may use.
+const (
+	controlBytesPerSecond  = 8 * 1024
+	controlProcessor       = 0.034 * 1000
+	controlMemoryKilobytes = 128 * 1024
+	// centreInstances is the number of instances of a data centre at full
+	// size: 2,400 over 13.
+	centreInstances = 185
+)
+
+// defaultSpan is how long each point is measured at scale 1.
+const defaultSpan = 10 * time.Second
+
+// Experiment measures every slope.
+var Experiment = experiment.Experiment{
+	Name:    "slopes",
+	Summary: "control cost of a node against instances, servers, accounts and changes",
+	Run:     run,
+}
+
+func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
+	span := time.Duration(float64(defaultSpan) * options.Scale)
+	report := experiment.Report{
+		Experiment: "slopes",
+		Seed:       options.Seed,
+		Settings:   []experiment.Setting{{Name: "span of a point", Value: fmt.Sprint(span)}},
+	}
+	exchange, err := measureExchange(ctx, []int{4, 16, 64, centreInstances}, span, options.Seed)
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	report.Figures = append(report.Figures, exchange.figures()...)
+	full := exchange.points[len(exchange.points)-1].cost
+	report.Targets = append(report.Targets,
+		experiment.AtMost("exchange at 185 instances: bytes both ways", "B/s", controlBytesPerSecond, full[0]),
+		experiment.AtMost("exchange at 185 instances: processor time", "ms/s", controlProcessor, full[1]),
+		experiment.AtMost("exchange at 185 instances: memory", "KB", controlMemoryKilobytes, full[2]),
+	)
+	return report, nil
+}
--- /dev/null
+++ b/experiment/slopes/point.go
@@ -0,0 +1,67 @@
+package slopes
+
+import (
+	"fmt"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// point is the cost of one node at one value of a variable.
+type point struct {
+	value float64
+	// cost holds one figure for each of the series' costs.
+	cost []float64
+}
+
+// cost names one figure of a series.
+type cost struct {
+	name string
+	unit string
+}
+
+// series is one duty measured against one variable.
+type series struct {
+	duty     string
+	variable string
+	costs    []cost
+	points   []point
+}
+
+// figures returns every measured point and, for each cost, the slope and the
+// intercept of the least squares line.
+func (s series) figures() []experiment.Figure {
+	var list []experiment.Figure
+	for _, measured := range s.points {
+		for i, c := range s.costs {
+			name := fmt.Sprintf("%s: %s at %g %s", s.duty, c.name, measured.value, s.variable)
+			list = append(list, experiment.Figure{Name: name, Value: measured.cost[i], Unit: c.unit})
+		}
+	}
+	for i, c := range s.costs {
+		slope, intercept := s.line(i)
+		list = append(list,
+			experiment.Figure{Name: s.duty + ": slope of " + c.name, Value: slope, Unit: c.unit + " per " + s.variable},
+			experiment.Figure{Name: s.duty + ": intercept of " + c.name, Value: intercept, Unit: c.unit},
+		)
+	}
+	return list
+}
+
+// line fits a straight line to one cost.
+func (s series) line(index int) (slope, intercept float64) {
+	count := float64(len(s.points))
+	var sumX, sumY, sumXX, sumXY float64
+	for _, measured := range s.points {
+		x, y := measured.value, measured.cost[index]
+		sumX += x
+		sumY += y
+		sumXX += x * x
+		sumXY += x * y
+	}
+	spread := count*sumXX - sumX*sumX
+	if spread == 0 {
+		return 0, sumY / max(count, 1)
+	}
+	slope = (count*sumXY - sumX*sumY) / spread
+	return slope, (sumY - slope*sumX) / count
+}
--- a/transport/gossip/handler.go
+++ b/transport/gossip/handler.go
@@ -2,16 +2,11 @@
 
 import (
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
-// silent keeps the library's own log lines out: only numbered events are
-// logged.
-const silent = logging.FatalLevel
-
 // handler takes the events of gnet.
 type handler struct {
 	gnet.BuiltinEventEngine
--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -36,7 +36,7 @@
 	failed := make(chan error, 1)
 	go func() {
 		defer close(t.stopped)
-		failed <- gnet.Run(handler, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogLevel(silent))
+		failed <- gnet.Run(handler, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogger(quietLogger{}))
 	}()
 	select {
 	case t.engine = <-handler.booted:
--- /dev/null
+++ b/transport/peer/handlers.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+
+	"storj.io/drpc/drpcerr"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
+)
+
+// Codes of errors on the wire.
+const (
+	codeOther uint64 = iota + 1
+	codeNotFound
+	codeConfigurationUnset
+)
+
+// Handlers answer the calls of other instances. A nil handler answers
+// NotFound.
+type Handlers struct {
+	Configuration func(ctx context.Context, request *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error)
+	// CommitClaims takes a batch of claims for a shard. The payloads belong to
+	// the caller and the handler alone.
+	CommitClaims func(ctx context.Context, shard uint32, payload []byte) ([]byte, error)
+	// Dump returns the instance's state as JSON.
+	Dump func(ctx context.Context) ([]byte, error)
+	// Explain returns the decisions about a subject as JSON.
+	Explain func(ctx context.Context, subject string) ([]byte, error)
+}
+
+// service implements the generated server interface.
+type service struct {
+	handlers Handlers
+}
+
+// Configuration implements peerpb.DRPCPeerServer.
+func (s service) Configuration(ctx context.Context, request *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+	if s.handlers.Configuration == nil {
+		return nil, unhandled()
+	}
+	reply, err := s.handlers.Configuration(ctx, request)
+	return reply, coded(err)
+}
+
+// CommitClaims implements peerpb.DRPCPeerServer.
+func (s service) CommitClaims(ctx context.Context, request *peerpb.ClaimsRequest) (*peerpb.ClaimsReply, error) {
+	if s.handlers.CommitClaims == nil {
+		return nil, unhandled()
+	}
+	payload, err := s.handlers.CommitClaims(ctx, request.GetShard(), request.GetPayload())
+	return &peerpb.ClaimsReply{Payload: payload}, coded(err)
+}
+
+// Dump implements peerpb.DRPCPeerServer.
+func (s service) Dump(ctx context.Context, _ *peerpb.DumpRequest) (*peerpb.DumpReply, error) {
+	if s.handlers.Dump == nil {
+		return nil, unhandled()
+	}
+	state, err := s.handlers.Dump(ctx)
+	return &peerpb.DumpReply{Json: state}, coded(err)
+}
+
+// Explain implements peerpb.DRPCPeerServer.
+func (s service) Explain(ctx context.Context, request *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	if s.handlers.Explain == nil {
+		return nil, unhandled()
+	}
+	decisions, err := s.handlers.Explain(ctx, request.GetSubject())
+	return &peerpb.ExplainReply{Json: decisions}, coded(err)
+}
+
+func unhandled() error {
+	return coded(fault.New(fault.NotFound, "the peer does not answer this call"))
+}
+
+// coded gives an error its code on the wire.
+func coded(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case fault.HasCode(err, fault.NotFound):
+		return drpcerr.WithCode(err, codeNotFound)
+	case fault.HasCode(err, fault.ConfigurationUnset):
+		return drpcerr.WithCode(err, codeConfigurationUnset)
+	default:
+		return drpcerr.WithCode(err, codeOther)
+	}
+}
+
+// decoded turns the error of a call into a typed one.
+func decoded(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch drpcerr.Code(err) {
+	case codeNotFound:
+		return fault.Wrap(fault.NotFound, "peer", "the peer answered", err)
+	case codeConfigurationUnset:
+		return fault.Wrap(fault.ConfigurationUnset, "peer", "the peer answered", err)
+	case codeOther:
+		return fault.Wrap(fault.PeerMessage, "peer", "the peer answered", err)
+	default:
+		return fault.Wrap(fault.PeerUnreachable, "peer", "call", err)
+	}
+}
