Wire membership, configuration spreading and the platform budget into the entry instance

Relays watch the platform; the others fetch differences from peers, verified chunk by chunk, and put a revision in force whole. Leaving marks from the instance list and the exchange reach routing. The dump shows members, budgets, configuration, exchange and peer calls.

--- a/control/configuration/follower.go
+++ b/control/configuration/follower.go
@@ -91,6 +91,11 @@
 	return nil
 }
 
+// Join adds the other instances. It must be called before Run.
+func (f *Follower) Join(members Members, peers PeerSource) {
+	f.options.Members, f.options.Peers = members, peers
+}
+
 // Observe reacts at once to a change of the view. It has the signature of an
 // observer of control/membership.
 func (f *Follower) Observe(_ *membership.Snapshot, changes []membership.Change) {
--- /dev/null
+++ b/control/configuration/follower_test.go
@@ -0,0 +1,260 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/control/configuration"
+	"github.com/wisteriahaven/wisteriahaven/decision/membership"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
+)
+
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
+
+// store is an object API in memory.
+type store struct {
+	platform.Store
+	mu      sync.Mutex
+	version uint64
+	objects map[string]platform.Object
+	down    bool
+	reads   int
+}
+
+func newStore() *store { return &store{objects: make(map[string]platform.Object)} }
+
+func (s *store) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return platform.Object{}, fault.New(fault.PlatformUnavailable, "outage")
+	}
+	object, ok := s.objects[key]
+	if !ok {
+		return object, fault.New(fault.NotFound, key)
+	}
+	return object, nil
+}
+
+func (s *store) Put(_ context.Context, key string, value []byte, _ platform.Condition) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	return s.version, nil
+}
+
+func (s *store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Change, error) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		object, down := s.objects[prefix], s.down
+		s.mu.Unlock()
+		if down {
+			break
+		}
+		if object.Version > after {
+			return []platform.Change{{Object: object}}, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil, fault.New(fault.PlatformUnavailable, "outage")
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// fleet is a data centre whose followers see each other's announcements.
+type fleet struct {
+	mu        sync.Mutex
+	store     *store
+	followers map[string]*configuration.Follower
+	revisions map[string]uint64
+	tamper    bool
+}
+
+// seat is one follower's access to the others.
+type seat struct {
+	fleet *fleet
+	name  string
+}
+
+func (s seat) SetRevision(revision uint64) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.revisions[s.name] = revision
+}
+
+// View builds a snapshot from a table that was told of the others.
+func (s seat) View() *membership.Snapshot {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	view := &membership.Snapshot{}
+	for name, revision := range s.fleet.revisions {
+		if name != s.name {
+			peer := settings.Peer{Instance: name, DataCentre: "a", Peers: name}
+			view.Members = append(view.Members, membership.Record{Peer: peer, Revision: revision})
+		}
+	}
+	return view.Indexed()
+}
+
+func (s seat) Configuration(ctx context.Context, address string, revision uint64) (*peerpb.ConfigurationReply, error) {
+	s.fleet.mu.Lock()
+	source, tamper := s.fleet.followers[address], s.fleet.tamper
+	s.fleet.mu.Unlock()
+	reply, err := source.Reply(ctx, &peerpb.ConfigurationRequest{Revision: revision})
+	if err == nil && tamper {
+		for _, chunk := range reply.GetChunks() {
+			chunk.Hash[0] ^= 1
+		}
+	}
+	return reply, err
+}
+
+func (f *fleet) start(t *testing.T, name string) *configuration.Follower {
+	t.Helper()
+	member := seat{fleet: f, name: name}
+	follower := configuration.NewFollower(configuration.Options{
+		Instance: name, DataCentre: "a", Store: f.store, Members: member, Peers: member, Seed: 1, Logger: zerolog.Nop(),
+	})
+	f.mu.Lock()
+	f.followers[name] = follower
+	f.revisions[name] = 0
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { follower.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	return follower
+}
+
+func startFleet(t *testing.T, count int) *fleet {
+	f := &fleet{store: newStore(), followers: make(map[string]*configuration.Follower), revisions: make(map[string]uint64)}
+	for index := range count {
+		f.start(t, fmt.Sprintf("entry-%d", index))
+	}
+	return f
+}
+
+// commit writes a configuration with the given number of backend servers.
+func (f *fleet) commit(t *testing.T, servers int) uint64 {
+	t.Helper()
+	next := &estate.Configuration{Regions: []estate.Region{{Name: "r"}}}
+	for index := range servers {
+		next.BackendServers = append(next.BackendServers, estate.BackendServer{Name: fmt.Sprintf("engine-%d", index), Slots: 4})
+	}
+	base, err := configstore.LoadSnapshot(t.Context(), f.store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := configstore.Commit(t.Context(), f.store, base.Configuration, next, fmt.Sprintf("command-%d", servers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+func (f *fleet) await(t *testing.T, revision uint64) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !f.inForce(revision) {
+		if time.Now().After(deadline) {
+			t.Fatalf("revision %d is not in force everywhere", revision)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *fleet) inForce(revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, follower := range f.followers {
+		if current := follower.Current(); current == nil || current.Revision != revision {
+			return false
+		}
+	}
+	return true
+}
+
+func TestOnlyDifferencesTravelBetweenInstances(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 8)
+	f.await(t, f.commit(t, 100))
+	before := f.replyBytes()
+	f.await(t, f.commit(t, 101))
+	is.Equal(len(f.followers["entry-7"].Current().BackendServers), 101)
+	whole := f.followers["entry-0"].Status().Bytes
+	is.True(f.replyBytes()-before < uint64(whole)) // eight instances together, less than one whole copy
+}
+
+func (f *fleet) replyBytes() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := uint64(0)
+	for _, follower := range f.followers {
+		total += follower.Status().ReplyBytes
+	}
+	return total
+}
+
+func TestNewInstanceServesFromItsPeersDuringAnOutage(t *testing.T) {
+	f := startFleet(t, 3)
+	revision := f.commit(t, 10)
+	f.await(t, revision)
+	f.store.setDown(true)
+	f.start(t, "entry-new")
+	f.await(t, revision)
+}
+
+func TestDamagedCopyIsNotPutInForce(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3)
+	revision := f.commit(t, 10)
+	f.await(t, revision)
+	f.store.setDown(true)
+	f.mu.Lock()
+	f.tamper = true
+	f.mu.Unlock()
+	late := f.start(t, "entry-new")
+	deadline := time.Now().Add(patience)
+	for late.Status().Decisions.PeerFailures == 0 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(late.Status().Decisions.PeerFailures > 0)
+	is.True(late.Current() == nil)
+	f.mu.Lock()
+	f.tamper = false
+	f.mu.Unlock()
+	f.await(t, revision)
+}
+
+func TestRemovedChunksAreGone(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 6)
+	f.await(t, f.commit(t, 60))
+	f.await(t, f.commit(t, 1))
+	for _, follower := range f.followers {
+		is.Equal(len(follower.Current().BackendServers), 1)
+	}
+}
--- a/decision/membership/snapshot.go
+++ b/decision/membership/snapshot.go
@@ -26,23 +26,13 @@
 
 // Snapshot returns the current view.
 func (t *Table) Snapshot(now time.Time) *Snapshot {
-	view := &Snapshot{
-		Taken:   now,
-		Self:    t.self,
-		live:    make(map[string][]string),
-		marks:   make(map[NoticeKey]Notice),
-		records: make(map[string]Record),
-	}
-	view.addMember(t.self)
+	view := &Snapshot{Taken: now, Self: t.self}
 	for _, name := range t.memberNames() {
-		record := t.aged(t.members[name], now)
-		view.Members = append(view.Members, record)
-		view.addMember(record)
+		view.Members = append(view.Members, t.aged(t.members[name], now))
 	}
 	for _, key := range t.noticeKeys() {
 		if notice := t.notices[key].notice; notice.Active(now) {
 			view.Notices = append(view.Notices, notice)
-			view.marks[key] = notice
 		}
 	}
 	for _, entry := range t.reports {
@@ -52,7 +42,26 @@
 		view.Reports = append(view.Reports, entry.report)
 	}
 	slices.SortFunc(view.Reports, func(a, b Report) int { return compareReportKeys(a.key(), b.key()) })
-	return view
+	return view.Indexed()
+}
+
+// Indexed prepares a snapshot whose fields were filled in by hand for its
+// methods and returns it.
+func (s *Snapshot) Indexed() *Snapshot {
+	s.live = make(map[string][]string)
+	s.marks = make(map[NoticeKey]Notice)
+	s.records = make(map[string]Record)
+	s.addMember(s.Self)
+	for _, record := range s.Members {
+		s.addMember(record)
+	}
+	for _, names := range s.live {
+		slices.Sort(names)
+	}
+	for _, notice := range s.Notices {
+		s.marks[notice.NoticeKey] = notice
+	}
+	return s
 }
 
 func (s *Snapshot) addMember(record Record) {
@@ -60,7 +69,6 @@
 	if record.Live() {
 		centre := record.Peer.DataCentre
 		s.live[centre] = append(s.live[centre], record.Peer.Instance)
-		slices.Sort(s.live[centre])
 	}
 }
 
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -32,6 +32,7 @@
 			dump.NewSection("cross_region_bytes", e.router.Traffic().CrossRegionBytes()),
 		},
 	}
+	e.dumpControl(&state)
 	if current := e.follower.Current(); current != nil {
 		state.Revision = current.Revision
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operator"
 	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/platform/budgeted"
 	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/serving/admission"
 	"github.com/wisteriahaven/wisteriahaven/serving/call"
@@ -42,7 +43,10 @@
 	metrics  metrics.Registry
 	duties   *duty.Group
 	serve    *duty.Group
+	gate     *budgeted.Gate
 	store    platform.Store
+	// control is nil until Start.
+	control  *control
 	follower *configuration.Follower
 	recorder *explain.Recorder
 	router   *routing.Router
@@ -78,12 +82,13 @@
 		metrics:  metrics.NewRegistry(),
 		duties:   duty.NewGroup(context.Background(), logger),
 		serve:    duty.NewGroup(context.Background(), logger),
-		store:    httpstore.New(s.Platform.ObjectAPI),
 		recorder: explain.NewRecorder(keptDecisions),
 		marks:    operator.NewMarks(),
 		started:  time.Now(),
 	}
-	e.follower = configuration.NewFollower(e.store, logger)
+	e.gate = newGate(s, e.seed())
+	e.store = budgeted.NewStore(httpstore.New(s.Platform.ObjectAPI), e.gate)
+	e.follower = e.newFollower()
 	e.effective = operator.NewEffective(e.follower, e.marks, time.Now)
 	e.tracker = inflight.NewTracker(e.metrics, time.Now)
 	e.assemble()
@@ -167,6 +172,12 @@
 		return fault.Wrap(fault.SettingsInvalid, "entry", "listen.operators", err)
 	}
 	e.addresses = Addresses{Callers: callers.Addr().String(), Operators: operators.Addr().String()}
+	if err := e.openControl(); err != nil {
+		_ = callers.Close()
+		_ = operators.Close()
+		return err
+	}
+	e.startControl()
 	e.duties.Go("configuration", e.follower.Run)
 	e.duties.Go("local marks", e.operators.Executor().WriteMarks)
 	e.duties.Go("orders", e.orders.Run)
@@ -195,6 +206,9 @@
 // the remaining requests are cut.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.stopping.Store(true)
+	if e.control != nil {
+		e.control.members.Leave()
+	}
 	event.Log(e.logger, event.ProcessStopping).Int("in_flight", e.callers.InFlight()).Send()
 	select {
 	case <-ctx.Done():
@@ -224,4 +238,5 @@
 	_ = e.operators.Shutdown()
 	e.duties.Stop()
 	e.serve.Stop()
+	e.closeControl()
 }
--- a/event/control.go
+++ b/event/control.go
@@ -11,10 +11,11 @@
 	InstancePaused           = Definition{5004, "instance_paused", zerolog.WarnLevel, "this instance did not run for a while", "check the machine"}
 	NoticeChanged            = Definition{5005, "notice_changed", zerolog.InfoLevel, "a leaving mark or a quarantine began or ended", "none"}
 	ConfigurationFetchFailed = Definition{5006, "configuration_fetch_failed", zerolog.WarnLevel, "a revision could not be read from the platform or an instance", "none while it is retried; check the platform if it repeats on many instances"}
+	InstanceListFailed       = Definition{5007, "instance_list_failed", zerolog.WarnLevel, "the platform's instance list could not be read", "check the platform; the instances go on with what they tell each other"}
 )
 
 var controlEvents = []Definition{
 	ConfigurationInForce,
 	MemberChanged, MemberForgotten, MemberRefuted, InstancePaused, NoticeChanged,
-	ConfigurationFetchFailed,
+	ConfigurationFetchFailed, InstanceListFailed,
 }
