--- a/decision/configspread/main_test.go
+++ b/decision/configspread/main_test.go
@@ -9,5 +9,6 @@
 
 func TestMain(m *testing.M) {
 	fixedseed.Apply()
+	fixedseed.Checks(15)
 	os.Exit(m.Run())
 }
--- a/decision/membership/main_test.go
+++ b/decision/membership/main_test.go
@@ -9,6 +9,6 @@
 
 func TestMain(m *testing.M) {
 	fixedseed.Apply()
-	fixedseed.Checks(15)
+	fixedseed.Checks(8)
 	os.Exit(m.Run())
 }
