--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -14,6 +14,10 @@
 
 	"github.com/wisteriahaven/wisteriahaven/client"
 	"github.com/wisteriahaven/wisteriahaven/ctl"
+	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/entry"
+	"github.com/wisteriahaven/wisteriahaven/operatorapi"
+	"github.com/wisteriahaven/wisteriahaven/operatorclient"
 	"github.com/wisteriahaven/wisteriahaven/standin/engine"
 	"github.com/wisteriahaven/wisteriahaven/standin/loopback"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
@@ -194,6 +198,33 @@
 	}
 }
 
+// TestMarksSpreadByDigests sets a mark at one instance alone and sees it at the
+// other one of its data centre, and at no other.
+func TestMarksSpreadByDigests(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	estate.ObjectAPI.SetFaults(objectapi.Faults{Outage: true})
+	instances := make(map[string]*entry.Entry)
+	for _, instance := range estate.Entries {
+		instances[instance.Dump(0).Instance] = instance
+	}
+	operator := operatorclient.New(instances["muenchen-1-a"].Addresses().Operators, "example-bavaria-operator-betrieb")
+	defer operator.Close()
+	marked, err := operator.Execute(t.Context(), operatorapi.Request{ID: "m1", Command: "drain backend-server auskunft-01 --local", Direct: true})
+	is.NoErr(err)
+	is.Equal(marked.Outcome, operatorapi.Marked)
+	heard := func() []dump.LocalMark { return instances["muenchen-1-b"].Dump(0).LocalMarks }
+	for range 100 {
+		if len(heard()) > 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(len(heard()), 1)
+	is.Equal(heard()[0].CommandID, "m1")
+	is.Equal(len(instances["kempten-1-a"].Dump(0).LocalMarks), 0)
+}
+
 // TestPlatformOutage drains locally while the platform is away and sees the
 // drain written when it is back.
 func TestPlatformOutage(t *testing.T) {
--- a/entry/control.go
+++ b/entry/control.go
@@ -145,6 +145,7 @@
 		}
 	}
 	e.router.SetLeaving(leaving)
+	e.hearMarks(view)
 	e.router.SetInstances(max(1, len(view.Live(e.settings.DataCentre))))
 }
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -18,19 +20,31 @@
 		Peers:          operator.NewHTTPPeers(e, e.peers),
 		Marks:          e.marks,
 		Quarantines:    noQuarantines{},
+		Announcer:      markAnnouncer{e},
 		Logger:         e.logger,
 		Now:            time.Now,
 	}, e.settings.Operators, e, e.metrics)
 }
 
-// peers returns the other instances.
+// peers returns the other instances: those of the settings, and those that
+// the instances tell each other about, whose addresses are newer.
 func (e *Entry) peers() []settings.Peer {
-	var others []settings.Peer
-	for _, peer := range e.settings.Seeds {
-		if peer.Instance != e.settings.Instance {
-			others = append(others, peer)
+	byName := make(map[string]settings.Peer)
+	for _, seed := range e.settings.Seeds {
+		byName[seed.Instance] = seed
+	}
+	if e.control != nil {
+		for _, record := range e.control.members.View().Members {
+			if record.Peer.Operators != "" {
+				byName[record.Peer.Instance] = record.Peer
+			}
 		}
 	}
+	delete(byName, e.settings.Instance)
+	others := make([]settings.Peer, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		others = append(others, byName[name])
+	}
 	return others
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -26,7 +26,7 @@
 
 // change applies a command to the newest configuration.
 func (x *Executor) change(ctx context.Context, current *run) operatorapi.Response {
-	snapshot, err := x.parts.Configurations.Load(ctx)
+	snapshot, err := x.load(ctx)
 	if err != nil {
 		return x.platformAway(ctx, current, err)
 	}
@@ -111,8 +111,19 @@
 	return 0, failed
 }
 
-// passing reports whether a write that was not applied is worth a repeat: the
-// answer to a chunk was lost, or a rate was reached.
+// load reads the newest revision; it waits a little for the budget of platform
+// calls.
+func (x *Executor) load(ctx context.Context) (configstore.Snapshot, error) {
+	for try := 0; ; try++ {
+		snapshot, err := x.parts.Configurations.Load(ctx)
+		if err == nil || !passing(err) || try == settleTries || !x.parts.Pause(ctx, settlePause<<try) {
+			return snapshot, err
+		}
+	}
+}
+
+// passing reports whether a call that failed is worth a repeat: the answer to
+// the write of a chunk was lost, or a rate was reached.
 func passing(err error) bool {
 	return fault.HasCode(err, fault.PlatformAnswerLost) || fault.HasCode(err, fault.PlatformRateLimited)
 }
@@ -135,7 +146,7 @@
 
 // repeated answers a command whose id was applied before.
 func (x *Executor) repeated(ctx context.Context, current *run, response operatorapi.Response, applied configstore.Applied) operatorapi.Response {
-	if applied.Digest != current.digest() {
+	if applied.Digest != "" && applied.Digest != current.digest() {
 		return x.refused(current, response, fault.New(fault.CommandInvalid, "the id "+applied.ID+" belongs to another command, applied at revision "+strconv.FormatUint(applied.Revision, 10)))
 	}
 	response.Outcome, response.Revision, response.Repeated = operatorapi.Applied, applied.Revision, true
@@ -194,7 +205,7 @@
 func (x *Executor) platformAway(ctx context.Context, current *run, cause error) operatorapi.Response {
 	response := operatorapi.Response{ID: current.request.ID}
 	drain := current.command.Drain
-	if drain == nil || !drain.Local {
+	if drain == nil || !drain.Local || passing(cause) {
 		return x.refused(current, response, fault.Wrap(fault.NotApplied, "operator", "the platform is away: nothing was applied", cause))
 	}
 	configuration := x.parts.Current.Current()
@@ -223,6 +234,9 @@
 	event.Log(x.parts.Logger, event.MarkSet).
 		Str("operator", mark.Operator).Str("command_id", mark.CommandID).Str("command", current.command.String()).
 		Time("expires", mark.Expires).Send()
+	if x.parts.Announcer != nil {
+		x.parts.Announcer.Announce(mark)
+	}
 	response.Outcome, response.Expires = operatorapi.Marked, mark.Expires
 	if !current.request.Direct {
 		direct := current.request
--- a/operator/configurations.go
+++ b/operator/configurations.go
@@ -30,11 +30,9 @@
 	known := maps.Clone(c.chunks)
 	c.mu.Unlock()
 	snapshot, err := configstore.LoadSnapshot(ctx, c.store, known)
-	if err == nil {
-		c.mu.Lock()
-		c.chunks = known
-		c.mu.Unlock()
-	}
+	c.mu.Lock()
+	c.chunks = known // also after a failure: the next try reads on
+	c.mu.Unlock()
 	return snapshot, err
 }
 
--- a/operator/mark_writer.go
+++ b/operator/mark_writer.go
@@ -60,6 +60,9 @@
 
 func (x *Executor) endMark(mark dump.LocalMark, definition event.Definition, reason string) {
 	x.parts.Marks.Remove(mark.CommandID)
+	if x.parts.Announcer != nil {
+		x.parts.Announcer.Withdraw(mark)
+	}
 	event.Log(x.parts.Logger, definition).
 		Str("operator", mark.Operator).Str("command_id", mark.CommandID).Str("command", markText(mark)).Str("reason", reason).Send()
 }
--- a/operator/marks_test.go
+++ b/operator/marks_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/operator"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
@@ -132,6 +133,16 @@
 		is.Equal(len(o.drains(t)), 0) // the newer undrain stands
 		is.Equal(len(o.marks.All()), 0)
 	})
+	t.Run("are told to other instances in one line", func(t *testing.T) {
+		is := is.New(t)
+		mark := dump.LocalMark{Drain: drainB1, CommandID: "4042011b77c605ae", ReadRevision: 35, Operator: "leitung"}
+		heard := dump.LocalMark{Drain: drainB1}
+		is.True(operator.ParseMarkNote(operator.MarkNote(mark), &heard))
+		is.Equal(heard, mark)
+		mark.Undrain = true
+		is.Equal(operator.MarkNote(mark), "")
+		is.True(!operator.ParseMarkNote("two deaths as the only suspect", &heard))
+	})
 	t.Run("survive an unrelated newer revision", func(t *testing.T) {
 		is := is.New(t)
 		o := newOutage(t)
--- a/operator/parts.go
+++ b/operator/parts.go
@@ -58,7 +58,9 @@
 	Peers       Peers
 	Marks       *Marks
 	Quarantines Quarantines
-	Logger      zerolog.Logger
+	// Announcer spreads the marks; nil spreads nothing.
+	Announcer Announcer
+	Logger    zerolog.Logger
 	// Now returns the time; nil stands for time.Now.
 	Now func() time.Time
 	// Pause waits and reports whether the context still runs; nil stands for a
