--- a/event/operator.go
+++ b/event/operator.go
@@ -11,6 +11,7 @@
 	MarkSet          = Definition{6004, "local_mark_set", zerolog.WarnLevel, "a drain holds in this data centre alone because the platform is away", "none: it is written when the platform is back, or expires"}
 	MarkWritten      = Definition{6005, "local_mark_written", zerolog.InfoLevel, "a drain of this data centre alone was written to the configuration", "none"}
 	MarkDropped      = Definition{6006, "local_mark_dropped", zerolog.WarnLevel, "a drain of this data centre alone ended: it expired, or a newer revision disagrees", "drain again if it is still wanted"}
+	QuarantineLifted = Definition{6007, "quarantine_lifted", zerolog.InfoLevel, "an operator let a quarantined request run again; the fields say who and what", "none"}
 )
 
-var operatorEvents = []Definition{CommandApplied, CommandRefused, CommandUncertain, OperatorRefused, MarkSet, MarkWritten, MarkDropped}
+var operatorEvents = []Definition{CommandApplied, CommandRefused, CommandUncertain, OperatorRefused, MarkSet, MarkWritten, MarkDropped, QuarantineLifted}
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/command"
+	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
 	"github.com/wisteriahaven/wisteriahaven/settings"
@@ -59,7 +60,7 @@
 	}
 	current := &run{operator: operator, request: request, command: parsed}
 	if err := current.check(); err != nil {
-		return rejected(request.ID, err)
+		return x.refused(current, operatorapi.Response{ID: request.ID}, err)
 	}
 	switch {
 	case parsed.IsChange():
@@ -148,5 +149,11 @@
 		return rejected(current.request.ID, err)
 	}
 	response.Spread = &operatorapi.Spread{Pending: pending}
+	event.Log(x.parts.Logger, event.QuarantineLifted).
+		Str("operator", current.operator.Name).
+		Str("command_id", current.request.ID).
+		Str("command", current.command.String()).
+		Int("instances_pending", len(pending)).
+		Send()
 	return response
 }
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -136,6 +136,10 @@
 			is.True(strings.Contains(body, test.contains))
 		})
 	}
+	t.Run("a refused change is logged with who and what", func(t *testing.T) {
+		is := is.New(t)
+		is.True(strings.Contains(l.log.String(), `"name":"command_refused","operator":"reader","command_id":"1","command":"drain instance a","code":"command_forbidden"`))
+	})
 	t.Run("not ready", func(t *testing.T) {
 		is := is.New(t)
 		l.instance.ready = false
