--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriahaven/wisteriahaven/control/orders"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	decisionoverflow "github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -27,6 +28,7 @@
 	"github.com/wisteriahaven/wisteriahaven/serving/generation"
 	"github.com/wisteriahaven/wisteriahaven/serving/guard"
 	"github.com/wisteriahaven/wisteriahaven/serving/inflight"
+	"github.com/wisteriahaven/wisteriahaven/serving/overflow"
 	"github.com/wisteriahaven/wisteriahaven/serving/routing"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
@@ -124,11 +126,23 @@
 		Configuration: e.follower,
 		Generator:     e.tracker.Generator(e.generator, recorder),
 		Caller:        e.tracker.Caller(e.calls, recorder),
+		Overflow:      overflow.New(e.settings.DataCentre, e.settings.Region, router, e.overflowPeers),
 	}, e.logger)
 	e.orders = e.newOrdersKeeper()
 	e.operators = newOperators(e)
 }
 
+// overflowPeers returns the entry instances that may take requests over.
+func (e *Entry) overflowPeers() []decisionoverflow.Peer {
+	peers := make([]decisionoverflow.Peer, 0, len(e.settings.Seeds))
+	for _, seed := range e.settings.Seeds {
+		peers = append(peers, decisionoverflow.Peer{
+			Instance: seed.Instance, DataCentre: seed.DataCentre, Region: seed.Region, Address: seed.Callers,
+		})
+	}
+	return peers
+}
+
 // assembleChoices returns what decides who is served and where.
 func (e *Entry) assembleChoices() (*routing.Router, *admission.Controller) {
 	place := routing.Place{DataCentre: e.settings.DataCentre, Region: e.settings.Region}
--- a/transport/caller/completion.go
+++ b/transport/caller/completion.go
@@ -50,7 +50,7 @@
 	}()
 	<-answer.begun
 	if failure := answer.earlyFailure(); failure != nil {
-		return failure
+		return s.overflow(ctx, request, failure)
 	}
 	if !body.Stream {
 		return s.writeWholeAnswer(ctx, answer, body.Model, requestID)
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -64,6 +64,9 @@
 	Configuration serving.ConfigurationSource
 	Generator     serving.Generator
 	Caller        serving.Caller
+	// Overflow takes generations that this instance has no room for; it may
+	// be nil.
+	Overflow serving.Overflow
 }
 
 // Server is the HTTP server towards callers.
--- a/transport/sse/exchange.go
+++ b/transport/sse/exchange.go
@@ -80,6 +80,9 @@
 	return string(e.response.Header.Peek(name))
 }
 
+// Read reads the bytes of the answer as they come. It is not mixed with Next.
+func (e *Exchange) Read(buffer []byte) (int, error) { return e.lines.Read(buffer) }
+
 // Body reads the rest of the answer whole.
 func (e *Exchange) Body() ([]byte, error) {
 	return io.ReadAll(io.LimitReader(e.lines, maxBodyBytes))
