--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -53,13 +53,17 @@
 }
 
 func newTerminal(estate *loopback.Estate, operator string) terminal {
+	return newTerminalWaiting(estate, operator, waitInForce)
+}
+
+func newTerminalWaiting(estate *loopback.Estate, operator string, wait time.Duration) terminal {
 	var addresses []string
 	for _, instance := range estate.Entries {
 		addresses = append(addresses, instance.Addresses().Operators)
 	}
 	screen := terminal{out: &bytes.Buffer{}, errs: &bytes.Buffer{}}
 	screen.Session = ctl.NewSession(ctl.Options{
-		Addresses: addresses, Token: "example-bavaria-operator-" + operator, Output: ctl.OutputTable, Wait: waitInForce,
+		Addresses: addresses, Token: "example-bavaria-operator-" + operator, Output: ctl.OutputTable, Wait: wait,
 		Writer: screen.out, ErrorWriter: screen.errs,
 	})
 	return screen
@@ -182,6 +186,20 @@
 	is.Equal(newTerminal(estate, "nobody").Run(t.Context(), "show rules"), ctl.ExitRejected)
 }
 
+// TestAnAcceptanceListsWhereItIsNotInForce changes the estate while one
+// instance does not answer.
+func TestAnAcceptanceListsWhereItIsNotInForce(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	last := estate.Entries[len(estate.Entries)-1]
+	name := last.Dump(0).Instance
+	last.Abort()
+	operator := newTerminalWaiting(estate, "betrieb", time.Second)
+	is.Equal(operator.Run(t.Context(), "set client-account/jahresbericht/weight 2"), ctl.ExitPending)
+	is.True(strings.Contains(operator.out.String(), "in force on 8 of 9 instances"))
+	is.True(strings.Contains(operator.out.String(), "not yet on instance "+name))
+}
+
 // TestLostAnswersOfThePlatform changes the estate while the platform applies
 // writes and loses their answers.
 func TestLostAnswersOfThePlatform(t *testing.T) {
