--- a/cmd/wisteriahaven-bench/experiments.go
+++ b/cmd/wisteriahaven-bench/experiments.go
@@ -4,6 +4,8 @@
 	"github.com/wisteriahaven/wisteriahaven/experiment"
 	"github.com/wisteriahaven/wisteriahaven/experiment/limits"
 	"github.com/wisteriahaven/wisteriahaven/experiment/overhead"
+	"github.com/wisteriahaven/wisteriahaven/experiment/resumecost"
+	"github.com/wisteriahaven/wisteriahaven/experiment/resumelatency"
 	"github.com/wisteriahaven/wisteriahaven/experiment/routing"
 	"github.com/wisteriahaven/wisteriahaven/experiment/survival"
 )
@@ -12,6 +14,8 @@
 var experiments = []experiment.Experiment{
 	limits.Experiment,
 	overhead.Experiment,
+	resumecost.Experiment,
+	resumelatency.Experiment,
 	routing.Experiment,
 	survival.Experiment,
 }
--- /dev/null
+++ b/experiment/recovery/loss.go
@@ -0,0 +1,84 @@
+package recovery
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/generation"
+	"github.com/wisteriahaven/wisteriahaven/internal/simengine"
+)
+
+// Loss is one kind of failure in the middle of an answer.
+type Loss string
+
+// The kinds of loss.
+const (
+	// LossSingle ends the engine, with or without a reset of its connections.
+	LossSingle Loss = "single"
+	// LossDouble ends the engine and then the one that takes over.
+	LossDouble Loss = "double"
+	// LossPaused stops the engine for a while; it goes on as if nothing had
+	// happened.
+	LossPaused Loss = "paused"
+	// LossCut cuts the link between the two data centres.
+	LossCut Loss = "cut-link"
+	// LossSilent makes the connection silent for good.
+	LossSilent Loss = "silent"
+)
+
+// Losses returns every kind of loss.
+func Losses() []Loss {
+	return []Loss{LossSingle, LossDouble, LossPaused, LossCut, LossSilent}
+}
+
+// Durations of the losses.
+const (
+	minPause        = 300 * time.Millisecond
+	pauseSpan       = 5 * time.Second
+	minCut          = 10 * time.Second
+	cutSpan         = 50 * time.Second
+	secondLossSpan  = 600 * time.Millisecond
+	resetInHundred  = 50
+	hundred         = 100
+	lossFirstToken  = answerTokens / 5
+	lossTokenSpan   = answerTokens * 3 / 5
+	generationLimit = 10 * time.Minute
+)
+
+// strike lets the loss happen to the engine that serves the answer.
+func (r *trial) strike() {
+	engine := r.engine(r.instance.Machine.Position().Server)
+	random := r.world.Random
+	switch r.loss {
+	case LossSingle:
+		engine.Die(random.IntN(hundred) < resetInHundred)
+	case LossDouble:
+		engine.Die(random.IntN(hundred) < resetInHundred)
+		r.strikeNext = true
+	case LossPaused:
+		engine.Pause(minPause + time.Duration(random.Int64N(int64(pauseSpan))))
+	case LossCut:
+		r.world.Cut(r.instance.Place.DataCentre, engine.Place.DataCentre, minCut+time.Duration(random.Int64N(int64(cutSpan))))
+	case LossSilent:
+		engine.Silence()
+	}
+}
+
+// strikeAgain ends the engine that takes over, soon after it was asked to.
+func (r *trial) strikeAgain(opened generation.OpenAttempt) {
+	if !r.strikeNext || opened.Kind == generation.KindReattach {
+		return
+	}
+	r.strikeNext = false
+	second := r.engine(opened.Server)
+	reset := r.world.Random.IntN(hundred) < resetInHundred
+	r.world.After(time.Duration(r.world.Random.Int64N(int64(secondLossSpan))), func() { second.Die(reset) })
+}
+
+func (r *trial) engine(name string) *simengine.Engine {
+	for _, engine := range r.world.Engines {
+		if engine.Name == name {
+			return engine
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/recovery/measure.go
@@ -0,0 +1,85 @@
+package recovery
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// generationsPerLoss is the number of generations for each kind of loss at
+// scale 1.
+const generationsPerLoss = 300
+
+// Measure is what one objective showed over all kinds of loss.
+type Measure struct {
+	Objective estate.Objective
+	// Latencies of all generations, in order.
+	Latencies []time.Duration
+	// ByLoss holds the latencies of each kind of loss, in order.
+	ByLoss map[Loss][]time.Duration
+	// Delivered, Wasted and Prefilled count tokens: those that callers got,
+	// those that engines produced beside them, and those of prefixes that
+	// engines processed again.
+	Delivered int
+	Wasted    int
+	// WastedByLoss splits Wasted by the kind of loss.
+	WastedByLoss map[Loss]int
+	Prefilled    int
+	// DeliveredBytes and CrossRegionBytes count bytes.
+	DeliveredBytes   int
+	CrossRegionBytes int
+	// Incomplete counts answers that were not whole and right.
+	Incomplete int
+}
+
+// Run measures one objective.
+func Run(ctx context.Context, objective estate.Objective, options experiment.Options) Measure {
+	measure := Measure{Objective: objective, ByLoss: make(map[Loss][]time.Duration), WastedByLoss: make(map[Loss]int)}
+	count := max(1, int(generationsPerLoss*options.Scale))
+	policy := policyOf(objective)
+	for index, loss := range Losses() {
+		for i := range count {
+			if ctx.Err() != nil {
+				return measure
+			}
+			measure.add(runTrial(policy, loss, options.Seed<<32+uint64(index)<<24+uint64(i)))
+		}
+		slices.Sort(measure.ByLoss[loss])
+	}
+	slices.Sort(measure.Latencies)
+	return measure
+}
+
+func (m *Measure) add(r *trial) {
+	if !r.complete || r.wrong {
+		m.Incomplete++
+	}
+	m.Latencies = append(m.Latencies, r.gap)
+	m.ByLoss[r.loss] = append(m.ByLoss[r.loss], r.gap)
+	m.Delivered += r.delivered
+	m.Wasted += r.computed() - r.delivered
+	m.WastedByLoss[r.loss] += r.computed() - r.delivered
+	m.Prefilled += r.instance.Machine.Counters().Prefilled
+	m.DeliveredBytes += r.bytes
+	m.CrossRegionBytes += r.instance.CrossRegionBytes
+}
+
+// ExtraTokens is the part of tokens that were computed and not delivered.
+func (m *Measure) ExtraTokens() float64 { return float64(m.Wasted) / float64(m.Delivered) }
+
+// ExtraBytes is the cross-region bytes for each delivered byte.
+func (m *Measure) ExtraBytes() float64 {
+	return float64(m.CrossRegionBytes) / float64(m.DeliveredBytes)
+}
+
+// Quantile returns a quantile of sorted latencies in milliseconds.
+func Quantile(sorted []time.Duration, quantile float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	index := min(len(sorted)-1, int(quantile*float64(len(sorted))))
+	return float64(sorted[index]) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/experiment/recovery/report.go
@@ -0,0 +1,55 @@
+package recovery
+
+import (
+	"strconv"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+)
+
+// Quantiles of the reports.
+const (
+	Median = 0.5
+	P95    = 0.95
+	Worst  = 1
+)
+
+// Settings returns the settings of the trials.
+func Settings() []experiment.Setting {
+	return []experiment.Setting{
+		{Name: "engines", Value: strconv.Itoa(engines)},
+		{Name: "token_time", Value: tokenTime.String()},
+		{Name: "answer_tokens", Value: strconv.Itoa(answerTokens)},
+		{Name: "generations_per_loss", Value: strconv.Itoa(generationsPerLoss)},
+	}
+}
+
+// Figures returns what one objective showed.
+func (m *Measure) Figures() []experiment.Figure {
+	name := string(m.Objective) + "/"
+	figures := []experiment.Figure{
+		{Name: name + "resume_latency_p50", Value: Quantile(m.Latencies, Median), Unit: "ms"},
+		{Name: name + "resume_latency_p95", Value: Quantile(m.Latencies, P95), Unit: "ms"},
+		{Name: name + "resume_latency_max", Value: Quantile(m.Latencies, Worst), Unit: "ms"},
+	}
+	for _, loss := range Losses() {
+		figures = append(figures,
+			experiment.Figure{Name: name + string(loss) + "/p95", Value: Quantile(m.ByLoss[loss], P95), Unit: "ms"},
+			experiment.Figure{Name: name + string(loss) + "/max", Value: Quantile(m.ByLoss[loss], Worst), Unit: "ms"},
+			experiment.Figure{Name: name + string(loss) + "/extra_tokens", Value: float64(m.WastedByLoss[loss]) / float64(m.Delivered), Unit: "tokens/delivered token"},
+		)
+	}
+	return append(figures,
+		experiment.Figure{Name: name + "extra_tokens", Value: m.ExtraTokens(), Unit: "tokens/delivered token"},
+		experiment.Figure{Name: name + "prefilled_again", Value: float64(m.Prefilled) / float64(m.Delivered), Unit: "tokens/delivered token"},
+		experiment.Figure{Name: name + "cross_region_bytes", Value: m.ExtraBytes(), Unit: "bytes/delivered byte"},
+		experiment.Figure{Name: name + "incomplete_answers", Value: float64(m.Incomplete), Unit: "answers"},
+	)
+}
+
+// Ratio returns a/b; without any b it is zero when there is no a either.
+func Ratio(a, b float64) float64 {
+	if a == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/experiment/recovery/trial.go
@@ -0,0 +1,127 @@
+package recovery
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/cursor"
+	"github.com/wisteriahaven/wisteriahaven/decision/generation"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/internal/simengine"
+	"github.com/wisteriahaven/wisteriahaven/rollinghash"
+)
+
+// Sizes of a trial.
+const (
+	answerTokens = 400
+	promptBytes  = 2000
+	engines      = 25
+	tokenTime    = 29 * time.Millisecond
+	// eventBytes is the size of one delivered event beside its text.
+	eventBytes = 200
+)
+
+// speed is that of every engine.
+var speed = simengine.Speed{
+	Token:           tokenTime,
+	PrefillBase:     60 * time.Millisecond,
+	PrefillPerToken: 200 * time.Microsecond,
+}
+
+// places are the data centres in turn; the first region has most engines.
+var places = []simengine.Place{
+	{DataCentre: "muenchen-1", Region: "oberbayern"},
+	{DataCentre: "muenchen-2", Region: "oberbayern"},
+	{DataCentre: "nuernberg-1", Region: "franken"},
+	{DataCentre: "augsburg-1", Region: "schwaben"},
+}
+
+// withoutEngines is where the instance runs when a link is cut, so that its
+// engine is in another data centre.
+var withoutEngines = simengine.Place{DataCentre: "muenchen-3", Region: "oberbayern"}
+
+// trial is one generation with one loss.
+type trial struct {
+	world      *simengine.World
+	instance   *simengine.Instance
+	loss       Loss
+	strikeAt   int
+	strikeNext bool
+	struck     bool
+	delivered  int
+	last       time.Duration
+	gap        time.Duration
+	bytes      int
+	complete   bool
+	ended      bool
+	wrong      bool
+	hash       rollinghash.Hash
+}
+
+// runTrial runs one generation to its end.
+func runTrial(policy generation.Policy, loss Loss, seed uint64) *trial {
+	r := &trial{world: simengine.NewWorld(seed), loss: loss}
+	r.world.AnswerTokens = answerTokens
+	for i := range engines {
+		r.world.AddEngine(&simengine.Engine{Name: "e" + strconv.Itoa(i), Place: places[i%len(places)], Version: "v1", Speed: speed})
+	}
+	r.strikeAt = lossFirstToken + r.world.Random.IntN(lossTokenSpan)
+	place := places[0]
+	if loss == LossCut {
+		place = withoutEngines
+	}
+	r.instance = r.world.NewInstance(place, generation.Config{
+		Request: cursor.Request{Prompt: "trial"}.Fingerprint(), Keyed: true, Model: "m", Version: "v1",
+		PromptBytes: promptBytes, Seed: seed, Deadline: generationLimit, Policy: policy,
+	})
+	r.instance.Observe = r.observe
+	r.instance.Input(generation.Start{})
+	r.world.RunUntil(generationLimit, func() bool { return r.ended })
+	// Streams that nobody reads any more go on until they are cancelled or end.
+	r.world.Advance(r.world.Now() + answerTokens*tokenTime + minCut + cutSpan)
+	return r
+}
+
+func (r *trial) observe(output generation.Output) {
+	switch out := output.(type) {
+	case generation.Deliver:
+		r.deliver(out)
+	case generation.OpenAttempt:
+		r.strikeAgain(out)
+	case generation.Finish:
+		r.complete, r.ended = r.world.Oracle.Complete(out.Hash), true
+	case generation.Fail:
+		r.ended = true
+	}
+}
+
+func (r *trial) deliver(out generation.Deliver) {
+	now := r.world.Now()
+	r.wrong = r.wrong || !r.world.Oracle.Valid("v1", r.hash, out.Text)
+	r.hash = r.hash.Extend(out.Text)
+	if r.struck {
+		r.gap = max(r.gap, now-r.last)
+	}
+	r.last = now
+	r.delivered++
+	r.bytes += eventBytes + len(out.Text)
+	if r.delivered == r.strikeAt {
+		r.struck = true
+		// The loss comes at any time between two tokens.
+		r.world.After(time.Duration(r.world.Random.Int64N(int64(tokenTime))), r.strike)
+	}
+}
+
+// computed counts the tokens that all engines produced.
+func (r *trial) computed() int {
+	total := 0
+	for _, engine := range r.world.Engines {
+		total += engine.Computed
+	}
+	return total
+}
+
+// policyOf returns the policy of an objective.
+func policyOf(objective estate.Objective) generation.Policy {
+	return generation.PolicyFor(estate.Recovery{Objective: objective})
+}
--- /dev/null
+++ b/experiment/resumelatency/experiment.go
@@ -0,0 +1,39 @@
+// Package resumelatency measures how long a broken answer pauses for its
+// caller under the latency objective.
+package resumelatency
+
+import (
+	"context"
+
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/recovery"
+)
+
+// Bounds of the design, in milliseconds.
+const (
+	boundP95 = 1000
+	boundMax = 5000
+)
+
+// Experiment is resume-latency.
+var Experiment = experiment.Experiment{
+	Name:    "resume-latency",
+	Summary: "resume latency and extra use of the latency objective under every kind of loss",
+	Run:     run,
+}
+
+func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
+	latency := recovery.Run(ctx, estate.ObjectiveLatency, options)
+	return experiment.Report{
+		Experiment: "resume-latency",
+		Seed:       options.Seed,
+		Settings:   recovery.Settings(),
+		Figures:    latency.Figures(),
+		Targets: []experiment.Target{
+			experiment.AtMost("resume latency, 95%", "ms", boundP95, recovery.Quantile(latency.Latencies, recovery.P95)),
+			experiment.AtMost("resume latency, worst", "ms", boundMax, recovery.Quantile(latency.Latencies, recovery.Worst)),
+			experiment.AtMost("incomplete answers", "answers", 0, float64(latency.Incomplete)),
+		},
+	}, ctx.Err()
+}
--- a/internal/simengine/engine.go
+++ b/internal/simengine/engine.go
@@ -163,6 +163,9 @@
 		held.salt = e.world.Random.Uint64()
 	}
 	held.length = answerLength(held.seed + held.salt%2)
+	if e.world.AnswerTokens > 0 {
+		held.length = e.world.AnswerTokens
+	}
 	e.streams[held.id] = held
 	c.next = len(c.request.Prefix)
 	c.sendOpened(held)
--- a/internal/simengine/world.go
+++ b/internal/simengine/world.go
@@ -26,10 +26,12 @@
 	Oracle  *Oracle
 	// RouterOff makes the router know no server.
 	RouterOff bool
-	now       time.Duration
-	queue     eventQueue
-	order     uint64
-	cuts      map[string]time.Duration
+	// AnswerTokens is the length of every answer; zero draws it from the seed.
+	AnswerTokens int
+	now          time.Duration
+	queue        eventQueue
+	order        uint64
+	cuts         map[string]time.Duration
 }
 
 // NewWorld returns an empty world.
