Cancel streams that became known after their attempt was closed

The experiment showed the loser of an overlap produce its whole answer: it was closed before the engine had stated its stream. Engines' processed prefixes count as extra use.

--- a/experiment/recovery/measure.go
+++ b/experiment/recovery/measure.go
@@ -62,13 +62,16 @@
 	m.Delivered += r.delivered
 	m.Wasted += r.computed() - r.delivered
 	m.WastedByLoss[r.loss] += r.computed() - r.delivered
-	m.Prefilled += r.instance.Machine.Counters().Prefilled
+	m.Prefilled += r.prefilled()
 	m.DeliveredBytes += r.bytes
 	m.CrossRegionBytes += r.instance.CrossRegionBytes
 }
 
-// ExtraTokens is the part of tokens that were computed and not delivered.
-func (m *Measure) ExtraTokens() float64 { return float64(m.Wasted) / float64(m.Delivered) }
+// ExtraTokens is the tokens that engines processed beside the delivered ones,
+// prefixes included, for each delivered token.
+func (m *Measure) ExtraTokens() float64 {
+	return float64(m.Wasted+m.Prefilled) / float64(m.Delivered)
+}
 
 // ExtraBytes is the cross-region bytes for each delivered byte.
 func (m *Measure) ExtraBytes() float64 {
--- a/experiment/recovery/report.go
+++ b/experiment/recovery/report.go
@@ -40,6 +40,7 @@
 	}
 	return append(figures,
 		experiment.Figure{Name: name + "extra_tokens", Value: m.ExtraTokens(), Unit: "tokens/delivered token"},
+		experiment.Figure{Name: name + "discarded", Value: float64(m.Wasted) / float64(m.Delivered), Unit: "tokens/delivered token"},
 		experiment.Figure{Name: name + "prefilled_again", Value: float64(m.Prefilled) / float64(m.Delivered), Unit: "tokens/delivered token"},
 		experiment.Figure{Name: name + "cross_region_bytes", Value: m.ExtraBytes(), Unit: "bytes/delivered byte"},
 		experiment.Figure{Name: name + "incomplete_answers", Value: float64(m.Incomplete), Unit: "answers"},
--- a/experiment/recovery/trial.go
+++ b/experiment/recovery/trial.go
@@ -121,6 +121,15 @@
 	return total
 }
 
+// prefilled counts the tokens of prefixes that all engines processed again.
+func (r *trial) prefilled() int {
+	total := 0
+	for _, engine := range r.world.Engines {
+		total += engine.Prefilled
+	}
+	return total
+}
+
 // policyOf returns the policy of an objective.
 func policyOf(objective estate.Objective) generation.Policy {
 	return generation.PolicyFor(estate.Recovery{Objective: objective})
--- a/internal/simengine/connection.go
+++ b/internal/simengine/connection.go
@@ -41,9 +41,13 @@
 	instance *Instance
 	engine   *Engine
 	request  generation.OpenAttempt
+	// streamID is what the instance knows of the engine's stream.
+	streamID string
 	next     int
 	silent   bool
 	closed   bool
+	// cancelled means that the stream is to be cancelled once it is known.
+	cancelled bool
 	// shifted makes the connection send the token of the next offset.
 	shifted bool
 }
@@ -52,7 +56,8 @@
 // message makes the connection silent for good, as nothing follows a gap.
 func (c *connection) send(m message) {
 	world := c.engine.world
-	if c.closed || c.silent {
+	unwanted := c.closed && (m.kind != messageOpened || !c.cancelled)
+	if unwanted || c.silent {
 		return
 	}
 	if !world.connected(c.instance.Place, c.engine.Place) {
--- a/internal/simengine/engine.go
+++ b/internal/simengine/engine.go
@@ -44,8 +44,9 @@
 	streams     map[string]*stream
 	streamCount int
 	connections []*connection
-	// Computed counts produced tokens.
-	Computed int
+	// Computed counts produced tokens, Prefilled those of prefixes.
+	Computed  int
+	Prefilled int
 }
 
 // AddEngine adds an engine to the world.
@@ -170,6 +171,7 @@
 	c.next = len(c.request.Prefix)
 	c.sendOpened(held)
 	held.readers = append(held.readers, c)
+	e.Prefilled += len(c.request.Prefix)
 	prefill := e.Speed.PrefillBase + e.Speed.PrefillPerToken*time.Duration(len(c.request.Prefix))
 	e.world.After(prefill, held.produce)
 }
--- a/internal/simengine/instance.go
+++ b/internal/simengine/instance.go
@@ -111,7 +111,7 @@
 
 func (i *Instance) open(out generation.OpenAttempt) {
 	engine := i.world.find(out.Server)
-	c := &connection{instance: i, engine: engine, request: out}
+	c := &connection{instance: i, engine: engine, request: out, streamID: out.Stream.ID}
 	i.connections[out.Attempt] = c
 	size := i.promptBytes
 	for _, token := range out.Prefix {
@@ -124,12 +124,22 @@
 func (i *Instance) close(out generation.CloseAttempt) {
 	c := i.connections[out.Attempt]
 	c.closed = true
-	if out.Cancel {
-		engine := c.engine
-		i.world.transmit(i.Place, engine, func() { engine.cancelConnection(c) })
+	c.cancelled = out.Cancel
+	if out.Cancel && c.streamID != "" {
+		i.cancelConnection(c)
 	}
 }
 
+// cancelConnection ends the stream that a closed connection read.
+func (i *Instance) cancelConnection(c *connection) {
+	engine, boot := c.engine, c.engine.bootID()
+	i.world.transmit(i.Place, engine, func() {
+		if engine.bootID() == boot {
+			engine.cancel(c.streamID)
+		}
+	})
+}
+
 func (i *Instance) cancel(stream generation.Stream) {
 	engine := i.world.find(stream.Server)
 	i.world.transmit(i.Place, engine, func() {
@@ -145,6 +155,12 @@
 		return
 	}
 	i.count(c.engine, eventBytes+len(m.text))
+	if m.kind == messageOpened {
+		c.streamID = m.stream.id
+		if c.cancelled {
+			i.cancelConnection(c)
+		}
+	}
 	i.Input(c.input(m))
 }
 
--- a/internal/simengine/network.go
+++ b/internal/simengine/network.go
@@ -14,19 +14,6 @@
 	w.After(w.Latency(from, engine.Place), arrive)
 }
 
-// cancelConnection ends the stream that a connection reads.
-func (e *Engine) cancelConnection(c *connection) {
-	e.whenRunning(func() {
-		for id, held := range e.streams {
-			if slices.Contains(held.readers, c) {
-				held.cancelled = true
-				delete(e.streams, id)
-				return
-			}
-		}
-	})
-}
-
 func (w *World) find(name string) *Engine {
 	index := slices.IndexFunc(w.Engines, func(e *Engine) bool { return e.Name == name })
 	return w.Engines[index]
--- a/serving/generation/attempt.go
+++ b/serving/generation/attempt.go
@@ -17,8 +17,13 @@
 	server string
 	route  serving.Route
 	cancel context.CancelFunc
+	// closed ends the flow of inputs to the run.
+	closed chan struct{}
 	// streamID is set by the reader once the engine stated it.
 	streamID atomic.Pointer[string]
+	// cancelLate asks the reader to cancel a stream that was not known when
+	// the attempt was closed.
+	cancelLate atomic.Bool
 }
 
 // reader reads the stream of one attempt and feeds the run.
@@ -28,37 +33,53 @@
 	request engineapi.CompletionRequest
 	inputs  chan<- decision.Input
 	opened  decision.AttemptOpened
+	// abandon cancels a stream that became known after the attempt was closed.
+	abandon func(streamID string)
 }
 
 // run reads until the stream ends or the context does.
 func (r *reader) run(ctx context.Context) {
 	stream, err := r.engines.Open(ctx, r.attempt.route.Server.Address, r.request)
 	if err != nil {
-		r.send(ctx, decision.Lost{Attempt: r.attempt.number, Reason: openLoss(err, r.request.Resume != nil)})
+		r.send(decision.Lost{Attempt: r.attempt.number, Reason: openLoss(err, r.request.Resume != nil)})
 		return
 	}
 	defer stream.Close()
 	if header, ok := stream.Header(); ok {
-		r.open(ctx, header)
+		r.open(header)
 	}
-	for {
+	for !r.abandoned() {
 		chunk, err := stream.Next()
 		r.attempt.route.Transferred(stream.TakeBytes())
 		if err != nil {
-			r.send(ctx, decision.Lost{Attempt: r.attempt.number, Reason: readLoss(err)})
+			r.send(decision.Lost{Attempt: r.attempt.number, Reason: readLoss(err)})
 			return
 		}
-		r.open(ctx, engine.Header{StreamID: chunk.ID, BootID: chunk.BootID, Version: chunk.Version, Seed: chunk.Seed})
+		r.open(engine.Header{StreamID: chunk.ID, BootID: chunk.BootID, Version: chunk.Version, Seed: chunk.Seed})
 		if chunk.Usage != nil {
-			r.send(ctx, decision.Done{Attempt: r.attempt.number, Tokens: chunk.Usage.CompletionTokens, Hash: chunk.Usage.Hash})
+			r.send(decision.Done{Attempt: r.attempt.number, Tokens: chunk.Usage.CompletionTokens, Hash: chunk.Usage.Hash})
 			return
 		}
-		r.send(ctx, decision.Token{Attempt: r.attempt.number, Offset: chunk.Offset, Text: chunk.Choices[0].Text})
+		r.send(decision.Token{Attempt: r.attempt.number, Offset: chunk.Offset, Text: chunk.Choices[0].Text})
 	}
 }
 
+// abandoned reports whether the attempt was closed. A stream that was not
+// known by then is cancelled now.
+func (r *reader) abandoned() bool {
+	select {
+	case <-r.attempt.closed:
+	default:
+		return false
+	}
+	if r.attempt.cancelLate.Load() && r.opened.StreamID != "" {
+		r.abandon(r.opened.StreamID)
+	}
+	return true
+}
+
 // open reports what the engine states, once and again whenever it changes.
-func (r *reader) open(ctx context.Context, header engine.Header) {
+func (r *reader) open(header engine.Header) {
 	opened := decision.AttemptOpened{
 		Attempt: r.attempt.number, StreamID: header.StreamID, BootID: header.BootID,
 		Version: header.Version, Seed: header.Seed,
@@ -68,13 +89,13 @@
 	}
 	r.opened = opened
 	r.attempt.streamID.Store(&header.StreamID)
-	r.send(ctx, opened)
+	r.send(opened)
 }
 
-func (r *reader) send(ctx context.Context, input decision.Input) {
+func (r *reader) send(input decision.Input) {
 	select {
 	case r.inputs <- input:
-	case <-ctx.Done():
+	case <-r.attempt.closed:
 	}
 }
 
--- a/serving/generation/attempts.go
+++ b/serving/generation/attempts.go
@@ -87,12 +87,21 @@
 		request.Resume = &engineapi.Resume{StreamID: out.Stream.ID, BootID: out.Stream.BootID, Offset: out.Offset}
 	}
 	ctx, cancel := context.WithCancel(r.generator.background)
-	opened := &attempt{number: out.Attempt, server: out.Server, route: route, cancel: cancel}
+	opened := &attempt{number: out.Attempt, server: out.Server, route: route, cancel: cancel, closed: make(chan struct{})}
+	if request.Resume != nil {
+		opened.streamID.Store(&out.Stream.ID)
+	}
 	r.attempts[out.Attempt] = opened
 	r.parts.Guard.Started(r.suspect, r.request.RequestID, out.Server)
 	r.addresses[out.Server] = route.Server.Address
-	stream := &reader{attempt: opened, engines: r.parts.Engines, request: request, inputs: r.inputs}
-	r.readers.Go(func() { stream.run(ctx) })
+	stream := &reader{
+		attempt: opened, engines: r.parts.Engines, request: request, inputs: r.inputs,
+		abandon: func(streamID string) { r.cancelAt(route.Server.Address, streamID, false) },
+	}
+	r.generator.wait.Go(func() {
+		defer cancel()
+		stream.run(ctx)
+	})
 }
 
 // routeOf returns the chosen route, or one to the server of the stream that an
@@ -116,11 +125,8 @@
 		return
 	}
 	delete(r.attempts, out.Attempt)
-	closed.cancel()
+	r.disconnect(closed, out.Cancel)
 	closed.route.Done(out.Outcome)
-	if id := closed.streamID.Load(); out.Cancel && id != nil {
-		r.cancelAt(closed.route.Server.Address, *id, false)
-	}
 	if out.Outcome == serving.OutcomeBroken {
 		r.probe(closed)
 		return
@@ -131,6 +137,22 @@
 	r.parts.Guard.Ended(r.suspect, r.request.RequestID, closed.server)
 }
 
+// disconnect ends an attempt's connection. To cancel a stream that is not
+// known yet, the connection is kept until the engine states it.
+func (r *run) disconnect(closed *attempt, cancel bool) {
+	closed.cancelLate.Store(cancel && closed.streamID.Load() == nil)
+	close(closed.closed)
+	switch id := closed.streamID.Load(); {
+	case id != nil && cancel:
+		closed.cancel()
+		r.cancelAt(closed.route.Server.Address, *id, false)
+	case cancel:
+		time.AfterFunc(cancelTimeout, closed.cancel)
+	default:
+		closed.cancel()
+	}
+}
+
 // probe asks whether the server of a broken attempt still accepts connections,
 // so that the guard learns of a server that died.
 func (r *run) probe(broken *attempt) {
--- a/serving/generation/run.go
+++ b/serving/generation/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/cursor"
@@ -35,7 +34,6 @@
 	attempts map[uint32]*attempt
 	// addresses are those of the servers that had an attempt, by name.
 	addresses map[string]string
-	readers   sync.WaitGroup
 	// route is the answer to the last AskRoute, until it is used.
 	route    serving.Route
 	routed   bool
@@ -51,7 +49,6 @@
 func (r *run) loop(ctx context.Context, start decision.Start) (serving.AnswerEnd, error) {
 	r.callerUp = true
 	r.lastSent = r.began
-	defer r.readers.Wait()
 	defer r.closeAttempts()
 	timer := time.NewTimer(r.config.Deadline)
 	defer timer.Stop()
