Avoid the data centre of an engine that went silent

Cause: a silent engine may be behind a cut link, and the next engines asked were its neighbours. The prefill budget also doubled from the first failure on. Change: the route is asked to avoid the data centre of silent engines, at the first silence under the latency objective and at the second under the cost objective; the budget doubles from the third failure on. Once every server was tried, any of them may be asked again: the fuzz test found a server with another version asked for ever in place of a silent one.

--- a/decision/generation/attempt.go
+++ b/decision/generation/attempt.go
@@ -28,9 +28,11 @@
 	// won means that a token of the attempt was delivered.
 	won       bool
 	suspected bool
-	last      time.Duration
-	deadline  time.Duration
-	cadence   suspicion.Cadence
+	// excused means that its server may be asked again, as no other is left.
+	excused  bool
+	last     time.Duration
+	deadline time.Duration
+	cadence  suspicion.Cadence
 }
 
 // active notes a token and moves the deadline. Tokens that an engine sends
--- a/decision/generation/machine.go
+++ b/decision/generation/machine.go
@@ -46,6 +46,8 @@
 	asking      bool
 	// avoid names servers that failed since the last progress.
 	avoid []string
+	// silent names servers that did not answer since the last progress.
+	silent []string
 	// failures counts attempts lost since the last progress.
 	failures int
 	retryAt  time.Duration
--- a/decision/generation/output.go
+++ b/decision/generation/output.go
@@ -21,6 +21,8 @@
 	// Exclude names servers with an open attempt, Avoid those that failed.
 	Exclude []string
 	Avoid   []string
+	// AvoidNear names servers whose data centres may be cut off.
+	AvoidNear []string
 }
 
 // OpenAttempt opens a connection to an engine.
--- a/decision/generation/produce.go
+++ b/decision/generation/produce.go
@@ -120,7 +120,7 @@
 	m.asking = false
 	m.retryAt = 0
 	m.failures = 0
-	m.avoid = nil
+	m.avoid, m.silent = nil, nil
 	m.sourceTried = false
 	previous := m.source
 	m.source = a.stream
--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -88,7 +88,10 @@
 	m.ask++
 	m.asking = true
 	exclude, avoid := m.otherServers()
-	m.emit(AskRoute{Ask: m.ask, Purpose: m.purpose(), Version: m.version, Exclude: exclude, Avoid: avoid})
+	m.emit(AskRoute{
+		Ask: m.ask, Purpose: m.purpose(), Version: m.version,
+		Exclude: exclude, Avoid: avoid, AvoidNear: m.silentServers(),
+	})
 }
 
 func (m *Machine) kindOfStart() AttemptKind {
@@ -121,6 +124,9 @@
 	avoid = slices.Clone(m.avoid)
 	for _, a := range m.attempts {
 		list := &exclude
+		if a.excused {
+			continue
+		}
 		if a.suspected {
 			list = &avoid
 		}
@@ -131,6 +137,22 @@
 	return exclude, avoid
 }
 
+// silentServers names the servers whose data centres are to be avoided: under
+// the latency objective at the first silence, under the cost objective after a
+// second server of the place did not answer.
+func (m *Machine) silentServers() []string {
+	if !m.config.Policy.Overlap && m.failures == 0 {
+		return nil
+	}
+	silent := slices.Clone(m.silent)
+	for _, a := range m.attempts {
+		if a.suspected && !a.excused && !slices.Contains(silent, a.stream.Server) {
+			silent = append(silent, a.stream.Server)
+		}
+	}
+	return silent
+}
+
 func (m *Machine) routeChosen(now time.Duration, in RouteChosen) {
 	if m.phase != phaseRunning || !m.asking || in.Ask != m.ask {
 		return
@@ -139,6 +161,9 @@
 	if m.healthy() {
 		return
 	}
+	if _, avoid := m.otherServers(); slices.Contains(avoid, in.Server) {
+		m.startRound(in.Server)
+	}
 	if !m.config.Policy.Overlap {
 		m.closeAll(false)
 	}
@@ -165,10 +190,20 @@
 	m.note(string(kind), "a new stream", in.Server)
 }
 
+// startRound forgets the servers to avoid but the given one: each was tried,
+// so that the next round may ask any of them again.
+func (m *Machine) startRound(server string) {
+	m.avoid, m.silent = []string{server}, nil
+	for _, a := range m.attempts {
+		a.excused = a.suspected
+	}
+}
+
 // prefillBudget doubles with each failure in a row, so that a prefill that
 // takes longer than expected is not started again for ever.
 func (m *Machine) prefillBudget(bytes int) time.Duration {
-	return m.config.Policy.Suspicion.Prefill(bytes) << min(m.failures, maxBudgetDoublings)
+	doublings := min(max(m.failures-freeFailures, 0), maxBudgetDoublings)
+	return m.config.Policy.Suspicion.Prefill(bytes) << doublings
 }
 
 func (m *Machine) routeFailed(now time.Duration, in RouteFailed) {
@@ -186,7 +221,7 @@
 		return
 	}
 	m.note("wait", "no backend server: "+in.Fault.Reason, "")
-	m.avoid = nil
+	m.avoid, m.silent = nil, nil
 	m.sourceTried = false
 	m.retryAt = now + m.pause(freeFailures+1+m.failures)
 }
@@ -216,6 +251,9 @@
 	if !slices.Contains(m.avoid, a.stream.Server) && reason != LossUnknownStream {
 		m.avoid = append(m.avoid, a.stream.Server)
 	}
+	if reason == LossSilent && !slices.Contains(m.silent, a.stream.Server) {
+		m.silent = append(m.silent, a.stream.Server)
+	}
 	m.note("lost", "attempt ended: "+string(reason), a.stream.Server)
 	m.close(a, reason == LossProtocol || reason == LossSilent, reason.outcome())
 	if m.failures > freeFailures && len(m.attempts) == 0 {
--- a/decision/routing/filter/filter.go
+++ b/decision/routing/filter/filter.go
@@ -25,5 +25,5 @@
 
 // Preferences returns every preference in the order of their application.
 func Preferences() []Preference {
-	return []Preference{Avoided{}, Nearest{}}
+	return []Preference{Avoided{}, AvoidedPlace{}, Nearest{}}
 }
--- a/experiment/recovery/measure.go
+++ b/experiment/recovery/measure.go
@@ -31,13 +31,18 @@
 	// DeliveredBytes and CrossRegionBytes count bytes.
 	DeliveredBytes   int
 	CrossRegionBytes int
+	// CrossRegionByLoss splits CrossRegionBytes by the kind of loss.
+	CrossRegionByLoss map[Loss]int
 	// Incomplete counts answers that were not whole and right.
 	Incomplete int
 }
 
 // Run measures one objective.
 func Run(ctx context.Context, objective estate.Objective, options experiment.Options) Measure {
-	measure := Measure{Objective: objective, ByLoss: make(map[Loss][]time.Duration), WastedByLoss: make(map[Loss]int)}
+	measure := Measure{
+		Objective: objective, ByLoss: make(map[Loss][]time.Duration),
+		WastedByLoss: make(map[Loss]int), CrossRegionByLoss: make(map[Loss]int),
+	}
 	count := max(1, int(generationsPerLoss*options.Scale))
 	policy := policyOf(objective)
 	for index, loss := range Losses() {
@@ -65,6 +70,7 @@
 	m.Prefilled += r.prefilled()
 	m.DeliveredBytes += r.bytes
 	m.CrossRegionBytes += r.instance.CrossRegionBytes
+	m.CrossRegionByLoss[r.loss] += r.instance.CrossRegionBytes
 }
 
 // ExtraTokens is the tokens that engines processed beside the delivered ones,
--- a/experiment/recovery/report.go
+++ b/experiment/recovery/report.go
@@ -35,7 +35,8 @@
 		figures = append(figures,
 			experiment.Figure{Name: name + string(loss) + "/p95", Value: Quantile(m.ByLoss[loss], P95), Unit: "ms"},
 			experiment.Figure{Name: name + string(loss) + "/max", Value: Quantile(m.ByLoss[loss], Worst), Unit: "ms"},
-			experiment.Figure{Name: name + string(loss) + "/extra_tokens", Value: float64(m.WastedByLoss[loss]) / float64(m.Delivered), Unit: "tokens/delivered token"},
+			experiment.Figure{Name: name + string(loss) + "/discarded", Value: float64(m.WastedByLoss[loss]) / float64(m.Delivered), Unit: "tokens/delivered token"},
+			experiment.Figure{Name: name + string(loss) + "/cross_region_bytes", Value: float64(m.CrossRegionByLoss[loss]) / float64(m.DeliveredBytes), Unit: "bytes/delivered byte"},
 		)
 	}
 	return append(figures,
--- a/internal/simengine/network.go
+++ b/internal/simengine/network.go
@@ -45,7 +45,8 @@
 
 // Scores of a server for the router.
 const (
-	scoreNotAvoided     = 4
+	scoreNotAvoided     = 8
+	scorePlaceNotSilent = 4
 	scoreSameDataCentre = 2
 	scoreSameRegion     = 1
 )
@@ -55,6 +56,11 @@
 	if !slices.Contains(ask.Avoid, engine.Name) {
 		score += scoreNotAvoided
 	}
+	if !slices.ContainsFunc(ask.AvoidNear, func(name string) bool {
+		return w.find(name).Place.DataCentre == engine.Place.DataCentre
+	}) {
+		score += scorePlaceNotSilent
+	}
 	if engine.Place.DataCentre == from.DataCentre {
 		score += scoreSameDataCentre
 	}
--- a/serving/generation/attempts.go
+++ b/serving/generation/attempts.go
@@ -22,7 +22,7 @@
 	if err == nil {
 		request := r.routeRequest(out.Purpose)
 		request.Version = out.Version
-		request.Exclude, request.Avoid = out.Exclude, out.Avoid
+		request.Exclude, request.Avoid, request.AvoidNear = out.Exclude, out.Avoid, out.AvoidNear
 		request.IsolatedSuspect = isolated
 		r.route, err = r.parts.Router.Route(request)
 	}
--- a/serving/router.go
+++ b/serving/router.go
@@ -44,6 +44,9 @@
 	Exclude []string
 	// Avoid names servers to pick only when no other is left.
 	Avoid []string
+	// AvoidNear names servers that went silent: others in their data centres
+	// are picked only when no other is left, as the link may be cut.
+	AvoidNear []string
 	// NearServer names the server whose data centre and then region are
 	// preferred; empty means the instance's own.
 	NearServer string
