Suspect silence earlier under the latency objective

Cause: nine in ten resumes waited out the floor of the silence budget. Change: floor 400 -> 250 ms, still 8 gaps at 29 ms a token.

--- a/decision/generation/policy.go
+++ b/decision/generation/policy.go
@@ -37,7 +37,7 @@
 
 // Values of the latency objective.
 const (
-	latencyFloor       = 400 * time.Millisecond
+	latencyFloor       = 250 * time.Millisecond
 	latencyCeiling     = 2 * time.Second
 	latencyProbeBudget = 250 * time.Millisecond
 )
