Judge a continued stream by the cadence of the one before

Cause: a new stream that died after its first token was given the ceiling, as it had shown no gap yet. Change: a continuation starts with the cadence of the lost stream.

--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -179,6 +179,7 @@
 	a := m.open(now, kind, Stream{Server: in.Server}, now+m.prefillBudget(bytes))
 	opened := OpenAttempt{Attempt: a.number, Kind: kind, Server: in.Server, Ask: in.Ask, Version: m.version, Seed: m.seed}
 	a.verified = true
+	a.cadence = m.cadence
 	switch kind {
 	case KindContinue:
 		a.next, a.hash = m.answer.offset, m.answer.hash
