Start a broken answer at two engines at once under the latency objective

Cause: when the engine that takes over dies as well, the answer waited for its prefill budget. Change: two new streams in different data centres; the first to produce wins and the other is cancelled.

--- a/decision/generation/machine.go
+++ b/decision/generation/machine.go
@@ -48,6 +48,8 @@
 	avoid []string
 	// silent names servers that did not answer since the last progress.
 	silent []string
+	// noSecond means that no second server could be had beside a new stream.
+	noSecond bool
 	// failures counts attempts lost since the last progress.
 	failures int
 	retryAt  time.Duration
--- a/decision/generation/policy.go
+++ b/decision/generation/policy.go
@@ -12,6 +12,9 @@
 	Suspicion suspicion.Policy
 	// Overlap starts at another server while the old stream is still probed.
 	Overlap bool
+	// Starts is how many new streams of a broken answer start side by side, in
+	// different data centres, so that the loss of one costs no more time.
+	Starts int
 	// ProbeBudget is the time a new connection to an old stream has to send
 	// its first token.
 	ProbeBudget time.Duration
@@ -39,6 +42,7 @@
 const (
 	latencyFloor       = 250 * time.Millisecond
 	latencyCeiling     = 2 * time.Second
+	latencyStarts      = 2
 	latencyProbeBudget = 250 * time.Millisecond
 )
 
@@ -61,6 +65,7 @@
 			PrefillPerKilobyte: defaultPrefillPerKilobyte,
 		},
 		Overlap:     true,
+		Starts:      latencyStarts,
 		ProbeBudget: latencyProbeBudget,
 		GracePeriod: recovery.GracePeriod.Std(),
 		BackoffBase: defaultBackoffBase,
@@ -72,6 +77,7 @@
 	}
 	if recovery.Objective == estate.ObjectiveCost {
 		policy.Overlap = false
+		policy.Starts = 1
 		policy.ProbeBudget = costProbeBudget
 		policy.Suspicion.Floor = costFloor
 		policy.Suspicion.Ceiling = costCeiling
--- a/decision/generation/produce.go
+++ b/decision/generation/produce.go
@@ -121,7 +121,7 @@
 	m.retryAt = 0
 	m.failures = 0
 	m.avoid, m.silent = nil, nil
-	m.sourceTried = false
+	m.sourceTried, m.noSecond = false, false
 	previous := m.source
 	m.source = a.stream
 	if len(m.attempts) == 1 && previous == a.stream {
--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -36,9 +36,32 @@
 	return m.config.Policy.Overlap && (m.begun || !m.fromCursor)
 }
 
-// healthy reports whether an attempt can be expected to produce.
+// healthy reports whether enough attempts can be expected to produce.
 func (m *Machine) healthy() bool {
-	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.suspected && !a.probing() })
+	starting := 0
+	for _, a := range m.attempts {
+		switch {
+		case a.suspected || a.probing():
+		case a.starting():
+			starting++
+		default:
+			return true
+		}
+	}
+	return starting >= m.starts()
+}
+
+// starts returns how many new streams are wanted now.
+func (m *Machine) starts() int {
+	if m.answer.offset > 0 && !m.noSecond {
+		return m.config.Policy.Starts
+	}
+	return 1
+}
+
+// started reports whether a new stream can be expected to produce.
+func (m *Machine) started() bool {
+	return slices.ContainsFunc(m.attempts, func(a *attempt) bool { return !a.suspected && a.starting() })
 }
 
 func (m *Machine) probing() bool {
@@ -138,15 +161,16 @@
 }
 
 // silentServers names the servers whose data centres are to be avoided: under
-// the latency objective at the first silence, under the cost objective after a
-// second server of the place did not answer.
+// the latency objective at the first silence and where a stream starts already,
+// under the cost objective after a second server of the place did not answer.
 func (m *Machine) silentServers() []string {
 	if !m.config.Policy.Overlap && m.failures == 0 {
 		return nil
 	}
 	silent := slices.Clone(m.silent)
 	for _, a := range m.attempts {
-		if a.suspected && !a.excused && !slices.Contains(silent, a.stream.Server) {
+		wanted := (a.suspected && !a.excused) || (a.starting() && !a.suspected)
+		if wanted && !slices.Contains(silent, a.stream.Server) {
 			silent = append(silent, a.stream.Server)
 		}
 	}
@@ -162,6 +186,10 @@
 		return
 	}
 	if _, avoid := m.otherServers(); slices.Contains(avoid, in.Server) {
+		if m.started() {
+			m.noSecond = true
+			return
+		}
 		m.startRound(in.Server)
 	}
 	if !m.config.Policy.Overlap {
@@ -189,6 +217,7 @@
 	}
 	m.emit(opened)
 	m.note(string(kind), "a new stream", in.Server)
+	m.plan(now)
 }
 
 // startRound forgets the servers to avoid but the given one: each was tried,
@@ -212,6 +241,10 @@
 		return
 	}
 	m.asking = false
+	if m.started() {
+		m.noSecond = true
+		return
+	}
 	temporary := in.Fault.Code == fault.NoBackendServer || in.Fault.Code == fault.Overloaded
 	if len(m.attempts) == 0 && !m.mayHaveRun {
 		m.fail(in.Fault.WithExecution(m.nothingSent()))
