Wait longer for a silent engine under the cost objective

Cause: an engine that pauses for up to 2.5 s came back after its answer had been continued elsewhere. Change: the probe of the old stream lasts 1.5 s, 0.75 s before.

--- a/decision/generation/policy.go
+++ b/decision/generation/policy.go
@@ -50,7 +50,7 @@
 const (
 	costFloor       = time.Second
 	costCeiling     = 3 * time.Second
-	costProbeBudget = 750 * time.Millisecond
+	costProbeBudget = 1500 * time.Millisecond
 )
 
 // PolicyFor returns the policy of a service's recovery settings. Without an
