--- a/standin/loopback/estate.go
+++ b/standin/loopback/estate.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/entry"
 	"github.com/wisteriahaven/wisteriahaven/estate"
@@ -161,6 +163,9 @@
 func (e *Estate) engineSettings(server estate.BackendServer) engine.Settings {
 	s := e.options.Engine
 	s.Name = server.Name
+	if s.Salt != 0 {
+		s.Salt += xxhash.Sum64String(server.Name)
+	}
 	s.Address = e.address(server.Address)
 	s.Model = server.Model
 	s.Version = server.Version
--- a/standin/loopback/options.go
+++ b/standin/loopback/options.go
@@ -18,7 +18,8 @@
 	// Entries bounds the entry instances; zero runs all.
 	Entries int
 	// Engine gives the speeds of every engine; names, models and slots come
-	// from the estate.
+	// from the estate. A Salt makes each engine's answers differ from those of
+	// the others.
 	Engine engine.Settings
 	// InstanceListLag is how late the platform's list is.
 	InstanceListLag time.Duration
