--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -1,6 +1,8 @@
 package ctl
 
 import (
+	"net/http"
+
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
 )
@@ -30,6 +32,21 @@
 const ExitCodes = "Exit codes: 0 answered or applied, 1 failure, 2 wrong usage or syntax, 3 conflict, " +
 	"4 not applied, 5 outcome unknown, 6 rejected, 7 applied and not yet in force everywhere."
 
+// exitOfRejected tells what is wrong with the command from what is wrong with
+// the system.
+func exitOfRejected(failure *operatorapi.Failure) int {
+	switch {
+	case failure == nil:
+		return ExitRejected
+	case failure.Code == fault.CommandSyntax:
+		return ExitUsage
+	case fault.Lookup(failure.Code).Status >= http.StatusInternalServerError:
+		return ExitFailure
+	default:
+		return ExitRejected
+	}
+}
+
 // exitOf returns the exit code of a response.
 func exitOf(response operatorapi.Response) int {
 	switch response.Outcome {
@@ -40,10 +57,7 @@
 	case operatorapi.Unknown:
 		return ExitUnknown
 	case operatorapi.Rejected:
-		if response.Failure != nil && response.Failure.Code == fault.CommandSyntax {
-			return ExitUsage
-		}
-		return ExitRejected
+		return exitOfRejected(response.Failure)
 	}
 	if response.Spread != nil && len(response.Spread.Pending) > 0 {
 		return ExitPending
--- a/ctl/session_test.go
+++ b/ctl/session_test.go
@@ -135,6 +135,8 @@
 		{operatorapi.Response{Outcome: operatorapi.NotApplied, Failure: &operatorapi.Failure{Code: fault.NotApplied}}, ctl.ExitNotApplied, "not-applied"},
 		{operatorapi.Response{Outcome: operatorapi.Unknown, Settle: "repeat it", Failure: &operatorapi.Failure{Code: fault.CommandUnknown}}, ctl.ExitUnknown, "to settle it: repeat it"},
 		{operatorapi.Response{Outcome: operatorapi.Rejected, Failure: &operatorapi.Failure{Code: fault.CommandInvalid}}, ctl.ExitRejected, "rejected"},
+		{operatorapi.Response{Outcome: operatorapi.Rejected, Failure: &operatorapi.Failure{Code: fault.CommandSyntax}}, ctl.ExitUsage, "rejected"},
+		{operatorapi.Response{Outcome: operatorapi.Rejected, Failure: &operatorapi.Failure{Code: fault.PlatformUnavailable, Action: "check the platform"}}, ctl.ExitFailure, "check the platform"},
 	} {
 		t.Run(string(test.response.Outcome), func(t *testing.T) {
 			is := is.New(t)
