--- a/decision/configspread/machine_test.go
+++ b/decision/configspread/machine_test.go
@@ -39,8 +39,12 @@
 	names    []string
 	accepted uint64
 	down     bool
-	cut      map[string]bool
-	reads    int
+	// stale lets the platform answer reads with the revision before.
+	stale bool
+	cut   map[string]bool
+	// cutPlatform names a data centre that loses the platform alone.
+	cutPlatform string
+	reads       int
 }
 
 func newWorld(seed uint64, centres map[string]int, order ...string) *world {
@@ -67,7 +71,7 @@
 // empty. A data centre that is cut off reaches itself only.
 func (w *world) reaches(from *node, to string) bool {
 	if to == "" {
-		return !w.down && !w.cut[from.centre]
+		return !w.down && !w.cut[from.centre] && w.cutPlatform != from.centre
 	}
 	target := w.nodes[to]
 	if target.gone || target.paused {
@@ -133,6 +137,9 @@
 	answer := configspread.Fetched{Failed: true}
 	if w.reaches(n, source) {
 		answer = configspread.Fetched{Revision: w.accepted}
+		if w.stale {
+			answer.Revision--
+		}
 		if source != "" {
 			answer.Revision = w.nodes[source].machine.Revision()
 		}
@@ -245,6 +252,7 @@
 		"accept": func(*rapid.T) { w.accepted++ },
 		"run":    func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms")) * time.Millisecond) },
 		"outage": func(*rapid.T) { w.down = true },
+		"stale":  func(t *rapid.T) { w.stale = rapid.Bool().Draw(t, "stale") },
 		"back":   func(*rapid.T) { w.down = false },
 		"cut":    func(t *rapid.T) { w.cut[rapid.SampledFrom([]string{"a", "b"}).Draw(t, "centre")] = true },
 		"heal":   func(*rapid.T) { clear(w.cut) },
@@ -274,9 +282,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.NewRelaxed(t)
 		w := newWorld(rapid.Uint64Range(0, 1<<40).Draw(t, "seed"), map[string]int{"a": 5, "b": 3}, "a", "b")
-		w.accepted = 1
+		w.accepted = 2
 		t.Repeat(w.actions())
-		w.down = false
+		w.down, w.stale = false, false
 		clear(w.cut)
 		for _, name := range w.names {
 			w.resume(w.nodes[name])
@@ -285,3 +293,26 @@
 		is.Equal(w.behind(), "")
 	})
 }
+
+func TestOlderCopyIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, map[string]int{"a": 1}, "a")
+	w.accepted = 9
+	w.run(20 * time.Second)
+	n := w.nodes["a-0"]
+	w.accepted = 8 // as after a restore of the platform
+	w.step(n, configspread.WatchEnded{Revision: 10})
+	w.run(time.Minute)
+	is.Equal(n.applied, []uint64{9})
+}
+
+func TestInstanceCutOffFromThePlatformReadsFromAnotherDataCentre(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6, map[string]int{"a": 3, "b": 3}, "a", "b")
+	w.accepted = 1
+	w.run(20 * time.Second)
+	w.cutPlatform = "a"
+	w.accepted = 2
+	w.run(5 * time.Second)
+	is.Equal(w.behind(), "")
+}
