--- a/cmd/wisteriahaven-bench/experiments.go
+++ b/cmd/wisteriahaven-bench/experiments.go
@@ -2,8 +2,11 @@
 
 import (
 	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/configspread"
+	"github.com/wisteriahaven/wisteriahaven/experiment/leaving"
 	"github.com/wisteriahaven/wisteriahaven/experiment/limits"
 	"github.com/wisteriahaven/wisteriahaven/experiment/overhead"
+	"github.com/wisteriahaven/wisteriahaven/experiment/partition"
 	"github.com/wisteriahaven/wisteriahaven/experiment/resumecost"
 	"github.com/wisteriahaven/wisteriahaven/experiment/resumelatency"
 	"github.com/wisteriahaven/wisteriahaven/experiment/routing"
@@ -12,8 +15,11 @@
 
 // experiments lists every experiment, one a line in the order of their names.
 var experiments = []experiment.Experiment{
+	configspread.Experiment,
+	leaving.Experiment,
 	limits.Experiment,
 	overhead.Experiment,
+	partition.Experiment,
 	resumecost.Experiment,
 	resumelatency.Experiment,
 	routing.Experiment,
--- a/control/membership/list_reader.go
+++ b/control/membership/list_reader.go
@@ -19,7 +19,7 @@
 	listReaderKey = "list-reader/"
 	listReaders   = 2
 	// ListPeriod is the time between two reads of one reader.
-	ListPeriod = 2 * time.Second
+	ListPeriod = time.Second
 	// listMarkLifetime is how long a leaving mark from the list holds; it is
 	// renewed while the list shows the server as leaving.
 	listMarkLifetime = 5 * time.Minute
