Suspect an instance only after two seconds of silence, not after two lost datagrams

Cause: with 1% of datagrams lost, two probes in a row without a reply made a live instance a suspect; each suspicion and refutation was news on every instance and emptied their byte buckets, so that real news waited for the next period. Change: probes are repeated until SuspectAfter.

--- a/decision/membership/config.go
+++ b/decision/membership/config.go
@@ -16,6 +16,7 @@
 	DefaultBridges          = 3
 	DefaultForeignPerCentre = 6
 	DefaultProbeTimeout     = 500 * time.Millisecond
+	DefaultSuspectAfter     = 2 * time.Second
 	DefaultSuspicionTimeout = 4 * time.Second
 	DefaultPauseLimit       = 2 * time.Second
 	DefaultForgetAfter      = 10 * time.Minute
@@ -53,8 +54,10 @@
 	Bridges int
 	// ForeignPerCentre bounds the known instances of each other data centre.
 	ForeignPerCentre int
-	// ProbeTimeout is the wait for a reply; a probe is sent twice.
+	// ProbeTimeout is the wait for a reply before a probe is repeated.
 	ProbeTimeout time.Duration
+	// SuspectAfter is the silence after which a probed instance is a suspect.
+	SuspectAfter time.Duration
 	// SuspicionTimeout is the time in which a suspect can refute.
 	SuspicionTimeout time.Duration
 	// PauseLimit is the gap between inputs that is taken for a pause.
@@ -83,6 +86,7 @@
 	c.Period = orDuration(c.Period, DefaultPeriod)
 	c.TickInterval = orDuration(c.TickInterval, DefaultTickInterval)
 	c.ProbeTimeout = orDuration(c.ProbeTimeout, DefaultProbeTimeout)
+	c.SuspectAfter = orDuration(c.SuspectAfter, DefaultSuspectAfter)
 	c.SuspicionTimeout = orDuration(c.SuspicionTimeout, DefaultSuspicionTimeout)
 	c.PauseLimit = orDuration(c.PauseLimit, DefaultPauseLimit)
 	c.ForgetAfter = orDuration(c.ForgetAfter, DefaultForgetAfter)
--- a/decision/membership/exchange.go
+++ b/decision/membership/exchange.go
@@ -17,7 +17,7 @@
 	t.exchanges++
 	t.summarize(now)
 	for _, peer := range t.targets() {
-		t.probe(peer, false, now, out)
+		t.probe(peer, now, now, out)
 	}
 }
 
--- a/decision/membership/probe.go
+++ b/decision/membership/probe.go
@@ -11,14 +11,15 @@
 type probe struct {
 	peer     settings.Peer
 	deadline time.Time
-	// again means that an earlier probe of the same exchange got no reply.
-	again bool
+	// first is when the first of the unanswered probes was sent.
+	first time.Time
 }
 
-// probe sends a digest that asks for a reply.
-func (t *Table) probe(peer settings.Peer, again bool, now time.Time, out *Output) {
+// probe sends a digest that asks for a reply. First is the time of the first
+// probe that got none so far.
+func (t *Table) probe(peer settings.Peer, first, now time.Time, out *Output) {
 	digest := t.newDigest(Probe, peer.Instance)
-	t.probes[digest.Sequence] = probe{peer: peer, deadline: now.Add(t.config.ProbeTimeout), again: again}
+	t.probes[digest.Sequence] = probe{peer: peer, deadline: now.Add(t.config.ProbeTimeout), first: first}
 	t.fillDigest(&digest, peer, t.config.DigestBytes, now)
 	t.counters.Probes++
 	t.send(peer.Gossip, digest, out)
@@ -45,7 +46,8 @@
 	}
 }
 
-// expireProbes repeats a probe once and then suspects the instance.
+// expireProbes repeats a probe without a reply, and suspects an instance that
+// was silent for Config.SuspectAfter.
 func (t *Table) expireProbes(now time.Time, out *Output) {
 	var expired []uint64
 	for sequence, waiting := range t.probes {
@@ -62,20 +64,19 @@
 		if !known || entry.record.Health != Alive {
 			continue
 		}
-		if !waiting.again {
-			t.probe(waiting.peer, true, now, out)
+		if now.Sub(later(waiting.first, entry.heard)) < t.config.SuspectAfter {
+			t.probe(waiting.peer, waiting.first, now, out)
 			continue
 		}
-		t.suspect(entry, now, out)
+		entry.record.Health = Suspect
+		entry.suspectedAt = now
+		t.changed(entry, now, out)
 	}
 }
 
-// suspect marks an instance that gave no reply, unless it was heard since.
-func (t *Table) suspect(entry *memberEntry, now time.Time, out *Output) {
-	if now.Sub(entry.heard) < t.config.ProbeTimeout {
-		return
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	entry.record.Health = Suspect
-	entry.suspectedAt = now
-	t.changed(entry, now, out)
+	return b
 }
