--- a/control/configuration/copy.go
+++ b/control/configuration/copy.go
@@ -8,25 +8,25 @@
 	"github.com/wisteriahaven/wisteriahaven/estate"
 )
 
-// copyOf is one revision with the values it was made of. It is not changed
+// Copy is one revision with the values it was made of. It is not changed
 // after it was made.
-type copyOf struct {
+type Copy struct {
 	revision      uint64
 	chunks        []configstore.Chunk
 	values        map[string][]byte
 	configuration *estate.Configuration
 }
 
-// newCopy verifies the chunks and builds the configuration. The values may
+// NewCopy verifies the chunks and builds the configuration. The values may
 // hold more than the chunks need.
-func newCopy(revision uint64, chunks []configstore.Chunk, values map[string][]byte) (*copyOf, error) {
+func NewCopy(revision uint64, chunks []configstore.Chunk, values map[string][]byte) (*Copy, error) {
 	chunks = slices.Clone(chunks)
 	slices.SortFunc(chunks, compareChunks)
 	configuration, err := configstore.Assemble(configstore.Head{Chunks: chunks}, revision, values)
 	if err != nil {
 		return nil, err
 	}
-	made := &copyOf{
+	made := &Copy{
 		revision:      revision,
 		chunks:        chunks,
 		values:        make(map[string][]byte, len(chunks)),
@@ -38,8 +38,14 @@
 	return made, nil
 }
 
+// Chunks returns the chunks of the copy.
+func (c *Copy) Chunks() []configstore.Chunk { return c.chunks }
+
+// Configuration returns the configuration, which must not be changed.
+func (c *Copy) Configuration() *estate.Configuration { return c.configuration }
+
 // bytes returns the size of the values.
-func (c *copyOf) bytes() int {
+func (c *Copy) bytes() int {
 	total := 0
 	for _, value := range c.values {
 		total += len(value)
--- a/control/configuration/exchange.go
+++ b/control/configuration/exchange.go
@@ -13,9 +13,9 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
 )
 
-// replyTo returns what a peer needs to come from its chunks to the copy. A
+// ReplyTo returns what a peer needs to come from its chunks to the copy. A
 // peer whose revision is not known gets everything.
-func replyTo(held *copyOf, known []configstore.Chunk) (*peerpb.ConfigurationReply, error) {
+func ReplyTo(held *Copy, known []configstore.Chunk) (*peerpb.ConfigurationReply, error) {
 	reply := &peerpb.ConfigurationReply{Revision: held.revision, Whole: known == nil}
 	for _, chunk := range held.chunks {
 		if slices.Contains(known, chunk) {
@@ -36,9 +36,9 @@
 	return reply, nil
 }
 
-// merge builds the copy of a reply on top of the held one. Errors: PeerMessage
+// Merge builds the copy of a reply on top of the held one. Errors: PeerMessage
 // when anything does not fit.
-func merge(held *copyOf, reply *peerpb.ConfigurationReply) (*copyOf, error) {
+func Merge(held *Copy, reply *peerpb.ConfigurationReply) (*Copy, error) {
 	var chunks []configstore.Chunk
 	values := make(map[string][]byte)
 	if !reply.GetWhole() {
@@ -61,7 +61,7 @@
 		chunks = append(chunks, chunk)
 		values[chunk.Hash] = body
 	}
-	return newCopy(reply.GetRevision(), chunks, values)
+	return NewCopy(reply.GetRevision(), chunks, values)
 }
 
 func replaced(chunk configstore.Chunk, messages []*peerpb.Chunk) bool {
--- a/control/configuration/follower.go
+++ b/control/configuration/follower.go
@@ -58,12 +58,12 @@
 	options Options
 	machine *configspread.Machine
 	inputs  *ring.Ring[configspread.Input]
-	held    atomic.Pointer[copyOf]
+	held    atomic.Pointer[Copy]
 	status  atomic.Pointer[Status]
 	work    sync.WaitGroup
 	// fetched is the result of the fetch under way, owned by the duty once the
 	// Fetched input arrived.
-	fetched   atomic.Pointer[copyOf]
+	fetched   atomic.Pointer[Copy]
 	seen      *membership.Snapshot
 	stopWatch context.CancelFunc
 	mu        sync.Mutex
@@ -228,7 +228,7 @@
 
 // read returns a verified copy from an instance, or from the platform when the
 // source is empty.
-func (f *Follower) read(ctx context.Context, source string) (*copyOf, error) {
+func (f *Follower) read(ctx context.Context, source string) (*Copy, error) {
 	if source == "" {
 		return f.readPlatform(ctx)
 	}
@@ -248,11 +248,11 @@
 	if held != nil && reply.GetRevision() <= revision {
 		return held, nil
 	}
-	return merge(held, reply)
+	return Merge(held, reply)
 }
 
 // readPlatform reads the head and the chunks that are not held yet.
-func (f *Follower) readPlatform(ctx context.Context) (*copyOf, error) {
+func (f *Follower) readPlatform(ctx context.Context) (*Copy, error) {
 	object, err := f.options.Store.Get(ctx, configstore.HeadKey)
 	if err != nil {
 		return nil, err
@@ -277,5 +277,5 @@
 		}
 		values[chunk.Hash] = body.Value
 	}
-	return newCopy(object.Version, head.Chunks, values)
+	return NewCopy(object.Version, head.Chunks, values)
 }
--- a/control/configuration/history.go
+++ b/control/configuration/history.go
@@ -12,7 +12,7 @@
 	chunks    map[uint64][]configstore.Chunk
 }
 
-func (h *history) add(held *copyOf) {
+func (h *history) add(held *Copy) {
 	if h.chunks == nil {
 		h.chunks = make(map[uint64][]configstore.Chunk)
 	}
--- /dev/null
+++ b/experiment/slopes/configuration.go
@@ -0,0 +1,170 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wisteriahaven/wisteriahaven/configstore"
+	"github.com/wisteriahaven/wisteriahaven/control/configuration"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/platform"
+)
+
+// changesMeasured is how many changes are applied for one point.
+const changesMeasured = 10
+
+// What is held constant while the other grows.
+const (
+	fewServers  = 1000
+	fewAccounts = 100
+)
+
+// configurationCosts are the costs of one change at one node.
+var configurationCosts = []cost{
+	{"processor time of a change", "ms"},
+	{"bytes of a difference from a peer", "B"},
+	{"memory of the copy", "KB"},
+}
+
+// measureServers measures changes against the number of backend servers.
+func measureServers(ctx context.Context, counts []int) (series, error) {
+	result := series{duty: "configuration", variable: "backend servers", costs: configurationCosts}
+	for _, count := range counts {
+		measured, err := measureChanges(ctx, count, fewAccounts)
+		if err != nil {
+			return series{}, err
+		}
+		result.points = append(result.points, point{value: float64(count), cost: measured})
+	}
+	return result, nil
+}
+
+// measureAccounts measures changes against the number of client accounts.
+func measureAccounts(ctx context.Context, counts []int) (series, error) {
+	result := series{duty: "configuration", variable: "client accounts", costs: configurationCosts}
+	for _, count := range counts {
+		measured, err := measureChanges(ctx, fewServers, count)
+		if err != nil {
+			return series{}, err
+		}
+		result.points = append(result.points, point{value: float64(count), cost: measured})
+	}
+	return result, nil
+}
+
+// measureChanges changes one backend server at a time and brings a peer from
+// each revision to the next.
+func measureChanges(ctx context.Context, servers, accounts int) ([]float64, error) {
+	store := newMemoryStore()
+	heap := heapBytes()
+	held, err := commit(ctx, store, nil, configurationOf(servers, accounts), "base")
+	if err != nil {
+		return nil, err
+	}
+	memory := heapBytes() - heap
+	var bytes, processor float64
+	for change := range changesMeasured {
+		next := configurationOf(servers, accounts)
+		next.BackendServers[change*servers/changesMeasured].Slots = 99 + change
+		newest, err := commit(ctx, store, held, next, fmt.Sprintf("change-%d", change))
+		if err != nil {
+			return nil, err
+		}
+		reply, err := configuration.ReplyTo(newest, held.Chunks())
+		if err != nil {
+			return nil, err
+		}
+		bytes += float64(proto.Size(reply))
+		before := readUsage()
+		held, err = configuration.Merge(held, reply)
+		if err != nil {
+			return nil, err
+		}
+		_, spent := readUsage().since(before)
+		processor += float64(spent.Microseconds()) / 1000
+	}
+	runtime.KeepAlive(held)
+	return []float64{processor / changesMeasured, bytes / changesMeasured, memory / 1024}, nil
+}
+
+// commit writes a configuration and reads it back as a node's copy.
+func commit(ctx context.Context, store platform.Store, base *configuration.Copy, next *estate.Configuration, id string) (*configuration.Copy, error) {
+	from := &estate.Configuration{}
+	if base != nil {
+		from = base.Configuration()
+	}
+	if _, err := configstore.Commit(ctx, store, from, next, id); err != nil {
+		return nil, err
+	}
+	object, err := store.Get(ctx, configstore.HeadKey)
+	if err != nil {
+		return nil, err
+	}
+	head, err := configstore.DecodeHead(object.Value)
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string][]byte)
+	for _, chunk := range head.Chunks {
+		body, err := store.Get(ctx, configstore.ChunkPrefix+chunk.Hash)
+		if err != nil {
+			return nil, err
+		}
+		values[chunk.Hash] = body.Value
+	}
+	return configuration.NewCopy(object.Version, head.Chunks, values)
+}
+
+func configurationOf(servers, accounts int) *estate.Configuration {
+	made := &estate.Configuration{}
+	for index := range servers {
+		made.BackendServers = append(made.BackendServers, estate.BackendServer{
+			Name:       fmt.Sprintf("dc-%02d-engine-%05d", index%13, index),
+			Address:    fmt.Sprintf("10.%d.%d.%d:8000", index%13, index/250%250, index%250),
+			DataCentre: fmt.Sprintf("dc-%02d", index%13),
+			Service:    "assistant",
+			Model:      fmt.Sprintf("model-%d", index%3),
+			Version:    "2026-01",
+			Slots:      32,
+		})
+	}
+	for index := range accounts {
+		made.ClientAccounts = append(made.ClientAccounts, estate.ClientAccount{
+			Name:      fmt.Sprintf("account-%04d", index),
+			Firm:      fmt.Sprintf("firm-%02d", index%40),
+			KeyHashes: []string{fmt.Sprintf("%064x", index), fmt.Sprintf("%064x", index+1_000_000)},
+			Weight:    1 + index%10,
+			Limits:    estate.AccountLimits{RequestsPerSecond: 100, TokensPerSecond: 50_000, TokensInFlight: 200_000},
+		})
+	}
+	return made
+}
+
+// memoryStore is an object API in memory.
+type memoryStore struct {
+	platform.Store
+	objects map[string]platform.Object
+	version uint64
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
+
+// Get implements platform.Store.
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+	object, ok := s.objects[key]
+	if !ok {
+		return object, fault.New(fault.NotFound, "no such object")
+	}
+	return object, nil
+}
+
+// Put implements platform.Store.
+func (s *memoryStore) Put(_ context.Context, key string, value []byte, _ platform.Condition) (uint64, error) {
+	s.version++
+	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	return s.version, nil
+}
--- a/experiment/slopes/experiment.go
+++ b/experiment/slopes/experiment.go
@@ -16,6 +16,8 @@
 	// centreInstances is the number of instances of a data centre at full
 	// size: 2,400 over 13.
 	centreInstances = 185
+	fullServers     = 10_000
+	fullAccounts    = 880
 )
 
 // defaultSpan is how long each point is measured at scale 1.
@@ -35,6 +37,16 @@
 		Seed:       options.Seed,
 		Settings:   []experiment.Setting{{Name: "span of a point", Value: fmt.Sprint(span)}},
 	}
+	servers, err := measureServers(ctx, []int{1000, 3000, fullServers})
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	accounts, err := measureAccounts(ctx, []int{100, 300, fullAccounts})
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	report.Figures = append(servers.figures(), accounts.figures()...)
+	report.Targets = append(report.Targets, changeTargets(servers)...)
 	exchange, err := measureExchange(ctx, []int{4, 16, 64, centreInstances}, span, options.Seed)
 	if err != nil {
 		return experiment.Report{}, err
@@ -48,3 +60,15 @@
 	)
 	return report, nil
 }
+
+// changeTargets compares the changes of a day, spread evenly, with the share
+// of a node. A node also hands each difference on once on average.
+func changeTargets(servers series) []experiment.Target {
+	full := servers.points[len(servers.points)-1].cost
+	perSecond := 1 / changePeriod.Seconds()
+	return []experiment.Target{
+		experiment.AtMost("6,100 changes a day of 10,000 servers: processor time", "ms/s", controlProcessor, full[0]*perSecond),
+		experiment.AtMost("6,100 changes a day of 10,000 servers: bytes both ways", "B/s", controlBytesPerSecond, 2*full[1]*perSecond),
+		experiment.AtMost("copy of 10,000 servers: memory", "KB", controlMemoryKilobytes, full[2]),
+	}
+}
