--- /dev/null
+++ b/experiment/configspread/experiment_test.go
@@ -0,0 +1,21 @@
+package configspread_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/configspread"
+)
+
+func TestSmallRunMeetsItsTargetsAndRepeats(t *testing.T) {
+	is := is.New(t)
+	options := experiment.Options{Seed: 1, Scale: 0.05}
+	first, err := configspread.Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	is.True(first.Met())
+	second, err := configspread.Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	is.Equal(first, second)
+}
--- /dev/null
+++ b/experiment/leaving/experiment_test.go
@@ -0,0 +1,21 @@
+package leaving_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/leaving"
+)
+
+func TestSmallRunMeetsItsTargetsAndRepeats(t *testing.T) {
+	is := is.New(t)
+	options := experiment.Options{Seed: 1, Scale: 0.05}
+	first, err := leaving.Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	is.True(first.Met())
+	second, err := leaving.Experiment.Run(t.Context(), options)
+	is.NoErr(err)
+	is.Equal(first, second)
+}
--- a/experiment/partition/experiment.go
+++ b/experiment/partition/experiment.go
@@ -44,7 +44,8 @@
 	}, options.Seed)
 	fleet.Accept()
 	fleet.Run(joinTime)
-	parts := cutOff(fleet)
+	span := max(time.Minute, time.Duration(float64(cutTime)*options.Scale))
+	parts := cutOff(fleet, span)
 	fleet.CutOff[cutCentre] = false
 	healed := heal(fleet)
 	return experiment.Report{
@@ -53,7 +54,7 @@
 		Settings: []experiment.Setting{
 			{Name: "data centres", Value: "3"},
 			{Name: "instances of each", Value: fmt.Sprint(instances)},
-			{Name: "cut off for", Value: fmt.Sprint(cutTime)},
+			{Name: "cut off for", Value: fmt.Sprint(span)},
 			{Name: "configuration changes every", Value: fmt.Sprint(changePeriod)},
 		},
 		Figures: []experiment.Figure{
@@ -71,11 +72,11 @@
 
 // cutOff cuts the data centre off, goes on changing the configuration, and
 // samples both parts.
-func cutOff(fleet *controlfleet.Fleet) parts {
+func cutOff(fleet *controlfleet.Fleet, span time.Duration) parts {
 	var seen parts
 	fleet.CutOff[cutCentre] = true
 	begin, changed := fleet.Now(), fleet.Now()
-	for fleet.Now().Sub(begin) < cutTime {
+	for fleet.Now().Sub(begin) < span {
 		if fleet.Now().Sub(changed) >= changePeriod {
 			seen.behind = max(seen.behind, float64(len(fleet.Behind())))
 			fleet.Accept()
