Order explanations by time also when fractions end in zeros

Cause: times were compared as texts whose trailing zeros are cut, so that 38.49 came after 38.491. Change: a layout of fixed width. Before, the new test fails; after, it passes.

--- a/command/cell.go
+++ b/command/cell.go
@@ -26,11 +26,15 @@
 
 func secondsCell(duration time.Duration) Cell { return numberCell(duration.Seconds()) }
 
+// timeLayout has a fixed width, so that the order of the texts is that of the
+// times.
+const timeLayout = "2006-01-02T15:04:05.000000Z"
+
 func timeCell(at time.Time) Cell {
 	if at.IsZero() {
 		return Cell{}
 	}
-	return textCell(at.UTC().Format(time.RFC3339Nano))
+	return textCell(at.UTC().Format(timeLayout))
 }
 
 // IsNumber reports whether the cell is a number, which tables align right.
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -267,6 +268,18 @@
 	is.True(fault.HasCode(err, fault.NotFound))
 }
 
+func TestExplainKeepsTheOrderOfTimes(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 1, 2, 3, 4, 5, 490_000_000, time.UTC)
+	source := command.Source{Configuration: bavaria(t), Status: dump.Estate{Instances: []dump.Instance{
+		{Instance: "a", Decisions: []serving.Decision{{Subject: "r1", Kind: "second", Time: at.Add(time.Millisecond)}}},
+		{Instance: "b", Decisions: []serving.Decision{{Subject: "r1", Kind: "first", Time: at}}},
+	}}}
+	result, err := query(t, "explain request r1", source)
+	is.NoErr(err)
+	is.Equal(result.Table.Rows[0][2].String(), "first")
+}
+
 func TestRoles(t *testing.T) {
 	is := is.New(t)
 	for text, role := range map[string]string{
