Take drained instances out of readiness and overflow; start the loopback estate on other ports when one is taken

Cause: drain instance was accepted and shown, and changed nothing. Change: a drained instance, and each of a drained data centre, is not ready and is handed no requests; what reaches it is served.

The loopback estate chooses free ports before it starts; once in some fifteen runs of the ctl tests another socket had taken one and the test failed with an address in use. It now starts again on other ports.

--- a/command/kinds_running.go
+++ b/command/kinds_running.go
@@ -52,6 +52,8 @@
 	switch {
 	case instance.Stopping:
 		return "stopping"
+	case instance.Drained:
+		return "drained"
 	case instance.Ready:
 		return "ready"
 	default:
--- a/ctl/estate_test.go
+++ b/ctl/estate_test.go
@@ -200,6 +200,25 @@
 	is.True(strings.Contains(operator.out.String(), "not yet on instance "+name))
 }
 
+// TestADrainedInstanceIsNotReady drains an instance and lifts it again.
+func TestADrainedInstanceIsNotReady(t *testing.T) {
+	is := is.New(t)
+	estate := startBavaria(t)
+	operator := newTerminal(estate, "betrieb")
+	name := estate.Entries[3].Dump(0).Instance
+	is.Equal(operator.Run(t.Context(), "drain instance "+name), ctl.ExitOK)
+	is.True(!estate.Entries[3].Ready())
+	is.True(estate.Entries[4].Ready())
+	operator.out.Reset()
+	is.Equal(operator.Run(t.Context(), "show instances where state = drained"), ctl.ExitOK)
+	is.True(strings.Contains(operator.out.String(), name))
+	calls := client.New(client.Options{Addresses: estate.CallerAddresses()[3:4], Key: "example-bavaria-aussendienst-franken"})
+	_, err := calls.Call(t.Context(), client.Call{Service: "bestand", Operation: "lookup", Body: []byte("{}")})
+	is.NoErr(err) // what still reaches it is served
+	is.Equal(operator.Run(t.Context(), "undrain instance "+name), ctl.ExitOK)
+	is.True(estate.Entries[3].Ready())
+}
+
 // TestLostAnswersOfThePlatform changes the estate while the platform applies
 // writes and loses their answers.
 func TestLostAnswersOfThePlatform(t *testing.T) {
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -176,6 +176,8 @@
 		state := "not ready"
 		if instance.Stopping {
 			state = "stopping"
+		} else if instance.Drained {
+			state = "drained"
 		} else if instance.Ready {
 			state = "ready"
 		}
--- a/dump/instance.go
+++ b/dump/instance.go
@@ -16,6 +16,8 @@
 	Time       time.Time `json:"time"`
 	Started    time.Time `json:"started"`
 	Ready      bool      `json:"ready"`
+	// Drained means that the instance or its data centre gets no new work.
+	Drained bool `json:"drained,omitempty"`
 	// Stopping means that a planned stop began; WaitingFor lists the requests
 	// that it waits for.
 	Stopping   bool     `json:"stopping,omitempty"`
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -15,6 +15,7 @@
 		Time:        time.Now(),
 		Started:     e.started,
 		Ready:       e.Ready(),
+		Drained:     e.drained(),
 		Stopping:    e.stopping.Load(),
 		InFlight:    e.callers.InFlight(),
 		Duties:      append(e.duties.Status(), e.serve.Status()...),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,12 +132,17 @@
 	e.operators = newOperators(e)
 }
 
-// overflowPeers returns the entry instances that may take requests over.
+// overflowPeers returns the entry instances that may take requests over: the
+// known ones that are not drained.
 func (e *Entry) overflowPeers() []decisionoverflow.Peer {
-	peers := make([]decisionoverflow.Peer, 0, len(e.settings.Seeds))
-	for _, seed := range e.settings.Seeds {
+	current := e.effective.Current()
+	var peers []decisionoverflow.Peer
+	for _, peer := range e.peers() {
+		if current != nil && current.DrainsInstance(peer.Instance, peer.DataCentre) {
+			continue
+		}
 		peers = append(peers, decisionoverflow.Peer{
-			Instance: seed.Instance, DataCentre: seed.DataCentre, Region: seed.Region, Address: seed.Callers,
+			Instance: peer.Instance, DataCentre: peer.DataCentre, Region: peer.Region, Address: peer.Callers,
 		})
 	}
 	return peers
@@ -209,9 +214,16 @@
 // Addresses returns the addresses the instance listens on.
 func (e *Entry) Addresses() Addresses { return e.addresses }
 
-// Ready reports whether the instance can serve.
+// Ready reports whether the instance can serve and is not drained.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.follower.Current() != nil && e.admitter.Ready()
+	return !e.stopping.Load() && e.follower.Current() != nil && e.admitter.Ready() && !e.drained()
+}
+
+// drained reports whether the instance or its data centre is drained: it still
+// serves what reaches it, and is not ready for more.
+func (e *Entry) drained() bool {
+	current := e.effective.Current()
+	return current != nil && current.DrainsInstance(e.settings.Instance, e.settings.DataCentre)
 }
 
 // Stop is a planned stop: the instance becomes unready, still serves for the
--- a/estate/lookup.go
+++ b/estate/lookup.go
@@ -41,6 +41,14 @@
 	return Model{}, false
 }
 
+// DrainsInstance reports whether an entry instance, or its data centre, is
+// drained.
+func (c *Configuration) DrainsInstance(instance, dataCentre string) bool {
+	return slices.ContainsFunc(c.Drains, func(drain Drain) bool {
+		return drain == Drain{DrainInstance, instance} || drain == Drain{DrainDataCentre, dataCentre}
+	})
+}
+
 // Region returns the region of a data centre, "" when it is unknown.
 func (c *Configuration) Region(dataCentre string) string {
 	for _, known := range c.DataCentres {
--- a/standin/loopback/estate.go
+++ b/standin/loopback/estate.go
@@ -185,7 +185,25 @@
 	return err
 }
 
+// startTries bounds the starts of the entry instances: between the choice of
+// free ports and their use, another process may take one.
+const startTries = 5
+
 func (e *Estate) startEntries() error {
+	for try := 1; ; try++ {
+		err := e.tryStartEntries()
+		if err == nil || try == startTries {
+			return err
+		}
+		for _, started := range e.Entries {
+			started.Abort()
+		}
+		e.Entries = nil
+	}
+}
+
+// tryStartEntries starts every entry instance on fresh ports.
+func (e *Estate) tryStartEntries() error {
 	if err := e.assignAddresses(e.settings); err != nil {
 		return err
 	}
