Join claims, limits, orders and operators with the membership

Cause: claims were committed by the instance that took the call, limits were divided equally, and candidates and peers came from the settings alone. Change: claims go to the home of their shard over drpc; limit reports are exchanged once a period between up to 17 instances, and a dead member counts until it has given its share up; candidates for the orders lease and the operators' peers are those of the membership. Conclusion: the period stays at 2 s, 500 ms in the loopback estate; demand over a shorter period is too noisy. More than 17 instances divide equally, because reports to every other instance would pass 8 KB/s.

--- /dev/null
+++ b/control/limits/counted.go
@@ -0,0 +1,76 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/membership"
+	"github.com/wisteriahaven/wisteriahaven/decision/share"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+// counted returns the other instances that count in a division: those of the
+// settings and of the membership, without those that died. An instance died
+// when its data centre still has a live one that is heard; a data centre that is
+// silent as a whole may be cut off, and its instances keep their shares.
+func (e *Exchange) counted(now time.Time) []settings.Peer {
+	view := e.members.View()
+	reachable := reachableDataCentres(view)
+	counted := make(map[string]settings.Peer)
+	if now.Sub(e.started) < joinPeriods*e.period {
+		for _, seed := range e.seeds {
+			counted[seed.Instance] = seed
+		}
+	}
+	for _, seed := range e.seeds {
+		if !reachable[seed.DataCentre] {
+			counted[seed.Instance] = seed
+		}
+	}
+	for _, record := range view.Members {
+		dead := e.noteHealth(record, now)
+		if !dead || !reachable[record.Peer.DataCentre] {
+			counted[record.Peer.Instance] = record.Peer
+			continue
+		}
+		delete(counted, record.Peer.Instance)
+	}
+	delete(counted, e.instance)
+	peers := make([]settings.Peer, 0, len(counted))
+	for _, peer := range counted {
+		peers = append(peers, peer)
+	}
+	slices.SortFunc(peers, func(a, b settings.Peer) int { return cmp.Compare(a.Instance, b.Instance) })
+	return peers
+}
+
+// noteHealth reports whether a member is dead for so long that, should it only
+// have paused, it has given its share up.
+func (e *Exchange) noteHealth(record membership.Record, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	name := record.Peer.Instance
+	if record.Health != membership.Dead {
+		delete(e.deadSince, name)
+		return false
+	}
+	since, known := e.deadSince[name]
+	if !known {
+		e.deadSince[name] = now
+		return false
+	}
+	return now.Sub(since) > share.DefaultConfig(e.period).Pause
+}
+
+// reachableDataCentres returns the data centres with a live instance, this
+// instance's own among them.
+func reachableDataCentres(view *membership.Snapshot) map[string]bool {
+	reachable := map[string]bool{view.Self.Peer.DataCentre: true}
+	for _, record := range view.Members {
+		if record.Health == membership.Alive {
+			reachable[record.Peer.DataCentre] = true
+		}
+	}
+	return reachable
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -108,6 +108,9 @@
 	e.duties.Go("membership", c.members.Run)
 	e.duties.Go("instance list", c.list.Run)
 	e.duties.Go("peer connections", c.sweep)
+	if e.limits != nil {
+		e.duties.Go("limit reports", e.limits.Run)
+	}
 	e.serve.Go("peers", c.server.Serve)
 }
 
@@ -153,6 +156,8 @@
 func (e *Entry) peerHandlers() peer.Handlers {
 	return peer.Handlers{
 		Configuration: e.follower.Reply,
+		CommitClaims:  e.commitClaims,
+		Limits:        e.receiveLimits,
 		Dump: func(context.Context) ([]byte, error) {
 			return encoded(e.Dump(operatorapi.DefaultDecisions))
 		},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/control/configuration"
+	"github.com/wisteriahaven/wisteriahaven/control/limits"
 	"github.com/wisteriahaven/wisteriahaven/control/orders"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
@@ -53,7 +54,9 @@
 	recorder *explain.Recorder
 	router   *routing.Router
 	admitter *admission.Controller
-	callers  *caller.Server
+	// limits is nil when limits are divided equally.
+	limits  *limits.Exchange
+	callers *caller.Server
 	// invalid is the error of settings that can't be used.
 	invalid   error
 	generator *generation.Generator
@@ -117,6 +120,8 @@
 		Guard:         requestGuard,
 		Services:      service.NewClient(),
 		Store:         e.store,
+		Instances:     links{e},
+		Forwarder:     links{e}.forwarder(),
 		Logger:        e.logger,
 		Call:          decision.DefaultSettings(),
 		Claim:         claim.DefaultSettings(),
@@ -159,7 +164,8 @@
 		}
 	}
 	e.router.SetInstances(len(others) + 1)
-	e.admitter = admission.New(e.follower, e.router, nil, admission.Options{
+	e.limits = e.newLimitExchange()
+	e.admitter = admission.New(e.follower, e.router, e.limitExchange(), admission.Options{
 		Instance:   e.settings.Instance,
 		DataCentre: e.settings.DataCentre,
 		Others:     others,
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/control/orders"
 	"github.com/wisteriahaven/wisteriahaven/decision/lease"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/orders"
-	"github.com/wisteriahaven/wisteriahaven/rendezvous"
 	"github.com/wisteriahaven/wisteriahaven/transport/engine"
 )
 
@@ -33,15 +31,3 @@
 		Observe:       orders.DefaultObserve,
 	})
 }
-
-// ordersCandidate reports whether this instance tries for the orders lease.
-func (e *Entry) ordersCandidate() bool {
-	names := []string{e.settings.Instance}
-	for _, peer := range e.settings.Seeds {
-		if peer.DataCentre == e.settings.DataCentre {
-			names = append(names, peer.Instance)
-		}
-	}
-	top := rendezvous.Top("orders/"+e.settings.DataCentre, names, ordersCandidates)
-	return slices.Contains(top, e.settings.Instance)
-}
--- a/experiment/survival/run.go
+++ b/experiment/survival/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -68,6 +69,17 @@
 	return total
 }
 
+// refusals counts the calls without an answer by code.
+func refusals(report *load.Report) map[fault.Code]int {
+	counts := make(map[fault.Code]int)
+	for _, outcome := range report.Calls {
+		if !outcome.Answered {
+			counts[outcome.Code]++
+		}
+	}
+	return counts
+}
+
 // describe builds the report. Its targets are the users' promises: no answer
 // is lost or wrong, no key runs twice, and not-run is true.
 func describe(options experiment.Options, broken *breaker, report *load.Report, runs map[string]int) experiment.Report {
@@ -93,8 +105,11 @@
 		failed += count
 	}
 	settings := settingsUsed()
-	for _, fault := range broken.broken {
-		settings = append(settings, experiment.Setting{Name: "fault", Value: fault})
+	for _, happened := range broken.broken {
+		settings = append(settings, experiment.Setting{Name: "fault", Value: happened})
+	}
+	for code, count := range refusals(report) {
+		settings = append(settings, experiment.Setting{Name: "calls refused with", Value: string(code) + ": " + strconv.Itoa(count)})
 	}
 	gap := float64(report.LongestGap.Max()) / float64(time.Second/time.Microsecond)
 	return experiment.Report{
--- a/experiment/survival/settings.go
+++ b/experiment/survival/settings.go
@@ -10,7 +10,7 @@
 // The estate and its load.
 const (
 	directory  = "examples/bavaria"
-	account    = "rueckruf-leitstelle"
+	account    = "aussendienst-oberbayern"
 	model      = "auskunft"
 	service    = "bestand"
 	operation  = "recall-hold"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,6 +101,9 @@
 	Gossip     estate.Duration `json:"gossip,omitzero"`
 	LoadReport estate.Duration `json:"load_report,omitzero"`
 	KeepAlive  estate.Duration `json:"keep_alive,omitzero"`
+	// Limits is the period in which instances exchange reports that divide the
+	// limits of client accounts; an instance is ready after four of them.
+	Limits estate.Duration `json:"limits,omitzero"`
 	// Unready is the time between becoming unready and closing the listeners
 	// in a planned stop, so that the balancer notices first.
 	Unready estate.Duration `json:"unready,omitzero"`
--- a/standin/loopback/addresses.go
+++ b/standin/loopback/addresses.go
@@ -3,12 +3,18 @@
 import (
 	"io"
 	"net"
+	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/platform"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
-const anyPort = "127.0.0.1:0"
+const (
+	anyPort = "127.0.0.1:0"
+	// limitPeriod keeps the start of an estate short.
+	limitPeriod = 500 * time.Millisecond
+)
 
 // assignAddresses gives every instance free ports and joins them as seeds. The
 // ports are reserved together and released just before the instances start.
@@ -69,6 +75,7 @@
 				all[i].Seeds = append(all[i].Seeds, peer)
 			}
 		}
+		all[i].Intervals.Limits = estate.Duration(limitPeriod)
 		all[i].Platform.ObjectAPI = e.ObjectAPI.URL()
 		all[i].Platform.InstanceList = e.InstanceList.URL()
 		all[i].Platform.WeightStore = e.WeightStore.URL()
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -89,6 +89,14 @@
 	return reply.GetPayload(), err
 }
 
+// Limits sends this instance's reports about the limits of client accounts.
+func (c *Client) Limits(ctx context.Context, address string, request *peerpb.LimitsRequest) error {
+	return c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) error {
+		_, err := peer.Limits(ctx, request)
+		return err
+	})
+}
+
 // Dump returns the state of the peer as JSON.
 func (c *Client) Dump(ctx context.Context, address string) ([]byte, error) {
 	var reply *peerpb.DumpReply
--- a/transport/peer/handlers.go
+++ b/transport/peer/handlers.go
@@ -23,6 +23,8 @@
 	// CommitClaims takes a batch of claims for a shard. The payloads belong to
 	// the caller and the handler alone.
 	CommitClaims func(ctx context.Context, shard uint32, payload []byte) ([]byte, error)
+	// Limits takes another instance's reports about limits.
+	Limits func(request *peerpb.LimitsRequest)
 	// Dump returns the instance's state as JSON.
 	Dump func(ctx context.Context) ([]byte, error)
 	// Explain returns the decisions about a subject as JSON.
@@ -52,6 +54,15 @@
 	return &peerpb.ClaimsReply{Payload: payload}, coded(err)
 }
 
+// Limits implements peerpb.DRPCPeerServer.
+func (s service) Limits(_ context.Context, request *peerpb.LimitsRequest) (*peerpb.LimitsReply, error) {
+	if s.handlers.Limits == nil {
+		return nil, unhandled()
+	}
+	s.handlers.Limits(request)
+	return &peerpb.LimitsReply{}, nil
+}
+
 // Dump implements peerpb.DRPCPeerServer.
 func (s service) Dump(ctx context.Context, _ *peerpb.DumpRequest) (*peerpb.DumpReply, error) {
 	if s.handlers.Dump == nil {
