Let an estate on loopback choose the period of limit reports

Cause: a period of 500 ms made every start 2 s long and the tests of package entry 64 s. Change: the period is an option, 150 ms by default and 500 ms in survival.

--- a/experiment/survival/run.go
+++ b/experiment/survival/run.go
@@ -25,9 +25,10 @@
 
 func run(ctx context.Context, options experiment.Options) (experiment.Report, error) {
 	estate, err := loopback.Start(loopback.Options{
-		Directory: directory,
-		Engine:    engine.Settings{TokenTime: tokenTime},
-		Logger:    zerolog.Nop(),
+		Directory:   directory,
+		Engine:      engine.Settings{TokenTime: tokenTime},
+		LimitPeriod: limitPeriod,
+		Logger:      zerolog.Nop(),
 	})
 	if err != nil {
 		return experiment.Report{}, err
--- a/experiment/survival/settings.go
+++ b/experiment/survival/settings.go
@@ -19,6 +19,8 @@
 	rate       = 8.0
 	callRate   = 8.0
 	loadLength = 20 * time.Second
+	// limitPeriod is the period in which instances exchange limit reports.
+	limitPeriod = 500 * time.Millisecond
 	// faultGap is the time between two faults.
 	faultGap = 2500 * time.Millisecond
 	// outageLength is how long the platform is away.
@@ -33,6 +35,7 @@
 		{Name: "time a token", Value: tokenTime.String()},
 		{Name: "calls a second", Value: strconv.FormatFloat(callRate, 'g', -1, 64)},
 		{Name: "load", Value: loadLength.String()},
+		{Name: "exchange of limit reports", Value: limitPeriod.String()},
 		{Name: "time between faults", Value: faultGap.String()},
 		{Name: "platform outage", Value: outageLength.String()},
 	}
--- a/standin/loopback/addresses.go
+++ b/standin/loopback/addresses.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"time"
@@ -12,8 +13,8 @@
 
 const (
 	anyPort = "127.0.0.1:0"
-	// limitPeriod keeps the start of an estate short.
-	limitPeriod = 500 * time.Millisecond
+	// defaultLimitPeriod keeps the start of an estate short.
+	defaultLimitPeriod = 150 * time.Millisecond
 )
 
 // assignAddresses gives every instance free ports and joins them as seeds. The
@@ -75,7 +76,7 @@
 				all[i].Seeds = append(all[i].Seeds, peer)
 			}
 		}
-		all[i].Intervals.Limits = estate.Duration(limitPeriod)
+		all[i].Intervals.Limits = estate.Duration(cmp.Or(e.options.LimitPeriod, defaultLimitPeriod))
 		all[i].Platform.ObjectAPI = e.ObjectAPI.URL()
 		all[i].Platform.InstanceList = e.InstanceList.URL()
 		all[i].Platform.WeightStore = e.WeightStore.URL()
--- a/standin/loopback/options.go
+++ b/standin/loopback/options.go
@@ -21,6 +21,9 @@
 	// from the estate. A Salt makes each engine's answers differ from those of
 	// the others.
 	Engine engine.Settings
+	// LimitPeriod is the instances' period of exchanging limit reports; an
+	// instance is ready after four of them. Short ones divide limits badly.
+	LimitPeriod time.Duration
 	// InstanceListLag is how late the platform's list is.
 	InstanceListLag time.Duration
 	// Logger is used by the entry instances.
