--- a/decision/membership/commands.go
+++ b/decision/membership/commands.go
@@ -86,3 +86,10 @@
 	t.newsRounds = t.config.NewsRounds
 	out.Changes = append(out.Changes, Change{Kind: ChangeHealth, Record: t.self})
 }
+
+// apply merges the records that another instance knows.
+func (in Introduced) apply(t *Table, now time.Time, out *Output) {
+	for _, record := range in.Records {
+		t.mergeRecord(record, now, out)
+	}
+}
--- a/decision/membership/input.go
+++ b/decision/membership/input.go
@@ -46,3 +46,9 @@
 
 // Leave says that this instance takes no new work from now on.
 type Leave struct{}
+
+// Introduced is another instance's answer to the question whom it knows. It
+// came over a connection whose other end proved itself just now.
+type Introduced struct {
+	Records []Record
+}
--- a/decision/membership/order_test.go
+++ b/decision/membership/order_test.go
@@ -75,3 +75,13 @@
 	record, _ = f.view("a-entry-0").Record("a-entry-1")
 	is.True(record.Health != membership.Dead)
 }
+
+func TestIntroducedInstancesAreTakenInUnlessTheyAreOld(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(25, map[string]int{"a": 2}, []string{"a"})
+	f.run(15 * time.Second)
+	fresh := membership.Record{Peer: peerOf("a", 7), Incarnation: 1, Age: time.Second}
+	old := membership.Record{Peer: peerOf("a", 8), Incarnation: 1, Age: membership.DefaultForgetAfter}
+	f.step(f.nodes["a-entry-0"], membership.Introduced{Records: []membership.Record{fresh, old}})
+	is.Equal(f.view("a-entry-0").Live("a"), []string{"a-entry-0", "a-entry-1", "a-entry-7"})
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -107,6 +107,7 @@
 	c := e.control
 	e.duties.Go("membership", c.members.Run)
 	e.duties.Go("instance list", c.list.Run)
+	e.duties.Go("introductions", membership.NewIntroducer(c.members, c.client).Run)
 	e.duties.Go("peer connections", c.sweep)
 	if e.limits != nil {
 		e.duties.Go("limit reports", e.limits.Run)
@@ -158,6 +159,7 @@
 		Configuration: e.follower.Reply,
 		CommitClaims:  e.commitClaims,
 		Limits:        e.receiveLimits,
+		Members:       func(ctx context.Context) ([]byte, error) { return e.control.members.Known(ctx) },
 		Dump: func(context.Context) ([]byte, error) {
 			return encoded(e.Dump(operatorapi.DefaultDecisions))
 		},
--- a/experiment/slopes/exchange.go
+++ b/experiment/slopes/exchange.go
@@ -25,6 +25,9 @@
 	joinLimit     = 120 * time.Second
 	demandPeriod  = time.Second
 	seedInstances = 3
+	// firstPeersPort numbers the instances in their peers' addresses, where
+	// nobody listens.
+	firstPeersPort = 20_000
 	// changePeriod is the time between changes of the configuration: 6,100 a
 	// day.
 	changePeriod = 14 * time.Second
@@ -106,15 +109,28 @@
 		fleet.services = append(fleet.services, service)
 		fleet.duties.Go("membership", service.Run)
 	}
+	for _, service := range fleet.services {
+		fleet.duties.Go("introductions", membership.NewIntroducer(service, fleet).Run)
+	}
 	return fleet, nil
 }
 
+// Members implements membership.Introductions within the process.
+func (f *exchangeFleet) Members(ctx context.Context, address string) ([]byte, error) {
+	for _, service := range f.services {
+		if service.View().Self.Peer.Peers == address {
+			return service.Known(ctx)
+		}
+	}
+	return nil, fault.New(fault.PeerUnreachable, "no such instance")
+}
+
 func exchangePeer(index int) settings.Peer {
 	return settings.Peer{
 		Instance:   fmt.Sprintf("%s-entry-%03d", exchangeDataCentre, index),
 		DataCentre: exchangeDataCentre,
 		Region:     exchangeRegion,
-		Peers:      "127.0.0.1:7402",
+		Peers:      fmt.Sprintf("127.0.0.1:%d", firstPeersPort+index),
 		Callers:    "127.0.0.1:7403",
 		Operators:  "127.0.0.1:7404",
 	}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -78,6 +78,16 @@
 	return reply, err
 }
 
+// Members returns the instances that the peer knows, for gossip.DecodeRecords.
+func (c *Client) Members(ctx context.Context, address string) ([]byte, error) {
+	var reply *peerpb.MembersReply
+	err := c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (err error) {
+		reply, err = peer.Members(ctx, &peerpb.MembersRequest{})
+		return err
+	})
+	return reply.GetRecords(), err
+}
+
 // CommitClaims sends a batch of claims to the home of their shard. After
 // PeerUnreachable the batch may have been committed.
 func (c *Client) CommitClaims(ctx context.Context, address string, shard uint32, payload []byte) ([]byte, error) {
--- a/transport/peer/handlers.go
+++ b/transport/peer/handlers.go
@@ -20,6 +20,8 @@
 // NotFound.
 type Handlers struct {
 	Configuration func(ctx context.Context, request *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error)
+	// Members returns the known instances as gossip.EncodeRecords writes them.
+	Members func(ctx context.Context) ([]byte, error)
 	// CommitClaims takes a batch of claims for a shard. The payloads belong to
 	// the caller and the handler alone.
 	CommitClaims func(ctx context.Context, shard uint32, payload []byte) ([]byte, error)
@@ -45,6 +47,15 @@
 	return reply, coded(err)
 }
 
+// Members implements peerpb.DRPCPeerServer.
+func (s service) Members(ctx context.Context, _ *peerpb.MembersRequest) (*peerpb.MembersReply, error) {
+	if s.handlers.Members == nil {
+		return nil, unhandled()
+	}
+	records, err := s.handlers.Members(ctx)
+	return &peerpb.MembersReply{Records: records}, coded(err)
+}
+
 // CommitClaims implements peerpb.DRPCPeerServer.
 func (s service) CommitClaims(ctx context.Context, request *peerpb.ClaimsRequest) (*peerpb.ClaimsReply, error) {
 	if s.handlers.CommitClaims == nil {
