--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -100,8 +100,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := t.engine.Stop(ctx); err != nil {
-		return fault.Wrap(fault.Internal, "gossip", "stop the event loop", err)
+	ended := make(chan error, 1)
+	go func() { ended <- t.engine.Stop(ctx) }()
+	select {
+	case <-t.stopped:
+		// The library would look for its own end only every half second.
+		cancel()
+		<-ended
+		return nil
+	case err := <-ended:
+		if err != nil {
+			return fault.Wrap(fault.Internal, "gossip", "stop the event loop", err)
+		}
 	}
 	<-t.stopped
 	return nil
