--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -100,18 +100,22 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	ended := make(chan error, 1)
-	go func() { ended <- t.engine.Stop(ctx) }()
+	ended := make(chan struct{})
+	var failure error
+	go func() {
+		defer close(ended)
+		failure = t.engine.Stop(ctx)
+	}()
 	select {
 	case <-t.stopped:
 		// The library would look for its own end only every half second.
 		cancel()
 		<-ended
 		return nil
-	case err := <-ended:
-		if err != nil {
-			return fault.Wrap(fault.Internal, "gossip", "stop the event loop", err)
-		}
+	case <-ended:
+	}
+	if failure != nil {
+		return fault.Wrap(fault.Internal, "gossip", "stop the event loop", failure)
 	}
 	<-t.stopped
 	return nil
