Send limit reports to instances that are not known to live yet

Cause: reports went only to members that the digests had already found, so instances that started together settled no share within four periods, and an instance refused the first request of an account. Conclusion: shares settle while the membership still converges.

--- a/control/limits/exchange.go
+++ b/control/limits/exchange.go
@@ -22,6 +22,9 @@
 	// maxAccounts bounds the accounts in one message.
 	maxAccounts     = 64
 	sendConcurrency = 8
+	// sendPart is the time between two reports in quarters of the period: a
+	// report must be heard in every period although timers and links vary.
+	sendPart = 3
 	// joinPeriods is how many periods a listed instance that was never seen
 	// counts.
 	joinPeriods = 10
@@ -136,7 +139,7 @@
 
 // Run sends the reports until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(e.period)
+	ticker := time.NewTicker(e.period * sendPart / 4)
 	defer ticker.Stop()
 	for {
 		select {
@@ -148,7 +151,8 @@
 	}
 }
 
-// send sends the newest reports to every live peer.
+// send sends the newest reports to every instance that counts, known to live or
+// not, so that instances that start together hear each other at once.
 func (e *Exchange) send(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, e.period/2)
 	defer cancel()
@@ -156,13 +160,13 @@
 	slots := make(chan struct{}, sendConcurrency)
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for _, record := range e.members.View().Members {
-		if !record.Live() || record.Peer.Peers == "" {
+	for _, peer := range e.counted(time.Now()) {
+		if peer.Peers == "" {
 			continue
 		}
 		slots <- struct{}{}
 		wait.Go(func() {
-			_ = e.transport.Limits(ctx, record.Peer.Peers, request)
+			_ = e.transport.Limits(ctx, peer.Peers, request)
 			<-slots
 		})
 	}
