Divide request rates by the minute

Cause: shares are whole units, and 5 requests a second over 9 instances left four without any; a caller that goes round the instances was refused again and again. Change: request rates are divided in requests a minute and each bucket holds at least one request.

--- a/decision/admission/account.go
+++ b/decision/admission/account.go
@@ -37,7 +37,7 @@
 // roll closes an exchange period and returns the demand of the last two.
 func (a *account) roll(period time.Duration) share.Amounts {
 	ended := a.present
-	ended[share.RequestsPerSecond] = perSecond(ended[share.RequestsPerSecond], period)
+	ended[share.RequestsPerSecond] = perSecond(share.RequestRateUnit*ended[share.RequestsPerSecond], period)
 	ended[share.TokensPerSecond] = perSecond(ended[share.TokensPerSecond], period)
 	demand := ended
 	for kind := range demand {
--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -9,22 +9,23 @@
 	known bool
 }
 
-// fill adds what the rate brings up to the burst of one second.
-func (b *bucket) fill(now time.Duration, rate int) {
-	burst := float64(rate)
+// fill adds what the rate a second brings, up to the burst of one second and
+// at least one request.
+func (b *bucket) fill(now time.Duration, rate float64) {
+	burst := max(1, rate)
 	if !b.known {
 		b.known, b.level, b.at = true, burst, now
 		return
 	}
-	b.level = min(burst, b.level+float64(rate)*(now-b.at).Seconds())
+	b.level = min(burst, b.level+rate*(now-b.at).Seconds())
 	b.at = now
 }
 
 // until returns the time until the level reaches the amount.
-func (b *bucket) until(amount float64, rate int) time.Duration {
+func (b *bucket) until(amount, rate float64) time.Duration {
 	missing := amount - b.level
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / float64(rate) * float64(time.Second))
+	return time.Duration(missing / rate * float64(time.Second))
 }
--- a/decision/admission/controller_test.go
+++ b/decision/admission/controller_test.go
@@ -28,7 +28,7 @@
 		c := newController()
 		now := time.Duration(0)
 		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
-		share3 := share.Amounts{1000, 3, 0, 0}
+		share3 := share.Amounts{1000 * share.RequestRateUnit, 3, 0, 0}
 		accounts := []estate.ClientAccount{
 			{Name: "limited", Weight: 1, Limits: estate.AccountLimits{RequestsPerSecond: 1000, RequestsInFlight: 3}},
 			{Name: "free", Weight: 2},
@@ -95,9 +95,9 @@
 	is := is.New(t)
 	c := newController()
 	c.SetCapacity(0, "s", 1000)
-	rate := share.Amounts{5, 0, 0, 0}
+	rate := share.Amounts{5 * share.RequestRateUnit, 0, 0, 0}
 	account := estate.ClientAccount{Name: "a", Limits: estate.AccountLimits{RequestsPerSecond: 50}}
-	c.SetShares("a", share.Amounts{50, 0, 0, 0}, rate)
+	c.SetShares("a", share.Amounts{50 * share.RequestRateUnit, 0, 0, 0}, rate)
 	admitted := 0
 	for i := range 1000 {
 		now := time.Duration(i) * 10 * time.Millisecond
@@ -149,7 +149,32 @@
 	for i := range 6 {
 		c.Arrive(0, admission.Arrival{ID: fmt.Sprint(i), Account: account, Service: "s"})
 	}
-	is.Equal(c.Demand("a", 500*time.Millisecond), share.Amounts{12, 1, 0, 0})
+	is.Equal(c.Demand("a", 500*time.Millisecond), share.Amounts{12 * share.RequestRateUnit, 1, 0, 0})
 	c.Demand("a", 500*time.Millisecond)
 	is.Equal(c.Demand("a", 500*time.Millisecond), share.Amounts{}) // forgotten after two periods
 }
+
+func TestSmallRateIsServedByEveryInstance(t *testing.T) {
+	is := is.New(t)
+	account := estate.ClientAccount{Name: "a", Limits: estate.AccountLimits{RequestsPerSecond: 5}}
+	limits := share.LimitsOf(account.Limits)
+	admitted := 0
+	others := make([]string, 8)
+	for i := range 9 {
+		c := newController()
+		c.SetCapacity(0, "s", 10)
+		shares := limits
+		shares[share.RequestsPerSecond] = share.Equal("key", limits[share.RequestsPerSecond], fmt.Sprint(i), others)
+		c.SetShares("a", limits, shares)
+		own := 0
+		for at := time.Duration(0); at < time.Minute; at += 100 * time.Millisecond {
+			if c.Arrive(at, admission.Arrival{ID: at.String(), Account: account, Service: "s", Deadline: time.Hour})[0].Refusal == nil {
+				c.Release(at, at.String())
+				own++
+			}
+		}
+		is.True(own >= 25) // a ninth of 5 a second
+		admitted += own
+	}
+	is.True(admitted <= 5*60+9+9) // the rate, and at most one request of burst and rounding each
+}
--- a/decision/admission/limit.go
+++ b/decision/admission/limit.go
@@ -33,12 +33,13 @@
 	}
 	switch kind {
 	case share.RequestsPerSecond:
-		a.requestRate.fill(now, own)
-		wait := a.requestRate.until(1, own)
+		rate := float64(own) / share.RequestRateUnit
+		a.requestRate.fill(now, rate)
+		wait := a.requestRate.until(1, rate)
 		return wait, wait > 0
 	case share.TokensPerSecond:
-		a.tokenRate.fill(now, own)
-		wait := a.tokenRate.until(0, own)
+		a.tokenRate.fill(now, float64(own))
+		wait := a.tokenRate.until(0, float64(own))
 		return wait, wait > 0
 	case share.RequestsInFlight:
 		return c.service(arrival.Service).mean / time.Duration(own), a.requests >= own
--- a/decision/share/kind.go
+++ b/decision/share/kind.go
@@ -5,8 +5,14 @@
 // Kind is one of the limits of a client account.
 type Kind int
 
+// RequestRateUnit is the number of units of RequestsPerSecond in one request a
+// second: shares are whole numbers, and a small rate has to be divisible
+// between many instances.
+const RequestRateUnit = 60
+
 // The limits of a client account.
 const (
+	// RequestsPerSecond is counted in requests a minute.
 	RequestsPerSecond Kind = iota
 	RequestsInFlight
 	TokensPerSecond
@@ -26,5 +32,5 @@
 
 // LimitsOf returns the limits of an account; zero means no limit.
 func LimitsOf(limits estate.AccountLimits) Amounts {
-	return Amounts{limits.RequestsPerSecond, limits.RequestsInFlight, limits.TokensPerSecond, limits.TokensInFlight}
+	return Amounts{limits.RequestsPerSecond * RequestRateUnit, limits.RequestsInFlight, limits.TokensPerSecond, limits.TokensInFlight}
 }
