Send reports of limits when they are made; count all live instances

Cause: reports were sent by a timer of their own, up to a period after the state they tell, and a call may take half a period more; the division assumes at most one period. Backend servers are shared by the instances of all data centres, while their capacity was divided by those of the own one. Change: a publication is sent at once; every known live instance counts.

--- a/control/limits/exchange.go
+++ b/control/limits/exchange.go
@@ -22,9 +22,6 @@
 	// maxAccounts bounds the accounts in one message.
 	maxAccounts     = 64
 	sendConcurrency = 8
-	// sendPart is the time between two reports in quarters of the period: a
-	// report must be heard in every period although timers and links vary.
-	sendPart = 3
 	// joinPeriods is how many periods a listed instance that was never seen
 	// counts.
 	joinPeriods = 10
@@ -51,7 +48,9 @@
 
 	mu      sync.Mutex
 	reports []share.AccountReport
-	heard   map[string]heard
+	// news wakes the sender after a publication.
+	news  chan struct{}
+	heard map[string]heard
 	// deadSince is when a member was first seen dead.
 	deadSince map[string]time.Time
 }
@@ -75,6 +74,7 @@
 		transport: transport,
 		members:   members,
 		started:   time.Now(),
+		news:      make(chan struct{}, 1),
 		heard:     make(map[string]heard),
 		deadSince: make(map[string]time.Time),
 	}
@@ -88,6 +88,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reports = reports[:min(len(reports), maxAccounts)]
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
 }
 
 // Receive takes the reports of another instance.
@@ -137,15 +141,15 @@
 	}
 }
 
-// Run sends the reports until the context ends.
+// Run sends each publication at once until the context ends. Sent later, a
+// report could arrive more than a period after the state that it tells, and two
+// instances could settle the same part of a limit.
 func (e *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(e.period * sendPart / 4)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-e.news:
 			e.send(ctx)
 		}
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -150,7 +150,19 @@
 	}
 	e.router.SetLeaving(leaving)
 	e.hearMarks(view)
-	e.router.SetInstances(max(1, len(view.Live(e.settings.DataCentre))))
+	e.router.SetInstances(liveInstances(view))
+}
+
+// liveInstances counts the known live instances of all data centres, which
+// share the backend servers, this one included.
+func liveInstances(view *decision.Snapshot) int {
+	count := 1
+	for _, record := range view.Members {
+		if record.Live() {
+			count++
+		}
+	}
+	return count
 }
 
 // peerHandlers answers the calls of other instances.
