--- a/control/membership/list_reader.go
+++ b/control/membership/list_reader.go
@@ -23,7 +23,9 @@
 	// listMarkLifetime is how long a leaving mark from the list holds; it is
 	// renewed while the list shows the server as leaving.
 	listMarkLifetime = 5 * time.Minute
-	roleEntry        = "entry"
+	// listReason tells marks from the list from others.
+	listReason = "instance list"
+	roleEntry  = "entry"
 )
 
 // InstanceList reads the platform's instance list.
@@ -88,6 +90,8 @@
 			})
 		case instance.State == platform.InstanceLeaving && instance.DataCentre == own.DataCentre:
 			r.markLeaving(instance.Name)
+		case instance.DataCentre == own.DataCentre:
+			r.withdraw(instance.Name)
 		}
 	}
 	r.service.SetListed(peers)
@@ -100,5 +104,14 @@
 	if r.service.View().Marked(decision.NoticeBackendServer, name, now.Add(listMarkLifetime/2)) {
 		return
 	}
-	r.service.MarkLeaving(decision.NoticeBackendServer, name, "instance list", now.Add(listMarkLifetime), false)
+	r.service.MarkLeaving(decision.NoticeBackendServer, name, listReason, now.Add(listMarkLifetime), false)
+}
+
+// withdraw ends a mark that came from the list, once the list shows the server
+// as live again. Marks of operators and servers stay.
+func (r *ListReader) withdraw(name string) {
+	notice, marked := r.service.View().Notice(decision.NoticeBackendServer, name)
+	if marked && notice.Reason == listReason {
+		r.service.Withdraw(decision.NoticeBackendServer, name, notice.Expires, notice.Local)
+	}
 }
--- a/decision/membership/snapshot.go
+++ b/decision/membership/snapshot.go
@@ -100,6 +100,12 @@
 	return ok && notice.Active(now)
 }
 
+// Notice returns the leaving mark or quarantine in force on a subject.
+func (s *Snapshot) Notice(kind NoticeKind, name string) (Notice, bool) {
+	notice, ok := s.marks[NoticeKey{Kind: kind, Name: name}]
+	return notice, ok
+}
+
 // Quarantines returns the quarantines in force in the order of their names.
 func (s *Snapshot) Quarantines() []Notice {
 	var list []Notice
