--- a/entry/control.go
+++ b/entry/control.go
@@ -71,6 +71,7 @@
 			Self:        e.self(c.server.Address()),
 			Incarnation: uint64(e.started.UnixMilli()),
 			Seeds:       e.settings.Seeds,
+			Period:      e.settings.Intervals.Gossip.Std(),
 		},
 		Listen: e.settings.Listen.Gossip,
 		Codec:  gossip.NewCodec(ring),
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -16,7 +16,7 @@
 	DefaultIdleTimeout     = estate.Duration(60 * time.Second)
 	DefaultRequestsQueued  = 1024
 	DefaultRetainedBytes   = 16 << 20
-	DefaultGossip          = estate.Duration(500 * time.Millisecond)
+	DefaultGossip          = estate.Duration(time.Second)
 	DefaultLoadReport      = estate.Duration(200 * time.Millisecond)
 	DefaultKeepAlive       = estate.Duration(5 * time.Second)
 )
