--- a/decision/membership/fill.go
+++ b/decision/membership/fill.go
@@ -95,9 +95,8 @@
 }
 
 func (t *Table) recordCandidate(entry *memberEntry, now time.Time) candidate {
-	record := t.aged(entry, now)
-	return candidate{spread: &entry.spread, size: recordSize(record), add: func(d *Digest) {
-		d.Records = append(d.Records, record)
+	return candidate{spread: &entry.spread, size: recordSize(entry.record), add: func(d *Digest) {
+		d.Records = append(d.Records, t.aged(entry, now))
 	}}
 }
 
