Be ready only once the shares of the limits are there

Cause: four exchange periods after the start an instance called itself ready while its shares were still 0, and refused the first request of every client account with a limit. Change: ready waits until every limit that is large enough for all instances has a share here, ten periods at most.

--- a/serving/admission/shares.go
+++ b/serving/admission/shares.go
@@ -10,8 +10,14 @@
 // tick is how often deadlines and capacities are looked at.
 const tick = 100 * time.Millisecond
 
-// readyPeriods is the number of exchange periods until the first shares.
-const readyPeriods = 4
+const (
+	// readyPeriods is the least number of exchange periods until the first
+	// shares.
+	readyPeriods = 4
+	// maxReadyPeriods bounds the wait for shares that can't settle, such as
+	// with a peer that is never heard.
+	maxReadyPeriods = 10
+)
 
 // Run keeps deadlines, capacities and shares up to date until the context
 // ends.
@@ -92,13 +98,27 @@
 	for _, account := range accounts {
 		c.setShares(account, c.book.Shares(account.Name), len(peers))
 	}
+	settled := c.hasShares(accounts, len(peers)+1)
 	c.mu.Unlock()
 	c.exchange.Publish(reports)
-	if c.now() >= readyPeriods*period {
+	if c.now() >= maxReadyPeriods*period || (settled && c.now() >= readyPeriods*period) {
 		c.ready.Store(true)
 	}
 }
 
+// hasShares reports whether this instance has a share of every limit that is
+// large enough for all instances.
+func (c *Controller) hasShares(accounts []share.Account, instances int) bool {
+	for _, account := range accounts {
+		for kind, amount := range c.book.Shares(account.Name) {
+			if account.Limits[kind] >= instances && amount == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (c *Controller) peers() []share.PeerReports {
 	listed := c.exchange.LimitPeers()
 	peers := make([]share.PeerReports, 0, len(listed))
