--- /dev/null
+++ b/decision/quarantine/report.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// Suspect is a request that was in flight on a server when it ended.
+type Suspect struct {
+	Fingerprint serving.Fingerprint `json:"fingerprint"`
+	// Age is how long it had run there.
+	Age time.Duration `json:"age"`
+}
+
+// Report is one instance's view of a server's death.
+type Report struct {
+	Instance string    `json:"instance"`
+	Server   string    `json:"server"`
+	At       time.Time `json:"at"`
+	Suspects []Suspect `json:"suspects"`
+	// Truncated means that more suspects were in flight than are listed.
+	Truncated bool `json:"truncated,omitempty"`
+}
+
+// Clearance says that a request ran to a harmless end.
+type Clearance struct {
+	Fingerprint serving.Fingerprint `json:"fingerprint"`
+	At          time.Time           `json:"at"`
+	// Ran is how long it ran.
+	Ran time.Duration `json:"ran"`
+}
+
+// Quarantine is a refused request.
+type Quarantine struct {
+	Fingerprint serving.Fingerprint `json:"fingerprint"`
+	Since       time.Time           `json:"since"`
+	// Released means that an operator ended the quarantine at Since.
+	Released bool `json:"released,omitempty"`
+	// Servers are the servers that the request ended.
+	Servers []string `json:"servers,omitempty"`
+}
+
+// Digest is what books tell each other.
+type Digest struct {
+	Reports     []Report     `json:"reports,omitempty"`
+	Clearances  []Clearance  `json:"clearances,omitempty"`
+	Quarantines []Quarantine `json:"quarantines,omitempty"`
+	// Running are the suspects in flight at the sender itself.
+	Running []serving.Fingerprint `json:"running,omitempty"`
+}
--- /dev/null
+++ b/decision/quarantine/settings.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import "time"
+
+// Settings are the policy of a Book.
+type Settings struct {
+	// SoleDeaths is the number of deaths as the only suspect that quarantine
+	// a request.
+	SoleDeaths int
+	// MaxDeaths is the number of deaths after which a request waits.
+	MaxDeaths int
+	// SharedDeaths is the number of servers that end within SharedWindow of
+	// each other for their deaths to count against nobody.
+	SharedDeaths int
+	SharedWindow time.Duration
+	// JoinWindow joins reports of one server's death by several instances.
+	JoinWindow time.Duration
+	// SettleDelay is the wait for other instances' reports before a request
+	// is quarantined.
+	SettleDelay time.Duration
+	// RunningExpiry is how long another instance's word holds that a suspect
+	// runs there; RunningRetry is the wait before the next check.
+	RunningExpiry time.Duration
+	RunningRetry  time.Duration
+	// SuspicionExpiry is how long a death is remembered.
+	SuspicionExpiry time.Duration
+	// QuarantineExpiry is how long a quarantine lasts.
+	QuarantineExpiry time.Duration
+	// MaxReports, MaxSuspects and MaxQuarantines bound a book and its digest:
+	// deaths, suspects of one death and quarantines.
+	MaxReports     int
+	MaxSuspects    int
+	MaxQuarantines int
+}
+
+// DefaultSettings returns the policy used in production.
+func DefaultSettings() Settings {
+	return Settings{
+		SoleDeaths:       2,
+		MaxDeaths:        3,
+		SharedDeaths:     3,
+		SharedWindow:     300 * time.Millisecond,
+		JoinWindow:       2 * time.Second,
+		SettleDelay:      2 * time.Second,
+		RunningExpiry:    3 * time.Second,
+		RunningRetry:     200 * time.Millisecond,
+		SuspicionExpiry:  time.Hour,
+		QuarantineExpiry: 24 * time.Hour,
+		MaxReports:       64,
+		MaxSuspects:      32,
+		MaxQuarantines:   64,
+	}
+}
--- a/experiment/atmostonce/backend.go
+++ b/experiment/atmostonce/backend.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // lostAfter is when an attempt without an answer ends.
@@ -21,27 +22,27 @@
 			i.stepCall(callID, call.AttemptEnded{Attempt: dispatch.Attempt, Ending: ending, Outcome: outcome})
 		})
 	}
-	if w.faulty && oneIn(w.choices, 5) {
+	if w.faulty && virtual.OneIn(w.choices, 5) {
 		ended(2*time.Millisecond, call.NeverSent, claim.Outcome{})
 		return
 	}
-	w.oracle.sent(sub.key, w.now)
+	w.oracle.sent(sub.key, w.Now)
 	w.sentAfter(sub)
-	if w.faulty && oneIn(w.choices, 10) {
+	if w.faulty && virtual.OneIn(w.choices, 10) {
 		// The call is lost on its way or its server ends while running it.
 		ended(lostAfter, call.Lost, claim.Outcome{})
 		return
 	}
-	w.after(time.Millisecond, func() {
-		run := w.oracle.run(sub.key, w.now)
+	w.After(time.Millisecond, func() {
+		run := w.oracle.run(sub.key, w.Now)
 		outcome := claim.Outcome{Status: 200, ContentType: "text/plain", Body: []byte(runBody(sub.key, run))}
-		if w.faulty && oneIn(w.choices, 6) {
+		if w.faulty && virtual.OneIn(w.choices, 6) {
 			ended(lostAfter, call.Lost, claim.Outcome{})
 			return
 		}
 		delay := 5 * time.Millisecond
-		if w.faulty && oneIn(w.choices, 6) {
-			delay = between(w.choices, 10*time.Millisecond, 4*time.Second)
+		if w.faulty && virtual.OneIn(w.choices, 6) {
+			delay = virtual.Between(w.choices, 10*time.Millisecond, 4*time.Second)
 		}
 		ended(delay, call.Answered, outcome)
 	})
--- a/experiment/atmostonce/instance.go
+++ b/experiment/atmostonce/instance.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // instance is one entry instance.
@@ -45,7 +46,7 @@
 }
 
 // clock returns the instance's own time.
-func (i *instance) clock() time.Time { return i.world.now.Add(i.skew) }
+func (i *instance) clock() time.Time { return i.world.Now.Add(i.skew) }
 
 // deliver runs something at the instance after a delay, or once its pause is
 // over, unless it was restarted.
@@ -55,13 +56,13 @@
 	attempt = func() {
 		switch {
 		case i.boot != boot:
-		case i.world.now.Before(i.pausedUntil):
-			i.world.after(i.pausedUntil.Sub(i.world.now), attempt)
+		case i.world.Now.Before(i.pausedUntil):
+			i.world.After(i.pausedUntil.Sub(i.world.Now), attempt)
 		default:
 			run()
 		}
 	}
-	i.world.after(delay, attempt)
+	i.world.After(delay, attempt)
 }
 
 // operate hands an operation to the instance's committer.
@@ -111,14 +112,14 @@
 		i.deliver(storeTimeout, func() { i.stepCommitter(failed) })
 		return
 	}
-	if w.store.delayWrites && oneIn(w.choices, 3) {
-		w.after(between(w.choices, storeTimeout, 4*time.Second), func() { w.store.write(write) })
+	if w.store.delayWrites && virtual.OneIn(w.choices, 3) {
+		w.After(virtual.Between(w.choices, storeTimeout, 4*time.Second), func() { w.store.write(write) })
 		i.deliver(storeTimeout, func() { i.stepCommitter(failed) })
 		return
 	}
 	latency := w.storeLatency()
-	lost := w.store.loseAnswers && oneIn(w.choices, 3)
-	w.after(latency/2, func() {
+	lost := w.store.loseAnswers && virtual.OneIn(w.choices, 3)
+	w.After(latency/2, func() {
 		done := w.store.write(write)
 		done.Ticket = write.Ticket
 		if lost {
@@ -144,7 +145,7 @@
 	}
 	home := i.world.instances[i.home]
 	if i.cutFromPeers || home.cutFromPeers {
-		if oneIn(i.world.choices, 2) {
+		if virtual.OneIn(i.world.choices, 2) {
 			i.deliver(time.Millisecond, func() { i.stepCall(callID, call.ForwardFailed{ID: operation.ID}) })
 		}
 		return
@@ -185,7 +186,7 @@
 
 func (i *instance) pickServer(callID int, pick call.PickServer) {
 	i.deliver(0, func() {
-		if i.world.faulty && oneIn(i.world.choices, 20) {
+		if i.world.faulty && virtual.OneIn(i.world.choices, 20) {
 			i.stepCall(callID, call.RouteFailed{Fault: noServer()})
 			return
 		}
--- a/experiment/atmostonce/schedule.go
+++ b/experiment/atmostonce/schedule.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // Result is what the oracle found in one schedule.
@@ -35,22 +36,22 @@
 )
 
 // RunSchedule runs one schedule of submissions and faults.
-func RunSchedule(choices Choices) Result {
+func RunSchedule(choices virtual.Choices) Result {
 	settings := claim.DefaultSettings()
 	settings.ClockBound = time.Second
 	settings.SealBytes = 200 + choices.IntN(2)*2000
 	retention, length := longRetention, scheduleLength
-	if oneIn(choices, 4) {
+	if virtual.OneIn(choices, 4) {
 		retention, length = shortRetention, longLength
 	}
 	w := newWorld(choices, 2+choices.IntN(3), settings, retention)
 	w.faulty, w.resubmit = true, true
 	for _, i := range w.instances {
-		i.skew = between(choices, 0, settings.ClockBound)
+		i.skew = virtual.Between(choices, 0, settings.ClockBound)
 	}
 	w.planCalls(length)
 	w.planFaults(length)
-	w.runUntil(epoch.Add(length))
+	w.RunUntil(epoch.Add(length))
 	unhealed := w.heal()
 	return Result{
 		DoubleRuns:   w.oracle.doubleRuns,
@@ -66,7 +67,7 @@
 	keys := 1 + w.choices.IntN(maxKeys)
 	for range 4 + w.choices.IntN(12) {
 		key := w.choices.IntN(keys)
-		w.after(between(w.choices, 0, length), func() { w.submitAnywhere(key) })
+		w.After(virtual.Between(w.choices, 0, length), func() { w.submitAnywhere(key) })
 	}
 }
 
@@ -75,8 +76,8 @@
 	for range w.choices.IntN(8) {
 		kind := w.choices.IntN(faultKinds)
 		at := w.instances[w.choices.IntN(len(w.instances))]
-		lasts := between(w.choices, 50*time.Millisecond, length/2)
-		w.after(between(w.choices, 0, length), func() { w.fail(kind, at, lasts) })
+		lasts := virtual.Between(w.choices, 50*time.Millisecond, length/2)
+		w.After(virtual.Between(w.choices, 0, length), func() { w.fail(kind, at, lasts) })
 	}
 }
 
@@ -97,11 +98,11 @@
 func (w *world) fail(kind int, at *instance, lasts time.Duration) {
 	during := func(flag *bool) {
 		*flag = true
-		w.after(lasts, func() { *flag = false })
+		w.After(lasts, func() { *flag = false })
 	}
 	switch kind {
 	case faultPause:
-		at.pausedUntil = w.now.Add(lasts)
+		at.pausedUntil = w.Now.Add(lasts)
 	case faultRestart:
 		w.restarted = true
 		at.restart()
@@ -124,7 +125,7 @@
 // another instance gets the recorded answer.
 func (w *world) heal() string {
 	w.faulty, w.resubmit = false, false
-	w.runUntil(w.now.Add(healLength))
+	w.RunUntil(w.Now.Add(healLength))
 	*w.store = store{objects: w.store.objects, version: w.store.version}
 	for _, i := range w.instances {
 		i.cutFromStore, i.cutFromPeers = false, false
@@ -141,8 +142,8 @@
 				got = &answer
 			}
 		}
-		w.submit(i, &submission{key: freshKey, at: w.now})
-		w.runUntil(w.now.Add(freshPause))
+		w.submit(i, &submission{key: freshKey, at: w.Now})
+		w.RunUntil(w.Now.Add(freshPause))
 		if problem := checkHealed(n, got); problem != "" {
 			return problem
 		}
@@ -167,8 +168,8 @@
 				problem = "key " + strconv.Itoa(key) + " was never sent and is refused: " + answer.Fault.Error()
 			}
 		}
-		w.submit(w.instances[0], &submission{key: key, at: w.now})
-		w.runUntil(w.now.Add(time.Second))
+		w.submit(w.instances[0], &submission{key: key, at: w.Now})
+		w.RunUntil(w.Now.Add(time.Second))
 	}
 	return problem
 }
--- a/experiment/atmostonce/world.go
+++ b/experiment/atmostonce/world.go
@@ -7,13 +7,14 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // world is a set of instances, the platform's store, backend servers and
 // callers in virtual time.
 type world struct {
-	events
-	choices       Choices
+	virtual.Queue
+	choices       virtual.Choices
 	random        *rand.Rand
 	shard         claim.Shard
 	claimSettings claim.Settings
@@ -45,7 +46,7 @@
 // epoch is the start of virtual time.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newWorld(choices Choices, instances int, settings claim.Settings, retention time.Duration) *world {
+func newWorld(choices virtual.Choices, instances int, settings claim.Settings, retention time.Duration) *world {
 	w := &world{
 		choices:       choices,
 		random:        rand.New(rand.NewPCG(uint64(choices.IntN(1<<30)), 1)),
@@ -56,7 +57,7 @@
 		store:         &store{objects: make(map[string]object)},
 		oracle:        newOracle(retention - call.DefaultSettings().DispatchWindow),
 	}
-	w.now = epoch
+	w.Now = epoch
 	for id := range instances {
 		i := &instance{world: w, id: id}
 		i.restart()
@@ -66,7 +67,7 @@
 }
 
 func (w *world) storeLatency() time.Duration {
-	return between(w.choices, 2*time.Millisecond, 8*time.Millisecond)
+	return virtual.Between(w.choices, 2*time.Millisecond, 8*time.Millisecond)
 }
 
 // peerLatency is the time from one instance to another.
@@ -98,23 +99,23 @@
 }
 
 func (w *world) answered(sub *submission, answer call.Finish) {
-	w.oracle.answered(sub, answer, w.now)
+	w.oracle.answered(sub, answer, w.Now)
 	if w.answer != nil {
 		w.answer(sub, answer)
 	}
-	if w.resubmit && answer.Fault != nil && oneIn(w.choices, 2) {
-		w.after(between(w.choices, 0, 300*time.Millisecond), func() { w.submitAnywhere(sub.key) })
+	if w.resubmit && answer.Fault != nil && virtual.OneIn(w.choices, 2) {
+		w.After(virtual.Between(w.choices, 0, 300*time.Millisecond), func() { w.submitAnywhere(sub.key) })
 	}
 }
 
 func (w *world) submitAnywhere(key int) {
-	sub := &submission{key: key, at: w.now}
-	if oneIn(w.choices, 20) {
+	sub := &submission{key: key, at: w.Now}
+	if virtual.OneIn(w.choices, 20) {
 		sub.body = 1
 	}
 	w.submit(w.instances[w.choices.IntN(len(w.instances))], sub)
 }
 
 func (w *world) sentAfter(sub *submission) {
-	w.added = append(w.added, w.now.Sub(sub.at))
+	w.added = append(w.added, w.Now.Sub(sub.at))
 }
--- a/experiment/atmostonce/choices.go
+++ b/internal/virtual/choices.go
@@ -1,4 +1,4 @@
-package atmostonce
+package virtual
 
 import (
 	"math/rand/v2"
@@ -21,10 +21,10 @@
 
 func (s seeded) IntN(n int) int { return s.random.IntN(n) }
 
-// between returns a duration from low up to high.
-func between(choices Choices, low, high time.Duration) time.Duration {
+// Between returns a duration from low up to high.
+func Between(choices Choices, low, high time.Duration) time.Duration {
 	return low + time.Duration(choices.IntN(int((high-low)/time.Millisecond)+1))*time.Millisecond
 }
 
-// oneIn reports true once in n times on average.
-func oneIn(choices Choices, n int) bool { return choices.IntN(n) == 0 }
+// OneIn reports true once in n times on average.
+func OneIn(choices Choices, n int) bool { return choices.IntN(n) == 0 }
--- a/experiment/atmostonce/events.go
+++ b/internal/virtual/queue.go
@@ -1,4 +1,4 @@
-package atmostonce
+package virtual
 
 import (
 	"container/heap"
@@ -12,26 +12,28 @@
 	run      func()
 }
 
-// events is a queue of events in the order of time.
-type events struct {
-	now      time.Time
+// Queue is a queue of events in the order of time.
+type Queue struct {
+	// Now is the virtual time.
+	Now      time.Time
 	queue    eventHeap
 	sequence int
 }
 
-func (e *events) after(delay time.Duration, run func()) {
-	e.sequence++
-	heap.Push(&e.queue, event{at: e.now.Add(delay), sequence: e.sequence, run: run})
+// After plans something after a delay.
+func (q *Queue) After(delay time.Duration, run func()) {
+	q.sequence++
+	heap.Push(&q.queue, event{at: q.Now.Add(delay), sequence: q.sequence, run: run})
 }
 
-// runUntil runs the events up to a time.
-func (e *events) runUntil(end time.Time) {
-	for len(e.queue) > 0 && !e.queue[0].at.After(end) {
-		next := heap.Pop(&e.queue).(event)
-		e.now = next.at
+// RunUntil runs the events up to a time.
+func (q *Queue) RunUntil(end time.Time) {
+	for len(q.queue) > 0 && !q.queue[0].at.After(end) {
+		next := heap.Pop(&q.queue).(event)
+		q.Now = next.at
 		next.run()
 	}
-	e.now = end
+	q.Now = end
 }
 
 type eventHeap []event
