--- a/cmd/wisteriahaven-bench/experiments.go
+++ b/cmd/wisteriahaven-bench/experiments.go
@@ -2,7 +2,9 @@
 
 import (
 	"github.com/wisteriahaven/wisteriahaven/experiment"
+	"github.com/wisteriahaven/wisteriahaven/experiment/atmostonce"
 	"github.com/wisteriahaven/wisteriahaven/experiment/configspread"
+	"github.com/wisteriahaven/wisteriahaven/experiment/killingrequest"
 	"github.com/wisteriahaven/wisteriahaven/experiment/leaving"
 	"github.com/wisteriahaven/wisteriahaven/experiment/limits"
 	"github.com/wisteriahaven/wisteriahaven/experiment/overhead"
@@ -15,7 +17,9 @@
 
 // experiments lists every experiment, one a line in the order of their names.
 var experiments = []experiment.Experiment{
+	atmostonce.Experiment,
 	configspread.Experiment,
+	killingrequest.Experiment,
 	leaving.Experiment,
 	limits.Experiment,
 	overhead.Experiment,
--- a/decision/quarantine/book.go
+++ b/decision/quarantine/book.go
@@ -14,12 +14,17 @@
 	instance string
 	settings Settings
 	// running are the requests in flight on each server.
-	running     map[string]map[string]attempt
-	reports     []Report
+	running map[string]map[string]attempt
+	reports []Report
+	// joined are the deaths of the reports, nil after a change.
+	joined      []*death
 	clearances  map[serving.Fingerprint]Clearance
 	quarantines map[serving.Fingerprint]Quarantine
 	// elsewhere are the suspects that run at other instances.
 	elsewhere map[serving.Fingerprint]time.Time
+	// intents are the wishes of this and other instances to run a suspect of
+	// several deaths.
+	intents map[serving.Fingerprint][]Intent
 }
 
 // attempt is one request in flight.
@@ -37,6 +42,7 @@
 		clearances:  make(map[serving.Fingerprint]Clearance),
 		quarantines: make(map[serving.Fingerprint]Quarantine),
 		elsewhere:   make(map[serving.Fingerprint]time.Time),
+		intents:     make(map[serving.Fingerprint][]Intent),
 	}
 }
 
@@ -45,6 +51,10 @@
 	if b.running[server] == nil {
 		b.running[server] = make(map[string]attempt)
 	}
+	b.intents[fingerprint] = slices.DeleteFunc(b.intents[fingerprint], func(i Intent) bool { return i.Instance == b.instance })
+	if len(b.intents[fingerprint]) == 0 {
+		delete(b.intents, fingerprint)
+	}
 	b.running[server][request] = attempt{fingerprint: fingerprint, started: now}
 }
 
@@ -77,6 +87,22 @@
 		return
 	}
 	b.clearances[clearance.Fingerprint] = clearance
+	b.joined = nil
+	b.prune()
+	for len(b.clearances) > b.settings.MaxClearances {
+		delete(b.clearances, b.oldestClearance())
+	}
+}
+
+func (b *Book) oldestClearance() serving.Fingerprint {
+	var oldest Clearance
+	for _, clearance := range b.clearances {
+		order := cmp.Or(clearance.At.Compare(oldest.At), cmp.Compare(clearance.Fingerprint, oldest.Fingerprint))
+		if oldest.At.IsZero() || order < 0 {
+			oldest = clearance
+		}
+	}
+	return oldest.Fingerprint
 }
 
 func compareClearances(a, b Clearance) int {
@@ -109,51 +135,109 @@
 
 // addReport keeps the newest reports.
 func (b *Book) addReport(report Report) {
-	known := slices.ContainsFunc(b.reports, func(r Report) bool { return compareReports(r, report) == 0 })
+	position, known := slices.BinarySearchFunc(b.reports, report, compareReports)
 	if known {
 		return
 	}
-	b.reports = append(b.reports, report)
-	slices.SortFunc(b.reports, compareReports)
+	report.Suspects = slices.DeleteFunc(slices.Clone(report.Suspects), func(s Suspect) bool {
+		return b.clearedOf(s, report.At)
+	})
+	if len(report.Suspects) == 0 {
+		return
+	}
+	b.joined = nil
+	b.reports = slices.Insert(b.reports, position, report)
 	if over := len(b.reports) - b.settings.MaxReports; over > 0 {
 		b.reports = slices.Delete(b.reports, 0, over)
 	}
 }
 
+// clearedOf reports whether the suspect is cleared of a death at the time.
+func (b *Book) clearedOf(suspect Suspect, at time.Time) bool {
+	clearance, ok := b.clearances[suspect.Fingerprint]
+	return ok && clearance.At.After(at) && clearance.Ran >= suspect.Age
+}
+
+// prune drops the suspects that are cleared, and the reports that name no
+// other.
+func (b *Book) prune() {
+	kept := b.reports[:0]
+	for _, report := range b.reports {
+		report.Suspects = slices.DeleteFunc(slices.Clone(report.Suspects), func(s Suspect) bool {
+			return b.clearedOf(s, report.At)
+		})
+		if len(report.Suspects) > 0 {
+			kept = append(kept, report)
+		}
+	}
+	b.reports = kept
+}
+
 // Check returns how a request may run now.
 func (b *Book) Check(now time.Time, fingerprint serving.Fingerprint) Verdict {
 	b.expire(now)
-	if known, ok := b.quarantines[fingerprint]; ok && !known.Released {
-		return Verdict{Advice: Refuse, Deaths: known.Servers}
+	if b.quarantined(fingerprint) {
+		return Verdict{Advice: Refuse, Deaths: b.quarantines[fingerprint].Servers}
 	}
 	if !b.suspected(fingerprint) {
 		return Verdict{Advice: Run}
 	}
 	found := b.evidence(fingerprint)
 	switch {
-	case len(found.sole) >= b.settings.SoleDeaths && !now.Before(found.settled):
-		b.quarantine(now, fingerprint, found.servers)
+	case b.convict(now, fingerprint, found):
 		return Verdict{Advice: Refuse, Deaths: found.servers}
 	case len(found.sole) >= b.settings.SoleDeaths:
 		return Verdict{Advice: Wait, Until: found.settled, Deaths: found.servers}
-	case len(found.servers) >= b.settings.MaxDeaths:
-		return Verdict{Advice: Wait, Until: now.Add(b.settings.SettleDelay), Deaths: found.servers}
-	case found.suspected && b.runsSomewhere(now, fingerprint):
+	case found.deaths >= b.settings.MaxDeaths && len(found.servers) >= b.settings.SoleDeaths:
+		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
+	case found.deaths > 0 && b.runsSomewhere(now, fingerprint):
+		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
+	case found.deaths > 1 && !b.mayRun(now, fingerprint):
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
-	case found.suspected:
+	case found.deaths > 0:
 		return Verdict{Advice: RunIsolated, Deaths: found.servers}
 	default:
 		return Verdict{Advice: Run}
 	}
 }
 
+// Tick quarantines the requests against which enough is known and returns them.
+func (b *Book) Tick(now time.Time) []serving.Fingerprint {
+	b.expire(now)
+	var found []serving.Fingerprint
+	for _, fingerprint := range b.suspects() {
+		if !b.quarantined(fingerprint) && b.convict(now, fingerprint, b.evidence(fingerprint)) {
+			found = append(found, fingerprint)
+		}
+	}
+	return found
+}
+
+// suspects returns the suspects of enough deaths to be quarantined, in order.
+func (b *Book) suspects() []serving.Fingerprint {
+	counts := make(map[serving.Fingerprint]int)
+	for _, d := range b.deaths() {
+		for suspect := range d.suspects {
+			counts[suspect]++
+		}
+	}
+	var all []serving.Fingerprint
+	for fingerprint, count := range counts {
+		if count >= b.settings.SoleDeaths {
+			all = append(all, fingerprint)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
 // evidence is what the deaths say about one request.
 type evidence struct {
-	suspected bool
-	// servers are those of the deaths that the request is not cleared of and
-	// that were not shared.
+	// deaths is the number of deaths that the request is not cleared of.
+	deaths int
+	// servers are those of the deaths that were not shared.
 	servers []string
-	// sole are those of which it is the only known suspect.
+	// sole are those of which it is the only suspect.
 	sole    []string
 	settled time.Time
 }
@@ -161,7 +245,7 @@
 func (b *Book) evidence(fingerprint serving.Fingerprint) evidence {
 	var found evidence
 	released := b.quarantines[fingerprint]
-	deaths := joinReports(b.reports, b.settings)
+	deaths := b.deaths()
 	for _, d := range deaths {
 		accused := b.accused(d, fingerprint) && !(released.Released && !d.at.After(released.Since))
 		if !accused {
@@ -170,33 +254,95 @@
 		if !d.shared {
 			found.servers = append(found.servers, d.server)
 		}
-		if !d.shared && found.suspected && b.onlyKnown(deaths, d, fingerprint) {
+		if !d.shared && b.onlySuspect(deaths, d, fingerprint, found.deaths > 0) {
 			found.sole = append(found.sole, d.server)
 			found.settled = d.last.Add(b.settings.SettleDelay)
 		}
-		found.suspected = true
+		found.deaths++
 	}
 	return found
 }
 
-// accused reports whether the request was in flight at the death and is not
-// cleared of it.
+// deaths returns the deaths known, joined anew after a change.
+func (b *Book) deaths() []*death {
+	if b.joined == nil {
+		b.joined = joinReports(b.reports, b.settings)
+		b.markShared(b.joined)
+	}
+	return b.joined
+}
+
+// markShared marks the deaths that came together. Those that a suspect of an
+// earlier death explains don't make up the number, so that several killing
+// requests at a time are not taken for a rack.
+func (b *Book) markShared(deaths []*death) {
+	for i, first := range deaths {
+		unexplained, end := 0, i
+		for end < len(deaths) && deaths[end].at.Sub(first.at) <= b.settings.SharedWindow {
+			if !b.explained(deaths[:i], deaths[end]) {
+				unexplained++
+			}
+			end++
+		}
+		if unexplained < b.settings.SharedDeaths {
+			continue
+		}
+		for _, d := range deaths[i:end] {
+			d.shared = true
+		}
+	}
+}
+
+// explained reports whether a request in flight at the death stands accused of
+// one of the earlier deaths that were not shared.
+func (b *Book) explained(earlier []*death, d *death) bool {
+	return slices.ContainsFunc(earlier, func(before *death) bool {
+		if before.shared {
+			return false
+		}
+		for suspect := range d.suspects {
+			if b.accused(before, suspect) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// accused reports whether the request was in flight at the death, is not
+// cleared of it, and no quarantined request explains it.
 func (b *Book) accused(d *death, fingerprint serving.Fingerprint) bool {
 	if _, inFlight := d.suspects[fingerprint]; !inFlight {
 		return false
 	}
-	clearance, ok := b.clearances[fingerprint]
-	return !ok || !clearance.clears(d)
+	if clearance, ok := b.clearances[fingerprint]; ok && clearance.clears(d) {
+		return false
+	}
+	for other := range d.suspects {
+		if other != fingerprint && b.quarantined(other) {
+			return false
+		}
+	}
+	return true
 }
 
-// onlyKnown reports whether no other request in flight at the death stands
-// accused of another one.
-func (b *Book) onlyKnown(deaths []*death, d *death, fingerprint serving.Fingerprint) bool {
+func (b *Book) quarantined(fingerprint serving.Fingerprint) bool {
+	known, ok := b.quarantines[fingerprint]
+	return ok && !known.Released
+}
+
+// onlySuspect reports whether the request is the only suspect of the death:
+// every other one in flight is cleared, or, when the request was accused
+// before, none of them stands accused of another death.
+func (b *Book) onlySuspect(deaths []*death, d *death, fingerprint serving.Fingerprint, known bool) bool {
 	if d.truncated {
 		return false
 	}
 	for other := range d.suspects {
-		if other != fingerprint && b.accused(d, other) && b.accusedElsewhere(deaths, d, other) {
+		if other == fingerprint || !b.accused(d, other) {
+			continue
+		}
+		if !known || b.accusedElsewhere(deaths, d, other) {
 			return false
 		}
 	}
@@ -227,25 +373,37 @@
 	return false
 }
 
-// runningSuspects returns the suspects in flight at this instance.
-func (b *Book) runningSuspects() []serving.Fingerprint {
-	var all []serving.Fingerprint
+// exportRunning returns the suspects in flight at this instance and, as far as
+// is known, at others.
+func (b *Book) exportRunning(now time.Time) []Running {
+	ages := make(map[serving.Fingerprint]time.Duration)
+	for fingerprint, seen := range b.elsewhere {
+		ages[fingerprint] = now.Sub(seen)
+	}
 	for _, inFlight := range b.running {
 		for _, running := range inFlight {
 			if b.suspected(running.fingerprint) {
-				all = append(all, running.fingerprint)
+				ages[running.fingerprint] = 0
 			}
 		}
 	}
-	slices.Sort(all)
-	return slices.Compact(all)
+	var all []Running
+	for fingerprint, age := range ages {
+		all = append(all, Running{Fingerprint: fingerprint, Age: age})
+	}
+	slices.SortFunc(all, func(a, b Running) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return all
 }
 
 // expire forgets what is too old.
 func (b *Book) expire(now time.Time) {
+	known := len(b.reports)
 	b.reports = slices.DeleteFunc(b.reports, func(report Report) bool {
 		return now.Sub(report.At) > b.settings.SuspicionExpiry
 	})
+	if len(b.reports) != known {
+		b.joined = nil
+	}
 	for fingerprint, clearance := range b.clearances {
 		if now.Sub(clearance.At) > b.settings.SuspicionExpiry {
 			delete(b.clearances, fingerprint)
@@ -256,15 +414,30 @@
 			delete(b.elsewhere, fingerprint)
 		}
 	}
+	for fingerprint, intents := range b.intents {
+		b.intents[fingerprint] = slices.DeleteFunc(intents, func(i Intent) bool {
+			return now.Sub(i.heard) > b.settings.RunningExpiry
+		})
+		if len(b.intents[fingerprint]) == 0 {
+			delete(b.intents, fingerprint)
+		}
+	}
 	for fingerprint, known := range b.quarantines {
 		if now.Sub(known.Since) > b.settings.QuarantineExpiry {
 			delete(b.quarantines, fingerprint)
+			b.joined = nil
 		}
 	}
 }
 
-func (b *Book) quarantine(now time.Time, fingerprint serving.Fingerprint, servers []string) {
-	b.addQuarantine(Quarantine{Fingerprint: fingerprint, Since: now, Servers: servers})
+// convict quarantines a request against which enough is known for long enough
+// and reports whether it did.
+func (b *Book) convict(now time.Time, fingerprint serving.Fingerprint, found evidence) bool {
+	if len(found.sole) < b.settings.SoleDeaths || now.Before(found.settled) {
+		return false
+	}
+	b.addQuarantine(Quarantine{Fingerprint: fingerprint, Since: now, Servers: found.servers})
+	return true
 }
 
 // addQuarantine keeps the newest entry of a request and the newest requests.
@@ -273,6 +446,7 @@
 		return
 	}
 	b.quarantines[entry.Fingerprint] = entry
+	b.joined = nil
 	for len(b.quarantines) > b.settings.MaxQuarantines {
 		oldest := slices.MinFunc(b.Quarantines(), func(a, b Quarantine) int { return a.Since.Compare(b.Since) })
 		delete(b.quarantines, oldest.Fingerprint)
@@ -287,6 +461,7 @@
 		return false
 	}
 	b.quarantines[fingerprint] = Quarantine{Fingerprint: fingerprint, Since: now, Released: true}
+	b.joined = nil
 	return true
 }
 
@@ -303,12 +478,13 @@
 // Export returns what other instances should know.
 func (b *Book) Export(now time.Time) Digest {
 	b.expire(now)
-	digest := Digest{Reports: slices.Clone(b.reports), Quarantines: b.Quarantines(), Running: b.runningSuspects()}
+	digest := Digest{Reports: slices.Clone(b.reports), Quarantines: b.Quarantines(), Running: b.exportRunning(now)}
 	for _, clearance := range b.clearances {
 		if b.suspected(clearance.Fingerprint) {
 			digest.Clearances = append(digest.Clearances, clearance)
 		}
 	}
+	digest.Intents = b.exportIntents(now)
 	slices.SortFunc(digest.Clearances, func(a, b Clearance) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return digest
 }
@@ -321,8 +497,16 @@
 	for _, clearance := range digest.Clearances {
 		b.clear(clearance)
 	}
-	for _, fingerprint := range digest.Running {
-		b.elsewhere[fingerprint] = now
+	for _, running := range digest.Running {
+		if seen := now.Add(-running.Age); seen.After(b.elsewhere[running.Fingerprint]) {
+			b.elsewhere[running.Fingerprint] = seen
+		}
+	}
+	for _, intent := range digest.Intents {
+		if intent.Instance != b.instance {
+			intent.heard = now.Add(-intent.Age)
+			b.addIntent(intent)
+		}
 	}
 	for _, entry := range digest.Quarantines {
 		b.addQuarantine(entry)
--- a/decision/quarantine/death.go
+++ b/decision/quarantine/death.go
@@ -33,7 +33,6 @@
 		}
 		joined.add(report)
 	}
-	markShared(deaths, settings)
 	return deaths
 }
 
@@ -49,26 +48,6 @@
 	}
 }
 
-// markShared marks the deaths that came together.
-func markShared(deaths []*death, settings Settings) {
-	for i, d := range deaths {
-		group := 0
-		for _, other := range deaths[i:] {
-			if other.at.Sub(d.at) <= settings.SharedWindow {
-				group++
-			}
-		}
-		if group < settings.SharedDeaths {
-			continue
-		}
-		for _, other := range deaths[i:] {
-			if other.at.Sub(d.at) <= settings.SharedWindow {
-				other.shared = true
-			}
-		}
-	}
-}
-
 // clears reports whether the clearance takes the suspect off the death.
 func (c Clearance) clears(d *death) bool {
 	age, inFlight := d.suspects[c.Fingerprint]
--- a/decision/quarantine/report.go
+++ b/decision/quarantine/report.go
@@ -46,6 +46,15 @@
 	Reports     []Report     `json:"reports,omitempty"`
 	Clearances  []Clearance  `json:"clearances,omitempty"`
 	Quarantines []Quarantine `json:"quarantines,omitempty"`
-	// Running are the suspects in flight at the sender itself.
-	Running []serving.Fingerprint `json:"running,omitempty"`
+	// Running are the suspects in flight.
+	Running []Running `json:"running,omitempty"`
+	// Intents are the wishes to run suspects.
+	Intents []Intent `json:"intents,omitempty"`
+}
+
+// Running says that a suspect is in flight at some instance.
+type Running struct {
+	Fingerprint serving.Fingerprint `json:"fingerprint"`
+	// Age is how long ago that was known for sure.
+	Age time.Duration `json:"age"`
 }
--- a/decision/quarantine/settings.go
+++ b/decision/quarantine/settings.go
@@ -26,9 +26,10 @@
 	SuspicionExpiry time.Duration
 	// QuarantineExpiry is how long a quarantine lasts.
 	QuarantineExpiry time.Duration
-	// MaxReports, MaxSuspects and MaxQuarantines bound a book and its digest:
-	// deaths, suspects of one death and quarantines.
+	// MaxReports, MaxClearances, MaxSuspects and MaxQuarantines bound a book and its digest:
+	// reports, clearances, suspects of one report and quarantines.
 	MaxReports     int
+	MaxClearances  int
 	MaxSuspects    int
 	MaxQuarantines int
 }
@@ -46,7 +47,8 @@
 		RunningRetry:     200 * time.Millisecond,
 		SuspicionExpiry:  time.Hour,
 		QuarantineExpiry: 24 * time.Hour,
-		MaxReports:       64,
+		MaxReports:       128,
+		MaxClearances:    128,
 		MaxSuspects:      32,
 		MaxQuarantines:   64,
 	}
--- /dev/null
+++ b/experiment/killingrequest/settings.go
@@ -0,0 +1,47 @@
+package killingrequest
+
+import "time"
+
+// Settings are the sizes of one schedule.
+type Settings struct {
+	Instances int
+	Servers   int
+	// Killers is the number of killing requests.
+	Killers int
+	// Racks is the number of times that several servers go down together.
+	Racks int
+	// Arrival is the mean time between innocent requests.
+	Arrival time.Duration
+	// Length is the time in which requests arrive.
+	Length time.Duration
+	// SpreadInterval is the time between two digests of an instance.
+	SpreadInterval time.Duration
+	// SpreadFanOut is the number of peers that get each digest.
+	SpreadFanOut int
+	// ResendAfter is the shortest time until a caller sends a request again.
+	ResendAfter time.Duration
+}
+
+// DefaultSettings has the sizes of the Bavarian estate.
+func DefaultSettings() Settings {
+	return Settings{
+		Instances:      9,
+		Servers:        25,
+		Killers:        2,
+		Racks:          2,
+		Arrival:        50 * time.Millisecond,
+		Length:         40 * time.Second,
+		SpreadInterval: 500 * time.Millisecond,
+		SpreadFanOut:   3,
+		ResendAfter:    3 * time.Second,
+	}
+}
+
+// Times of the bench.
+const (
+	restartTime   = 20 * time.Second
+	maxHold       = 10 * time.Second
+	drainLength   = 3 * time.Minute
+	maxResends    = 4
+	noServerPause = 200 * time.Millisecond
+)
