Let outcomes wait for the claims' commits

Cause: at 20 claims/s on 2 shards almost every claim and every outcome was a write of its own, although nobody waits for an outcome's commit. Change: outcomes wait up to 500 ms in place of 85 ms for a commit to join. A crash within the wait leaves repeats of the key with unknown for at most 415 ms longer.

--- a/decision/claim/settings.go
+++ b/decision/claim/settings.go
@@ -37,7 +37,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		ClaimWindow:   85 * time.Millisecond,
-		RecordWindow:  85 * time.Millisecond,
+		RecordWindow:  500 * time.Millisecond,
 		MinBatch:      0,
 		SealBytes:     128 << 10,
 		MaxBatchBytes: 512 << 10,
