Commit claims at once when few are expected

Cause: at 20 claims/s on 2 shards a claim waited the whole window and was almost always alone in its commit. The platform takes several hundred writes a second; at low rates time weighs more than writes.

--- a/decision/claim/arrival_rate.go
+++ b/decision/claim/arrival_rate.go
@@ -3,7 +3,7 @@
 import "time"
 
 // rateMemory is the span over which arrivals are averaged.
-const rateMemory = time.Second
+const rateMemory = 250 * time.Millisecond
 
 // arrivalRate estimates the rate of arrivals as an average that decays.
 type arrivalRate struct {
--- a/decision/claim/settings.go
+++ b/decision/claim/settings.go
@@ -38,7 +38,7 @@
 	return Settings{
 		ClaimWindow:   85 * time.Millisecond,
 		RecordWindow:  500 * time.Millisecond,
-		MinBatch:      0,
+		MinBatch:      2,
 		SealBytes:     128 << 10,
 		MaxBatchBytes: 512 << 10,
 		MaxSegments:   8 << 10,
