--- a/experiment/atmostonce/instance.go
+++ b/experiment/atmostonce/instance.go
@@ -51,7 +51,12 @@
 // deliver runs something at the instance after a delay, or once its pause is
 // over, unless it was restarted.
 func (i *instance) deliver(delay time.Duration, run func()) {
-	boot := i.boot
+	i.deliverTo(i.boot, delay, run)
+}
+
+// deliverTo does so for a given boot: what an earlier one asked for never
+// reaches a later one.
+func (i *instance) deliverTo(boot int, delay time.Duration, run func()) {
 	var attempt func()
 	attempt = func() {
 		switch {
@@ -117,7 +122,7 @@
 		i.deliver(storeTimeout, func() { i.stepCommitter(failed) })
 		return
 	}
-	latency := w.storeLatency()
+	latency, boot := w.storeLatency(), i.boot
 	lost := w.store.loseAnswers && virtual.OneIn(w.choices, 3)
 	w.After(latency/2, func() {
 		done := w.store.write(write)
@@ -126,7 +131,7 @@
 			done = failed
 			latency = storeTimeout
 		}
-		i.deliver(latency-latency/2, func() { i.stepCommitter(done) })
+		i.deliverTo(boot, latency-latency/2, func() { i.stepCommitter(done) })
 	})
 }
 
