--- a/decision/quarantine/book.go
+++ b/decision/quarantine/book.go
@@ -21,12 +21,18 @@
 	clearances  map[serving.Fingerprint]Clearance
 	quarantines map[serving.Fingerprint]Quarantine
 	// elsewhere are the suspects that run at other instances.
-	elsewhere map[serving.Fingerprint]time.Time
+	elsewhere map[serving.Fingerprint]sighting
 	// intents are the wishes of this and other instances to run a suspect of
 	// several deaths.
 	intents map[serving.Fingerprint][]Intent
 }
 
+// sighting is the newest word that a suspect runs at another instance.
+type sighting struct {
+	instance string
+	at       time.Time
+}
+
 // attempt is one request in flight.
 type attempt struct {
 	fingerprint serving.Fingerprint
@@ -41,7 +47,7 @@
 		running:     make(map[string]map[string]attempt),
 		clearances:  make(map[serving.Fingerprint]Clearance),
 		quarantines: make(map[serving.Fingerprint]Quarantine),
-		elsewhere:   make(map[serving.Fingerprint]time.Time),
+		elsewhere:   make(map[serving.Fingerprint]sighting),
 		intents:     make(map[serving.Fingerprint][]Intent),
 	}
 }
@@ -173,8 +179,9 @@
 	b.reports = kept
 }
 
-// Check returns how a request may run now.
-func (b *Book) Check(now time.Time, fingerprint serving.Fingerprint) Verdict {
+// Check returns how a request may run now. The request's own attempts may
+// overlap; those of others with the same fingerprint may not.
+func (b *Book) Check(now time.Time, fingerprint serving.Fingerprint, request string) Verdict {
 	b.expire(now)
 	if b.quarantined(fingerprint) {
 		return Verdict{Advice: Refuse, Deaths: b.quarantines[fingerprint].Servers}
@@ -190,7 +197,7 @@
 		return Verdict{Advice: Wait, Until: found.settled, Deaths: found.servers}
 	case found.deaths >= b.settings.MaxDeaths && len(found.servers) >= b.settings.SoleDeaths:
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
-	case found.deaths > 0 && b.runsSomewhere(now, fingerprint):
+	case found.deaths > 0 && (b.runsElsewhere(now, fingerprint) || b.runsHere(fingerprint, request)):
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
 	case found.deaths > 1 && !b.mayRun(now, fingerprint):
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
@@ -246,19 +253,23 @@
 	var found evidence
 	released := b.quarantines[fingerprint]
 	deaths := b.deaths()
+	known := false
 	for _, d := range deaths {
-		accused := b.accused(d, fingerprint) && !(released.Released && !d.at.After(released.Since))
-		if !accused {
+		if !b.suspectedOf(d, fingerprint) || released.Released && !d.at.After(released.Since) {
 			continue
 		}
-		if !d.shared {
+		explained := b.endedByQuarantined(d, fingerprint)
+		if !explained {
+			found.deaths++
+		}
+		if !explained && !d.shared {
 			found.servers = append(found.servers, d.server)
 		}
-		if !d.shared && b.onlySuspect(deaths, d, fingerprint, found.deaths > 0) {
+		if !explained && !d.shared && known && b.onlySuspect(deaths, d, fingerprint) {
 			found.sole = append(found.sole, d.server)
 			found.settled = d.last.Add(b.settings.SettleDelay)
 		}
-		found.deaths++
+		known = true
 	}
 	return found
 }
@@ -309,21 +320,31 @@
 	})
 }
 
-// accused reports whether the request was in flight at the death, is not
-// cleared of it, and no quarantined request explains it.
+// accused reports whether the request is a suspect of the death and no
+// quarantined one explains it.
 func (b *Book) accused(d *death, fingerprint serving.Fingerprint) bool {
+	return b.suspectedOf(d, fingerprint) && !b.endedByQuarantined(d, fingerprint)
+}
+
+// suspectedOf reports whether the request was in flight at the death and is
+// not cleared of it.
+func (b *Book) suspectedOf(d *death, fingerprint serving.Fingerprint) bool {
 	if _, inFlight := d.suspects[fingerprint]; !inFlight {
 		return false
 	}
-	if clearance, ok := b.clearances[fingerprint]; ok && clearance.clears(d) {
-		return false
-	}
+	clearance, ok := b.clearances[fingerprint]
+	return !ok || !clearance.clears(d)
+}
+
+// endedByQuarantined reports whether another request in flight at the death is
+// quarantined.
+func (b *Book) endedByQuarantined(d *death, fingerprint serving.Fingerprint) bool {
 	for other := range d.suspects {
 		if other != fingerprint && b.quarantined(other) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (b *Book) quarantined(fingerprint serving.Fingerprint) bool {
@@ -331,18 +352,14 @@
 	return ok && !known.Released
 }
 
-// onlySuspect reports whether the request is the only suspect of the death:
-// every other one in flight is cleared, or, when the request was accused
-// before, none of them stands accused of another death.
-func (b *Book) onlySuspect(deaths []*death, d *death, fingerprint serving.Fingerprint, known bool) bool {
+// onlySuspect reports whether no other request in flight at the death stands
+// accused of another one.
+func (b *Book) onlySuspect(deaths []*death, d *death, fingerprint serving.Fingerprint) bool {
 	if d.truncated {
 		return false
 	}
 	for other := range d.suspects {
-		if other == fingerprint || !b.accused(d, other) {
-			continue
-		}
-		if !known || b.accusedElsewhere(deaths, d, other) {
+		if other != fingerprint && b.accused(d, other) && b.accusedElsewhere(deaths, d, other) {
 			return false
 		}
 	}
@@ -357,15 +374,19 @@
 	})
 }
 
-// runsSomewhere reports whether the suspect is in flight at this or, as far as
-// is known, another instance.
-func (b *Book) runsSomewhere(now time.Time, fingerprint serving.Fingerprint) bool {
-	if seen, ok := b.elsewhere[fingerprint]; ok && now.Sub(seen) < b.settings.RunningExpiry {
-		return true
-	}
+// runsElsewhere reports whether the suspect is, as far as is known, in flight
+// at another instance.
+func (b *Book) runsElsewhere(now time.Time, fingerprint serving.Fingerprint) bool {
+	seen, ok := b.elsewhere[fingerprint]
+	return ok && now.Sub(seen.at) < b.settings.RunningExpiry
+}
+
+// runsHere reports whether another request with the fingerprint is in flight at
+// this instance.
+func (b *Book) runsHere(fingerprint serving.Fingerprint, request string) bool {
 	for _, inFlight := range b.running {
-		for _, running := range inFlight {
-			if running.fingerprint == fingerprint {
+		for id, running := range inFlight {
+			if running.fingerprint == fingerprint && id != request {
 				return true
 			}
 		}
@@ -376,22 +397,22 @@
 // exportRunning returns the suspects in flight at this instance and, as far as
 // is known, at others.
 func (b *Book) exportRunning(now time.Time) []Running {
-	ages := make(map[serving.Fingerprint]time.Duration)
+	var all []Running
 	for fingerprint, seen := range b.elsewhere {
-		ages[fingerprint] = now.Sub(seen)
+		all = append(all, Running{Fingerprint: fingerprint, Instance: seen.instance, Age: now.Sub(seen.at)})
 	}
+	own := make(map[serving.Fingerprint]bool)
 	for _, inFlight := range b.running {
 		for _, running := range inFlight {
-			if b.suspected(running.fingerprint) {
-				ages[running.fingerprint] = 0
+			if !own[running.fingerprint] && b.suspected(running.fingerprint) {
+				own[running.fingerprint] = true
+				all = append(all, Running{Fingerprint: running.fingerprint, Instance: b.instance})
 			}
 		}
 	}
-	var all []Running
-	for fingerprint, age := range ages {
-		all = append(all, Running{Fingerprint: fingerprint, Age: age})
-	}
-	slices.SortFunc(all, func(a, b Running) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(all, func(a, b Running) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Instance, b.Instance))
+	})
 	return all
 }
 
@@ -410,7 +431,7 @@
 		}
 	}
 	for fingerprint, seen := range b.elsewhere {
-		if now.Sub(seen) > b.settings.RunningExpiry {
+		if now.Sub(seen.at) > b.settings.RunningExpiry {
 			delete(b.elsewhere, fingerprint)
 		}
 	}
@@ -498,8 +519,9 @@
 		b.clear(clearance)
 	}
 	for _, running := range digest.Running {
-		if seen := now.Add(-running.Age); seen.After(b.elsewhere[running.Fingerprint]) {
-			b.elsewhere[running.Fingerprint] = seen
+		at := now.Add(-running.Age)
+		if running.Instance != b.instance && at.After(b.elsewhere[running.Fingerprint].at) {
+			b.elsewhere[running.Fingerprint] = sighting{instance: running.Instance, at: at}
 		}
 	}
 	for _, intent := range digest.Intents {
--- a/decision/quarantine/report.go
+++ b/decision/quarantine/report.go
@@ -52,9 +52,15 @@
 	Intents []Intent `json:"intents,omitempty"`
 }
 
-// Running says that a suspect is in flight at some instance.
+// Running says that a suspect is in flight at an instance.
 type Running struct {
 	Fingerprint serving.Fingerprint `json:"fingerprint"`
+	Instance    string              `json:"instance"`
 	// Age is how long ago that was known for sure.
 	Age time.Duration `json:"age"`
 }
+
+// Empty reports whether the digest says nothing.
+func (d Digest) Empty() bool {
+	return len(d.Reports)+len(d.Clearances)+len(d.Quarantines)+len(d.Running)+len(d.Intents) == 0
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -113,6 +113,7 @@
 	if e.limits != nil {
 		e.duties.Go("limit reports", e.limits.Run)
 	}
+	e.duties.Go("suspicions", func(ctx context.Context) { e.guard.Exchange(ctx, suspectPeers{entry: e}) })
 	e.serve.Go("peers", c.server.Serve)
 }
 
@@ -173,6 +174,7 @@
 		CommitClaims:  e.commitClaims,
 		Limits:        e.receiveLimits,
 		Members:       func(ctx context.Context) ([]byte, error) { return e.control.members.Known(ctx) },
+		Suspicions:    e.guard.Answer,
 		Dump: func(context.Context) ([]byte, error) {
 			return encoded(e.Dump(operatorapi.DefaultDecisions))
 		},
@@ -209,6 +211,8 @@
 	state.Sections = append(state.Sections,
 		dump.NewSection("platform_budget", status),
 		dump.NewSection("configuration", e.follower.Status()),
+		dump.NewSection("calls", e.calls.Status()),
+		dump.NewSection("quarantines", e.guard.Quarantines()),
 	)
 	if e.control == nil {
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	decision "github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	decisionoverflow "github.com/wisteriahaven/wisteriahaven/decision/overflow"
+	"github.com/wisteriahaven/wisteriahaven/decision/quarantine"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -61,6 +62,7 @@
 	invalid   error
 	generator *generation.Generator
 	calls     *call.Caller
+	guard     *guard.Guard
 	tracker   *inflight.Tracker
 	marks     *operator.Marks
 	// effective is the configuration in force with the local marks.
@@ -103,12 +105,12 @@
 // assemble joins the parts of the serving path.
 func (e *Entry) assemble() {
 	router, admitter := e.assembleChoices()
-	requestGuard := guard.Open{}
+	e.guard = guard.New(e.settings.Instance, quarantine.DefaultSettings(), e.logger)
 	recorder := e.tracker.Recorder(e.recorder)
 	recordedRouter := e.tracker.Router(router, recorder)
 	e.generator, e.invalid = e.newGenerator(generation.Parts{
 		Router:   recordedRouter,
-		Guard:    requestGuard,
+		Guard:    e.guard,
 		Recorder: recorder,
 	})
 	e.calls = call.New(call.Parts{
@@ -117,7 +119,7 @@
 		Router:        recordedRouter,
 		Admitter:      admitter,
 		Recorder:      recorder,
-		Guard:         requestGuard,
+		Guard:         e.guard,
 		Services:      service.NewClient(),
 		Store:         e.store,
 		Instances:     links{e},
--- /dev/null
+++ b/entry/suspicions.go
@@ -0,0 +1,22 @@
+package entry
+
+import "context"
+
+// suspectPeers reaches the other instances for the guard.
+type suspectPeers struct{ entry *Entry }
+
+// Addresses implements guard.Peers.
+func (p suspectPeers) Addresses() []string {
+	var addresses []string
+	for _, record := range p.entry.control.members.View().Members {
+		if record.Live() && record.Peer.Instance != p.entry.settings.Instance {
+			addresses = append(addresses, record.Peer.Peers)
+		}
+	}
+	return addresses
+}
+
+// Suspicions implements guard.Peers.
+func (p suspectPeers) Suspicions(ctx context.Context, address string, digest []byte) ([]byte, error) {
+	return p.entry.control.client.Suspicions(ctx, address, digest)
+}
--- a/experiment/killingrequest/job.go
+++ b/experiment/killingrequest/job.go
@@ -31,7 +31,7 @@
 
 // attempt runs a submission as the instance's book advises.
 func (w *world) attempt(j *job) {
-	verdict := j.at.book.Check(w.Now, j.request.fingerprint)
+	verdict := j.at.book.Check(w.Now, j.request.fingerprint, strconv.Itoa(j.id))
 	switch verdict.Advice {
 	case quarantine.Refuse:
 		w.refuse(j)
--- a/fault/codes_call.go
+++ b/fault/codes_call.go
@@ -14,6 +14,7 @@
 	RetryBudgetEmpty Code = "retry_budget_empty"
 	AnswerCrossed    Code = "answer_crossed"
 	CallAnswerLost   Code = "call_answer_lost"
+	RequestSuspected Code = "request_suspected"
 )
 
 var callDefinitions = map[Code]Definition{
@@ -26,5 +27,6 @@
 	QuarantinedByUs:  {http.StatusUnprocessableEntity, "the request ended several backend servers and is quarantined", "change the request, or ask an operator to release it"},
 	AnswerCrossed:    {http.StatusBadGateway, "the backend server answered another request", "check the backend server"},
 	CallAnswerLost:   {http.StatusBadGateway, "the connection broke before the call's answer", "repeat the call with the same key"},
+	RequestSuspected: {http.StatusServiceUnavailable, "the request may have ended several backend servers and was not cleared in time", "send it again after the given time"},
 	RetryBudgetEmpty: {http.StatusServiceUnavailable, "the retry budget is used up", "retry later"},
 }
--- a/serving/call/caller.go
+++ b/serving/call/caller.go
@@ -56,7 +56,7 @@
 		return serving.CallResult{}, fault.New(fault.CallKeyMissing, "a non-idempotent call needs an Idempotency-Key").WithExecution(fault.ExecutionNotRun)
 	}
 	fingerprint := fingerprintOf(request)
-	isolated, err := c.parts.Guard.Check(fingerprint)
+	isolated, err := c.parts.Guard.Check(fingerprint, request.RequestID)
 	if err != nil {
 		return serving.CallResult{}, fault.From(err).WithExecution(unsentExecution(request))
 	}
--- a/serving/call/caller_test.go
+++ b/serving/call/caller_test.go
@@ -45,7 +45,7 @@
 	b.server.SetFaults(standin.Faults{CrossAnswers: 1})
 	_, err := b.call(0, "key", "{}", operation)
 	b.is.Equal(execution(err), fault.ExecutionUnknown)
-	b.is.Equal(b.callers[0].Status(t.Context()).AnswersDropped, int64(1))
+	b.is.Equal(b.callers[0].Status().AnswersDropped, int64(1))
 	answer, err := b.call(0, "other", "{}", estate.Operation{Name: "read", Idempotent: true})
 	b.is.NoErr(err)
 	b.is.True(!answer.Replayed)
--- a/serving/call/counts.go
+++ b/serving/call/counts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -32,6 +33,9 @@
 	}
 }
 
+// statusTimeout bounds the wait for the state of the shards.
+const statusTimeout = 500 * time.Millisecond
+
 // Status is the state of the calls for the dump.
 type Status struct {
 	Answered    int64 `json:"answered"`
@@ -46,7 +50,9 @@
 }
 
 // Status returns the state of the calls.
-func (c *Caller) Status(ctx context.Context) Status {
+func (c *Caller) Status() Status {
+	ctx, cancel := context.WithTimeout(c.ctx, statusTimeout)
+	defer cancel()
 	return Status{
 		Answered:       c.counts.answered.Load(),
 		Replayed:       c.counts.replayed.Load(),
--- a/serving/generation/attempts.go
+++ b/serving/generation/attempts.go
@@ -18,7 +18,7 @@
 
 // ask gets a route for the machine.
 func (r *run) ask(out decision.AskRoute) {
-	isolated, err := r.parts.Guard.Check(r.suspect)
+	isolated, err := r.parts.Guard.Check(r.suspect, r.request.RequestID)
 	if err == nil {
 		request := r.routeRequest(out.Purpose)
 		request.Version = out.Version
@@ -131,10 +131,11 @@
 		r.probe(closed)
 		return
 	}
+	// A server that took no connection ended before this attempt ran there.
+	r.parts.Guard.Ended(r.suspect, r.request.RequestID, closed.server)
 	if out.Outcome == serving.OutcomeUnreachable {
 		r.parts.Guard.ServerDied(closed.server)
 	}
-	r.parts.Guard.Ended(r.suspect, r.request.RequestID, closed.server)
 }
 
 // disconnect ends an attempt's connection. To cancel a stream that is not
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -8,8 +8,10 @@
 // concurrent use.
 type Guard interface {
 	// Check returns QuarantinedByUs for a quarantined fingerprint. Otherwise
-	// it reports whether the request is a suspect that must run isolated.
-	Check(fingerprint Fingerprint) (isolated bool, err error)
+	// it reports whether the request is a suspect that must run isolated. It
+	// holds a suspect for a bounded time while other requests with its
+	// fingerprint run, and returns RequestSuspected after that.
+	Check(fingerprint Fingerprint, requestID string) (isolated bool, err error)
 	// Started records that a request runs on a server.
 	Started(fingerprint Fingerprint, requestID, server string)
 	// Ended records that it left the server without harm.
--- /dev/null
+++ b/serving/guard/guard.go
@@ -0,0 +1,153 @@
+package guard
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/quarantine"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+)
+
+// Bounds of a request that is held.
+const (
+	// maxHold is how long Check waits for a suspect to be cleared.
+	maxHold = 10 * time.Second
+	// holdRetryAfter is advised to a suspect that was not cleared in time.
+	holdRetryAfter = 10 * time.Second
+)
+
+// Guard implements serving.Guard with a quarantine book.
+type Guard struct {
+	logger zerolog.Logger
+	mu     sync.Mutex
+	book   *quarantine.Book
+	// logged are the quarantines that were logged.
+	logged map[serving.Fingerprint]bool
+}
+
+// New returns the guard of an instance.
+func New(instance string, settings quarantine.Settings, logger zerolog.Logger) *Guard {
+	return &Guard{
+		logger: logger,
+		book:   quarantine.NewBook(instance, settings),
+		logged: make(map[serving.Fingerprint]bool),
+	}
+}
+
+// Check implements serving.Guard. A suspect that must not run yet is held for
+// a bounded time; RequestSuspected then tells the caller when to come back.
+func (g *Guard) Check(fingerprint serving.Fingerprint, requestID string) (isolated bool, err error) {
+	end := time.Now().Add(maxHold)
+	for {
+		verdict := g.check(fingerprint, requestID)
+		switch verdict.Advice {
+		case quarantine.Run:
+			return false, nil
+		case quarantine.RunIsolated:
+			return true, nil
+		case quarantine.Refuse:
+			reason := "request " + Name(fingerprint) + " ended " + strings.Join(verdict.Deaths, ", ")
+			return false, fault.New(fault.QuarantinedByUs, reason)
+		}
+		if verdict.Until.After(end) {
+			reason := "request " + Name(fingerprint) + " may have ended " + strings.Join(verdict.Deaths, ", ")
+			return false, fault.New(fault.RequestSuspected, reason).WithRetryAfter(holdRetryAfter)
+		}
+		time.Sleep(time.Until(verdict.Until))
+	}
+}
+
+func (g *Guard) check(fingerprint serving.Fingerprint, requestID string) quarantine.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.book.Check(time.Now(), fingerprint, requestID)
+	g.logNew()
+	return verdict
+}
+
+// Started implements serving.Guard.
+func (g *Guard) Started(fingerprint serving.Fingerprint, requestID, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Started(time.Now(), fingerprint, requestID, server)
+}
+
+// Ended implements serving.Guard.
+func (g *Guard) Ended(_ serving.Fingerprint, requestID, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Ended(time.Now(), requestID, server)
+}
+
+// ServerDied implements serving.Guard.
+func (g *Guard) ServerDied(server string) {
+	g.mu.Lock()
+	suspects := g.book.ServerDied(time.Now(), server)
+	g.mu.Unlock()
+	if suspects > 0 {
+		event.Log(g.logger, event.RequestSuspected).Str("server", server).Int("requests", suspects).Send()
+	}
+}
+
+// Release ends a quarantine by an operator's command and reports whether there
+// was one.
+func (g *Guard) Release(fingerprint serving.Fingerprint) bool {
+	g.mu.Lock()
+	released := g.book.Release(time.Now(), fingerprint)
+	delete(g.logged, fingerprint)
+	g.mu.Unlock()
+	if released {
+		event.Log(g.logger, event.QuarantineReleased).Str("fingerprint", Name(fingerprint)).Send()
+	}
+	return released
+}
+
+// Quarantines returns the quarantines and releases in force.
+func (g *Guard) Quarantines() []quarantine.Quarantine {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Quarantines()
+}
+
+// export returns the digest for other instances.
+func (g *Guard) export() quarantine.Digest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.book.Tick(now)
+	g.logNew()
+	return g.book.Export(now)
+}
+
+// take imports another instance's digest.
+func (g *Guard) take(digest quarantine.Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Import(time.Now(), digest)
+	g.logNew()
+}
+
+// logNew logs the quarantines that are new here. The lock is held.
+func (g *Guard) logNew() {
+	for _, entry := range g.book.Quarantines() {
+		if entry.Released || g.logged[entry.Fingerprint] {
+			continue
+		}
+		g.logged[entry.Fingerprint] = true
+		event.Log(g.logger, event.RequestQuarantined).
+			Str("fingerprint", Name(entry.Fingerprint)).
+			Strs("servers", entry.Servers).
+			Send()
+	}
+}
+
+// Name returns a fingerprint as operators write it.
+func Name(fingerprint serving.Fingerprint) string {
+	return fmt.Sprintf("%016x", uint64(fingerprint))
+}
--- a/serving/guard/open.go
+++ b/serving/guard/open.go
@@ -7,7 +7,7 @@
 type Open struct{}
 
 // Check implements serving.Guard.
-func (Open) Check(serving.Fingerprint) (bool, error) { return false, nil }
+func (Open) Check(serving.Fingerprint, string) (bool, error) { return false, nil }
 
 // Started implements serving.Guard.
 func (Open) Started(serving.Fingerprint, string, string) {}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -107,6 +107,16 @@
 	})
 }
 
+// Suspicions sends a digest of killing requests and returns the peer's own.
+func (c *Client) Suspicions(ctx context.Context, address string, digest []byte) ([]byte, error) {
+	var reply *peerpb.SuspicionsMessage
+	err := c.call(ctx, address, func(ctx context.Context, peer peerpb.DRPCPeerClient) (err error) {
+		reply, err = peer.Suspicions(ctx, &peerpb.SuspicionsMessage{Json: digest})
+		return err
+	})
+	return reply.GetJson(), err
+}
+
 // Dump returns the state of the peer as JSON.
 func (c *Client) Dump(ctx context.Context, address string) ([]byte, error) {
 	var reply *peerpb.DumpReply
--- a/transport/peer/handlers.go
+++ b/transport/peer/handlers.go
@@ -27,6 +27,9 @@
 	CommitClaims func(ctx context.Context, shard uint32, payload []byte) ([]byte, error)
 	// Limits takes another instance's reports about limits.
 	Limits func(request *peerpb.LimitsRequest)
+	// Suspicions takes a peer's digest of killing requests and returns the
+	// instance's own.
+	Suspicions func(ctx context.Context, digest []byte) ([]byte, error)
 	// Dump returns the instance's state as JSON.
 	Dump func(ctx context.Context) ([]byte, error)
 	// Explain returns the decisions about a subject as JSON.
@@ -74,6 +77,15 @@
 	return &peerpb.LimitsReply{}, nil
 }
 
+// Suspicions implements peerpb.DRPCPeerServer.
+func (s service) Suspicions(ctx context.Context, request *peerpb.SuspicionsMessage) (*peerpb.SuspicionsMessage, error) {
+	if s.handlers.Suspicions == nil {
+		return nil, unhandled()
+	}
+	digest, err := s.handlers.Suspicions(ctx, request.GetJson())
+	return &peerpb.SuspicionsMessage{Json: digest}, coded(err)
+}
+
 // Dump implements peerpb.DRPCPeerServer.
 func (s service) Dump(ctx context.Context, _ *peerpb.DumpRequest) (*peerpb.DumpReply, error) {
 	if s.handlers.Dump == nil {
