--- a/decision/quarantine/book.go
+++ b/decision/quarantine/book.go
@@ -195,7 +195,7 @@
 		return Verdict{Advice: Refuse, Deaths: found.servers}
 	case len(found.sole) >= b.settings.SoleDeaths:
 		return Verdict{Advice: Wait, Until: found.settled, Deaths: found.servers}
-	case found.deaths >= b.settings.MaxDeaths && len(found.servers) >= b.settings.SoleDeaths:
+	case found.total >= b.settings.MaxDeaths && len(found.servers) >= b.settings.SoleDeaths:
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
 	case found.deaths > 0 && (b.runsElsewhere(now, fingerprint) || b.runsHere(fingerprint, request)):
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
@@ -240,7 +240,9 @@
 
 // evidence is what the deaths say about one request.
 type evidence struct {
-	// deaths is the number of deaths that the request is not cleared of.
+	// total is the number of deaths that the request is not cleared of, deaths
+	// that of those which no quarantined request explains.
+	total  int
 	deaths int
 	// servers are those of the deaths that were not shared.
 	servers []string
@@ -259,6 +261,7 @@
 			continue
 		}
 		explained := b.endedByQuarantined(d, fingerprint)
+		found.total++
 		if !explained {
 			found.deaths++
 		}
@@ -267,13 +270,31 @@
 		}
 		if !explained && !d.shared && known && b.onlySuspect(deaths, d, fingerprint) {
 			found.sole = append(found.sole, d.server)
-			found.settled = d.last.Add(b.settings.SettleDelay)
+			found.settle(d.last.Add(b.settleDelay(d, fingerprint)))
 		}
 		known = true
 	}
 	return found
 }
 
+// settle notes when one more piece of evidence holds.
+func (e *evidence) settle(at time.Time) {
+	if at.After(e.settled) {
+		e.settled = at
+	}
+}
+
+// settleDelay returns how long the death needs to count against the request:
+// longer while another request in flight may still turn out to be the cause.
+func (b *Book) settleDelay(d *death, fingerprint serving.Fingerprint) time.Duration {
+	for other := range d.suspects {
+		if other != fingerprint && b.accused(d, other) {
+			return b.settings.ClearDelay
+		}
+	}
+	return b.settings.SettleDelay
+}
+
 // deaths returns the deaths known, joined anew after a change.
 func (b *Book) deaths() []*death {
 	if b.joined == nil {
--- a/decision/quarantine/settings.go
+++ b/decision/quarantine/settings.go
@@ -18,6 +18,9 @@
 	// SettleDelay is the wait for other instances' reports before a request
 	// is quarantined.
 	SettleDelay time.Duration
+	// ClearDelay is that wait while other requests in flight at a death are
+	// not cleared.
+	ClearDelay time.Duration
 	// RunningExpiry is how long another instance's word holds that a suspect
 	// runs there; RunningRetry is the wait before the next check.
 	RunningExpiry time.Duration
@@ -39,10 +42,11 @@
 	return Settings{
 		SoleDeaths:       2,
 		MaxDeaths:        3,
-		SharedDeaths:     3,
+		SharedDeaths:     2,
 		SharedWindow:     300 * time.Millisecond,
 		JoinWindow:       2 * time.Second,
 		SettleDelay:      2 * time.Second,
+		ClearDelay:       10 * time.Second,
 		RunningExpiry:    3 * time.Second,
 		RunningRetry:     200 * time.Millisecond,
 		SuspicionExpiry:  time.Hour,
--- a/experiment/atmostonce/instance.go
+++ b/experiment/atmostonce/instance.go
@@ -39,7 +39,8 @@
 
 func (i *instance) restart() {
 	i.boot++
-	i.random = rand.New(rand.NewPCG(uint64(i.world.choices.IntN(1<<30)), uint64(i.id)))
+	// The boot is part of the seed: processes never share random numbers.
+	i.random = rand.New(rand.NewPCG(uint64(i.world.choices.IntN(1<<30)), uint64(i.boot)<<32|uint64(i.id)))
 	i.committer = claim.New(i.world.shard, i.world.claimSettings, i.random)
 	i.calls = make(map[int]*running)
 	i.answers = make(map[uint64]func(claim.Answer))
