--- a/decision/quarantine/settings.go
+++ b/decision/quarantine/settings.go
@@ -42,7 +42,7 @@
 	return Settings{
 		SoleDeaths:       2,
 		MaxDeaths:        3,
-		SharedDeaths:     2,
+		SharedDeaths:     3,
 		SharedWindow:     300 * time.Millisecond,
 		JoinWindow:       2 * time.Second,
 		SettleDelay:      2 * time.Second,
