--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,10 +3,13 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operator"
+	"github.com/wisteriahaven/wisteriahaven/serving"
+	"github.com/wisteriahaven/wisteriahaven/serving/guard"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -19,7 +22,7 @@
 		Current:        e.follower,
 		Peers:          operator.NewHTTPPeers(e, e.peers),
 		Marks:          e.marks,
-		Quarantines:    noQuarantines{},
+		Quarantines:    releases{guard: e.guard},
 		Announcer:      markAnnouncer{e},
 		Logger:         e.logger,
 		Now:            time.Now,
@@ -48,11 +51,14 @@
 	return others
 }
 
-// noQuarantines is the operator.Quarantines of an instance that quarantines
-// nothing.
-type noQuarantines struct{}
+// releases is the operator.Quarantines of an instance.
+type releases struct{ guard *guard.Guard }
 
 // Release implements operator.Quarantines.
-func (noQuarantines) Release(fingerprint string) error {
-	return fault.New(fault.NotFound, "no request with the fingerprint "+fingerprint+" is quarantined")
+func (r releases) Release(fingerprint string) error {
+	number, err := strconv.ParseUint(fingerprint, 16, 64)
+	if err != nil || !r.guard.Release(serving.Fingerprint(number)) {
+		return fault.New(fault.NotFound, "no request with the fingerprint "+fingerprint+" is quarantined")
+	}
+	return nil
 }
