--- a/entry/dump.go
+++ b/entry/dump.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/serving/guard"
 )
 
 // Dump returns the state of the instance with its newest decisions.
@@ -24,6 +26,7 @@
 		Calls:       e.tracker.Calls(),
 		Leases:      e.dumpLeases(),
 		LocalMarks:  e.marks.All(),
+		Quarantines: e.dumpQuarantines(),
 		Counters:    dump.Counters(e.metrics),
 		Decisions:   e.recorder.Recent(decisions),
 		Sections: []dump.Section{
@@ -71,6 +74,22 @@
 	return []dump.Lease{{Name: "orders", Holder: e.settings.Instance, Fencing: status.Fencing}}
 }
 
+// dumpQuarantines returns the quarantines in force.
+func (e *Entry) dumpQuarantines() []dump.Quarantine {
+	var inForce []dump.Quarantine
+	for _, quarantine := range e.guard.Quarantines() {
+		if quarantine.Released {
+			continue
+		}
+		inForce = append(inForce, dump.Quarantine{
+			Fingerprint: guard.Name(quarantine.Fingerprint),
+			Deaths:      len(quarantine.Servers),
+			Reason:      "ended " + strings.Join(quarantine.Servers, ", "),
+		})
+	}
+	return inForce
+}
+
 // waitingFor lists the requests that a planned stop waits for.
 func waitingFor(state dump.Instance) []string {
 	var ids []string
