--- a/decision/quarantine/book.go
+++ b/decision/quarantine/book.go
@@ -195,7 +195,7 @@
 		return Verdict{Advice: Refuse, Deaths: found.servers}
 	case len(found.sole) >= b.settings.SoleDeaths:
 		return Verdict{Advice: Wait, Until: found.settled, Deaths: found.servers}
-	case found.total >= b.settings.MaxDeaths && len(found.servers) >= b.settings.SoleDeaths:
+	case found.total >= b.settings.MaxDeaths && len(found.servers) > 0:
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
 	case found.deaths > 0 && (b.runsElsewhere(now, fingerprint) || b.runsHere(fingerprint, request)):
 		return Verdict{Advice: Wait, Until: now.Add(b.settings.RunningRetry), Deaths: found.servers}
