--- a/experiment/overhead/measure.go
+++ b/experiment/overhead/measure.go
@@ -67,18 +67,25 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// share sends one node's share of requests for the given time.
+// share sends one node's share of requests for the given time. It starts with
+// as many running answers as the share has at any time, in random positions.
 func (m *measurement) share(ctx context.Context, s *system, address string, seed uint64, length time.Duration) {
 	s.engine.pace.Store(int64(tokenTime))
 	random := rand.New(rand.NewPCG(seed, 1))
 	var answers sync.WaitGroup
+	ask := func(tokens int) {
+		prompt := fmt.Sprintf("prompt %x", random.Uint64())
+		answers.Go(func() {
+			count, err := readAnswer(ctx, address, prompt, tokens, s.engine.started, m.delay)
+			m.add(count, tokens, err)
+		})
+	}
 	m.time(func() {
+		for range runningAtShare {
+			ask(1 + random.IntN(shareTokens))
+		}
 		for end := time.Now().Add(length); time.Now().Before(end); {
-			prompt := fmt.Sprintf("prompt %x", random.Uint64())
-			answers.Go(func() {
-				count, err := readAnswer(ctx, address, prompt, shareTokens, s.engine.started, m.delay)
-				m.add(count, shareTokens, err)
-			})
+			ask(shareTokens)
 			time.Sleep(time.Duration(random.ExpFloat64() / shareRate * float64(time.Second)))
 		}
 		answers.Wait()
