--- a/decision/claim/schedule_test.go
+++ b/decision/claim/schedule_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wisteriahaven/wisteriahaven/experiment/atmostonce"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // drawn takes the choices of a schedule from rapid.
@@ -27,3 +28,13 @@
 		is.Equal(result.Unhealed, "")
 	})
 }
+
+// TestAtMostOnceSeeded runs the first schedules of the experiment's seed 1.
+func TestAtMostOnceSeeded(t *testing.T) {
+	is := is.New(t)
+	for schedule := range uint64(300) {
+		result := atmostonce.RunSchedule(virtual.Seeded(1, schedule))
+		is.Equal(result.DoubleRuns+result.FalseNotRun+result.WrongAnswers, 0)
+		is.Equal(result.Unhealed, "")
+	}
+}
--- a/decision/quarantine/schedule_test.go
+++ b/decision/quarantine/schedule_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wisteriahaven/wisteriahaven/experiment/killingrequest"
+	"github.com/wisteriahaven/wisteriahaven/internal/virtual"
 )
 
 // drawn takes the choices of a schedule from rapid.
@@ -50,3 +51,14 @@
 	settings.Arrival, settings.Length = 200*time.Millisecond, 10*time.Second
 	return settings
 }
+
+// TestDeathsBesideARackDoNotCount repeats the schedules in which a killing
+// request's deaths fell together with a rack's and cost a fourth server.
+func TestDeathsBesideARackDoNotCount(t *testing.T) {
+	is := is.New(t)
+	for _, schedule := range []uint64{34, 55} {
+		result := killingrequest.RunSchedule(virtual.Seeded(2, schedule), killingrequest.DefaultSettings())
+		is.True(result.MostLost() <= 3)
+		is.Equal(result.InnocentsRefused, 0)
+	}
+}
