--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -16,10 +16,13 @@
 
 // plan starts what is missing for the answer to go on.
 func (m *Machine) plan(now time.Duration) {
-	if m.phase != phaseRunning || now < m.retryAt || m.healthy() {
+	if m.phase != phaseRunning || now < m.retryAt {
 		return
 	}
 	m.retryAt = 0
+	if m.healthy() {
+		return
+	}
 	if m.answer.offset > 0 {
 		m.broken = true
 	}
--- a/internal/simengine/instance.go
+++ b/internal/simengine/instance.go
@@ -83,10 +83,19 @@
 		if i.wakeAt == at && !i.crashed {
 			i.wakeAt = 0
 			i.Input(generation.Tick{})
+			i.checkWake()
 		}
 	})
 }
 
+// checkWake panics when a machine asks for a tick that has just come, as its
+// driver would call it without end.
+func (i *Instance) checkWake() {
+	if at, ok := i.Machine.Wake(); ok && at <= i.world.now {
+		panic("the machine's wake time does not advance")
+	}
+}
+
 func (i *Instance) carryOut(output generation.Output) {
 	switch out := output.(type) {
 	case generation.AskRoute:
