--- a/entry/dump.go
+++ b/entry/dump.go
@@ -31,6 +31,7 @@
 		Decisions:   e.recorder.Recent(decisions),
 		Sections: []dump.Section{
 			dump.NewSection("orders", e.orders.Status()),
+			dump.NewSection("retained generations", e.generator.Status()),
 			dump.NewSection("queues", e.admitter.Services()),
 			dump.NewSection("routing", e.router.Status()),
 			dump.NewSection("cross_region_bytes", e.router.Traffic().CrossRegionBytes()),
