Never share a UDP port; keep repeated probes small; measure the spreading over sockets

Cause: the event loop's socket allows reuse, so that with port 0 the system gave some of 185 instances the same port, and one of both received nothing. The others kept on suspecting it, its refutations filled the byte buckets, and slopes ended with 'the instances did not find each other'. Change: the address is opened without reuse first, which also refuses a second process on the same port; repeated probes and challenges carry only what the receiver has to refute.

--- a/decision/membership/merge.go
+++ b/decision/membership/merge.go
@@ -94,7 +94,7 @@
 			return
 		}
 	}
-	t.probe(peer, now, now, out)
+	t.probe(peer, now.Add(-time.Nanosecond), now, out)
 }
 
 // tellNewer answers a restarted instance whose clock was set back with the
--- a/decision/membership/probe.go
+++ b/decision/membership/probe.go
@@ -20,11 +20,22 @@
 func (t *Table) probe(peer settings.Peer, first, now time.Time, out *Output) {
 	digest := t.newDigest(Probe, peer.Instance)
 	t.probes[digest.Sequence] = probe{peer: peer, deadline: now.Add(t.config.ProbeTimeout), first: first}
-	t.fillDigest(&digest, peer, t.config.DigestBytes, now)
+	t.fillProbe(&digest, peer, first, now)
 	t.counters.Probes++
 	t.send(peer.Gossip, digest, out)
 }
 
+// fillProbe fills the probes of the exchange. Repeated probes and challenges
+// tell the receiver only what it has to refute: they must not use up the bytes
+// that news needs.
+func (t *Table) fillProbe(digest *Digest, peer settings.Peer, first, now time.Time) {
+	if first.Equal(now) {
+		t.fillDigest(digest, peer, t.config.DigestBytes, now)
+		return
+	}
+	t.fill(digest, t.recordAbout(peer, now), t.config.NewsBytes-digest.Size())
+}
+
 // answer replies to a probe, in full while the byte bucket allows it.
 func (t *Table) answer(digest Digest, now time.Time, out *Output) {
 	peer := digest.From.Peer
--- a/experiment/slopes/exchange.go
+++ b/experiment/slopes/exchange.go
@@ -84,9 +84,7 @@
 
 func startExchange(size int, seed uint64) (*exchangeFleet, error) {
 	fleet := &exchangeFleet{duties: duty.NewGroup(context.Background(), zerolog.Nop())}
-	ring, err := peerauth.NewRing(settings.KeyRing{
-		Active: "k", Keys: []settings.Key{{ID: "k", Secret: strings.Repeat("5a", 32)}},
-	})
+	ring, err := exchangeRing()
 	if err != nil {
 		return fleet, err
 	}
@@ -125,6 +123,13 @@
 	return nil, fault.New(fault.PeerUnreachable, "no such instance")
 }
 
+// exchangeRing returns the keys of every fleet.
+func exchangeRing() (*peerauth.Ring, error) {
+	return peerauth.NewRing(settings.KeyRing{
+		Active: "k", Keys: []settings.Key{{ID: "k", Secret: strings.Repeat("5a", 32)}},
+	})
+}
+
 func exchangePeer(index int) settings.Peer {
 	return settings.Peer{
 		Instance:   fmt.Sprintf("%s-entry-%03d", exchangeDataCentre, index),
--- a/experiment/slopes/experiment.go
+++ b/experiment/slopes/experiment.go
@@ -18,6 +18,9 @@
 	centreInstances = 185
 	fullServers     = 10_000
 	fullAccounts    = 880
+	// inForceSeconds and standingCalls are the design's bounds of a change.
+	inForceSeconds = 3
+	standingCalls  = 5
 )
 
 // defaultSpan is how long each point is measured at scale 1.
@@ -47,6 +50,12 @@
 	}
 	report.Figures = append(servers.figures(), accounts.figures()...)
 	report.Targets = append(report.Targets, changeTargets(servers)...)
+	spread, err := measureSpread(ctx, []int{4, 16, 64}, options.Seed)
+	if err != nil {
+		return experiment.Report{}, err
+	}
+	report.Figures = append(report.Figures, spread.figures()...)
+	report.Targets = append(report.Targets, spreadTargets(spread)...)
 	exchange, err := measureExchange(ctx, []int{4, 16, 64, centreInstances}, span, options.Seed)
 	if err != nil {
 		return experiment.Report{}, err
@@ -72,3 +81,12 @@
 		experiment.AtMost("copy of 10,000 servers: memory", "KB", controlMemoryKilobytes, full[2]),
 	}
 }
+
+// spreadTargets compares the largest fleet over sockets with the design.
+func spreadTargets(spread series) []experiment.Target {
+	largest := spread.points[len(spread.points)-1].cost
+	return []experiment.Target{
+		experiment.AtMost("64 instances over sockets: worst time until in force everywhere", "s", inForceSeconds, largest[0]),
+		experiment.AtMost("64 instances over sockets: waiting platform calls", "calls", standingCalls, largest[1]),
+	}
+}
--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -31,6 +31,10 @@
 
 // Listen opens the UDP address, "ip:port", and hands what arrives to receive.
 func Listen(address string, codec *Codec, receive Receiver) (*Transport, error) {
+	address, err := freeAddress(address)
+	if err != nil {
+		return nil, err
+	}
 	t := &Transport{codec: codec, stopped: make(chan struct{})}
 	handler := &handler{transport: t, receive: receive, booted: make(chan gnet.Engine, 1)}
 	failed := make(chan error, 1)
@@ -50,6 +54,18 @@
 	return t, nil
 }
 
+// freeAddress returns the address with a port that nobody else has. The event
+// loop's socket would share the port of another one silently, also one that
+// the system picked, and one of both would receive nothing.
+func freeAddress(address string) (string, error) {
+	probe, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return "", fault.Wrap(fault.SettingsInvalid, "gossip", "listen.gossip", err)
+	}
+	defer func() { _ = probe.Close() }()
+	return probe.LocalAddr().String(), nil
+}
+
 // openSocket opens the event loop's socket a second time for sending from
 // other goroutines.
 func (t *Transport) openSocket() error {
--- a/transport/gossip/transport_test.go
+++ b/transport/gossip/transport_test.go
@@ -56,3 +56,13 @@
 	is.True(err != nil)
 	is.NoErr(taken.Close())
 }
+
+func TestTwoTransportsNeverShareAnAddress(t *testing.T) {
+	is := is.New(t)
+	codec := gossip.NewCodec(ring(t, "k1"))
+	first, err := gossip.Listen("127.0.0.1:0", codec, func(membership.Digest, int) {})
+	is.NoErr(err)
+	_, err = gossip.Listen(first.Address(), codec, func(membership.Digest, int) {})
+	is.True(err != nil)
+	is.NoErr(first.Close())
+}
