--- a/decision/generation/ending.go
+++ b/decision/generation/ending.go
@@ -13,15 +13,20 @@
 
 // stop gives the answer up and tells the caller what it has.
 func (m *Machine) stop(reason string) {
-	execution := m.nothingSent()
+	failure := fault.New(fault.GenerationStopped, reason+": "+m.has())
+	m.fail(failure.WithExecution(m.execution()).WithRetryAfter(retryAdvice))
+}
+
+// execution says what is known about a request that ends now.
+func (m *Machine) execution() fault.Execution {
 	switch {
 	case m.answer.offset > 0:
-		execution = fault.ExecutionPartial
+		return fault.ExecutionPartial
 	case m.mayHaveRun || len(m.attempts) > 0:
-		execution = fault.ExecutionUnknown
+		return fault.ExecutionUnknown
+	default:
+		return m.nothingSent()
 	}
-	failure := fault.New(fault.GenerationStopped, reason+": "+m.has())
-	m.fail(failure.WithExecution(execution).WithRetryAfter(retryAdvice))
 }
 
 // nothingSent is the execution of a request that this instance sent nowhere.
--- /dev/null
+++ b/decision/generation/refusal_test.go
@@ -0,0 +1,30 @@
+package generation_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/generation"
+	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+)
+
+// TestRefusalOfARouteReachesTheCaller refuses the second attempt: the caller
+// gets that refusal's own code and is not told that nothing was run.
+func TestRefusalOfARouteReachesTheCaller(t *testing.T) {
+	is := is.New(t)
+	machine := generation.New(generation.Config{
+		Model: "m", Version: "v1", Deadline: time.Hour, Policy: generation.PolicyFor(estate.Recovery{}),
+	}, rand.New(rand.NewPCG(1, 1)))
+	machine.Step(0, generation.Start{})
+	machine.Step(0, generation.RouteChosen{Ask: 1, Server: "a"})
+	machine.Step(0, generation.Lost{Attempt: 1, Reason: generation.LossBroken})
+	outputs := machine.Step(0, generation.RouteFailed{Ask: 2, Fault: fault.New(fault.QuarantinedByUs, "")})
+	failed, ok := outputs[len(outputs)-1].(generation.Fail)
+	is.True(ok)
+	is.Equal(failed.Fault.Code, fault.QuarantinedByUs)
+	is.Equal(failed.Fault.Execution, fault.ExecutionUnknown)
+}
--- a/decision/generation/repair.go
+++ b/decision/generation/repair.go
@@ -254,7 +254,7 @@
 		return
 	}
 	if len(m.attempts) == 0 && !temporary {
-		m.stop("no server may serve the request: " + in.Fault.Reason)
+		m.fail(in.Fault.WithExecution(m.execution()))
 		return
 	}
 	m.note("wait", "no backend server: "+in.Fault.Reason, "")
