Keep a written drain mark until its revision is in force

Cause: a local drain mark ended as soon as it was written to the platform; until the revision came into force here, neither the mark nor the configuration kept new work away. Change: the mark ends when an instance holds the revision that says the same. Conclusion: the test of marks is stricter: it demands the drain throughout, where it used to demand the mark's end right after the write.

--- a/operator/mark_writer.go
+++ b/operator/mark_writer.go
@@ -37,9 +37,11 @@
 	}
 }
 
+// writeMark writes a mark to the configuration and ends it once the revision
+// that says the same is in force here, so that the drain holds throughout.
 func (x *Executor) writeMark(ctx context.Context, mark dump.LocalMark, snapshot configstore.Snapshot) {
 	if _, applied := snapshot.Find(mark.CommandID); applied {
-		x.endMark(mark, event.MarkWritten, "it is in the configuration")
+		x.endMarkInForce(mark, snapshot, "it is in the configuration")
 		return
 	}
 	if reason := disagreement(mark, snapshot); reason != "" {
@@ -48,13 +50,20 @@
 	}
 	next := withMark(mark, snapshot.Configuration)
 	if command.Equal(snapshot.Configuration, next) {
-		x.endMark(mark, event.MarkWritten, "the configuration already says so")
+		x.endMarkInForce(mark, snapshot, "the configuration already says so")
 		return
 	}
 	described := configstore.Command{ID: mark.CommandID, Digest: mark.Digest, Operator: mark.Operator, Text: markText(mark), Time: x.parts.Now().UTC()}
-	_, err := x.parts.Configurations.Commit(ctx, snapshot.Configuration, next, described)
-	if err == nil {
-		x.endMark(mark, event.MarkWritten, "it is in the configuration")
+	// The next try finds the command applied, or writes again.
+	_, _ = x.parts.Configurations.Commit(ctx, snapshot.Configuration, next, described)
+}
+
+// endMarkInForce ends a written mark when the snapshot's revision is in force on
+// this instance; before that the mark alone keeps new work away.
+func (x *Executor) endMarkInForce(mark dump.LocalMark, snapshot configstore.Snapshot, reason string) {
+	current := x.parts.Current.Current()
+	if current != nil && current.Revision >= snapshot.Configuration.Revision {
+		x.endMark(mark, event.MarkWritten, reason)
 	}
 }
 
--- a/operator/marks_test.go
+++ b/operator/marks_test.go
@@ -62,6 +62,16 @@
 	executor.WriteMarks(ctx)
 }
 
+// catchUp brings the newest configuration into force.
+func (o *outage) catchUp(t *testing.T) {
+	t.Helper()
+	snapshot, err := operator.NewStoredConfigurations(o.store).Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.source.configuration = snapshot.Configuration
+}
+
 func (o *outage) drains(t *testing.T) []estate.Drain {
 	t.Helper()
 	snapshot, err := operator.NewStoredConfigurations(o.store).Load(t.Context())
@@ -115,8 +125,15 @@
 		is.Equal(len(o.marks.All()), 1)
 		o.store.outage = false
 		o.write(t)
+		o.write(t)
 		is.Equal(o.drains(t), []estate.Drain{drainB1})
+		// The written revision is not in force here yet: the mark still holds.
+		effective := operator.NewEffective(o.source, o.marks, func() time.Time { return o.now })
+		is.Equal(effective.Current().Drains, []estate.Drain{drainB1})
+		o.catchUp(t)
+		o.write(t)
 		is.Equal(len(o.marks.All()), 0)
+		is.Equal(effective.Current().Drains, []estate.Drain{drainB1})
 		repeated := o.run(t, o.executor, "c1", "drain backend-server b1 --local")
 		is.Equal(repeated.Outcome, operatorapi.Applied)
 		is.True(repeated.Repeated)
