Admit generations, and keep a part of each limit at idle instances

Cause: generations were not admitted, so limits did not apply to them. With admission on, both demos failed: an idle instance's share of a small account fell to 0 while others had demand, and it stayed at 0 when a data centre of one instance died, because that looks like a cut; the second request in a row was refused by a bucket of one second. Change: generations pass admission; an idle instance states half its equal part as demand; rates are averaged over four seconds. The price is that a busy instance can use at most the idle ones' other half.

--- a/decision/admission/bucket.go
+++ b/decision/admission/bucket.go
@@ -9,10 +9,10 @@
 	known bool
 }
 
-// fill adds what the rate a second brings, up to the burst of one second and
-// at least one request.
-func (b *bucket) fill(now time.Duration, rate float64) {
-	burst := max(1, rate)
+// fill adds what the rate a second brings, up to what it brings in the burst
+// window and at least one request.
+func (b *bucket) fill(now time.Duration, rate float64, window time.Duration) {
+	burst := max(1, rate*window.Seconds())
 	if !b.known {
 		b.known, b.level, b.at = true, burst, now
 		return
--- a/decision/admission/config.go
+++ b/decision/admission/config.go
@@ -10,6 +10,10 @@
 	// which is the mean run time within these bounds.
 	MinWait time.Duration
 	MaxWait time.Duration
+	// Burst is the time over which a rate is averaged: an account that sent
+	// nothing may send that much at once. Small shares of a rate on many
+	// instances would refuse the second request in a row without it.
+	Burst time.Duration
 	// ShareWait is when a client comes back to an account without a share on
 	// this instance: the time in which shares move.
 	ShareWait time.Duration
@@ -24,6 +28,7 @@
 		Queued:    256,
 		MinWait:   time.Second,
 		MaxWait:   10 * time.Second,
+		Burst:     4 * time.Second,
 		ShareWait: 2 * time.Second,
 		MinRetry:  time.Second,
 		MaxRetry:  60 * time.Second,
--- a/decision/admission/controller.go
+++ b/decision/admission/controller.go
@@ -60,7 +60,7 @@
 	a := c.account(running.arrival.Account.Name)
 	a.present[share.TokensPerSecond] += count
 	if a.limits[share.TokensPerSecond] > 0 {
-		a.tokenRate.fill(now, float64(a.shares[share.TokensPerSecond]))
+		a.tokenRate.fill(now, float64(a.shares[share.TokensPerSecond]), c.config.Burst)
 		a.tokenRate.level -= float64(count)
 	}
 }
--- a/decision/admission/limit.go
+++ b/decision/admission/limit.go
@@ -34,11 +34,11 @@
 	switch kind {
 	case share.RequestsPerSecond:
 		rate := float64(own) / share.RequestRateUnit
-		a.requestRate.fill(now, rate)
+		a.requestRate.fill(now, rate, c.config.Burst)
 		wait := a.requestRate.until(1, rate)
 		return wait, wait > 0
 	case share.TokensPerSecond:
-		a.tokenRate.fill(now, float64(own))
+		a.tokenRate.fill(now, float64(own), c.config.Burst)
 		wait := a.tokenRate.until(0, float64(own))
 		return wait, wait > 0
 	case share.RequestsInFlight:
--- a/decision/share/book.go
+++ b/decision/share/book.go
@@ -100,7 +100,8 @@
 		if account.Limits[kind] == 0 {
 			continue
 		}
-		input := Input{Limit: account.Limits[kind], Demand: account.Demand[kind], Peers: make([]Peer, 0, len(peers))}
+		least := leastDemand(account.Limits[kind], len(peers)+1)
+		input := Input{Limit: account.Limits[kind], Demand: max(account.Demand[kind], least), Peers: make([]Peer, 0, len(peers))}
 		for _, peer := range peers {
 			input.Peers = append(input.Peers, Peer{
 				Instance: peer.Instance, DataCentre: peer.DataCentre,
@@ -112,6 +113,20 @@
 	return result
 }
 
+// idleParts divides the equal part of an instance that sees no demand.
+const idleParts = 2
+
+// leastDemand returns the demand that an idle instance states: half its equal
+// part and at least one, if the limit is large enough. Without it the demand of
+// others takes its whole share, and it would refuse the first request it gets,
+// for as long as another data centre is cut off.
+func leastDemand(limit, instances int) int {
+	if limit < instances {
+		return 0
+	}
+	return max(1, limit/(idleParts*instances))
+}
+
 func (b *Book) newHolders(account string) *[Kinds]*Holder {
 	var held [Kinds]*Holder
 	for kind := range held {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,6 +110,7 @@
 	recordedRouter := e.tracker.Router(router, recorder)
 	e.generator, e.invalid = e.newGenerator(generation.Parts{
 		Router:   recordedRouter,
+		Admitter: admitter,
 		Guard:    e.guard,
 		Recorder: recorder,
 	})
