--- a/serving/generation/run.go
+++ b/serving/generation/run.go
@@ -15,6 +15,9 @@
 // inputBuffer is how many inputs of streams wait for the machine.
 const inputBuffer = 64
 
+// tokensCounted is how many tokens are counted against a rate at a time.
+const tokensCounted = 16
+
 // run is one generation in progress. Its fields belong to the goroutine of
 // Generate, except inputs.
 type run struct {
@@ -25,6 +28,7 @@
 	codec     *cursor.Codec
 	writer    serving.AnswerWriter
 	ticket    serving.Ticket
+	uncounted int
 	machine   *decision.Machine
 	config    decision.Config
 	began     time.Time
@@ -62,6 +66,7 @@
 		select {
 		case input := <-r.inputs:
 			r.step(input)
+			r.stepWaiting()
 		case <-timer.C:
 			r.step(decision.Tick{})
 		case <-ctx.Done():
@@ -76,6 +81,36 @@
 	return r.end, r.failure
 }
 
+// stepWaiting passes the inputs that are waiting already, so that a burst of
+// tokens costs one wait.
+func (r *run) stepWaiting() {
+	for range inputBuffer {
+		if r.machine.Ended() || !r.callerUp {
+			return
+		}
+		select {
+		case input := <-r.inputs:
+			r.step(input)
+		default:
+			return
+		}
+	}
+}
+
+// countToken counts a delivered token against the account's rate, several at a
+// time.
+func (r *run) countToken() {
+	r.uncounted++
+	if r.uncounted >= tokensCounted {
+		r.countTokens()
+	}
+}
+
+func (r *run) countTokens() {
+	r.ticket.Tokens(r.uncounted)
+	r.uncounted = 0
+}
+
 // step passes an input to the machine and carries out what follows.
 func (r *run) step(input decision.Input) {
 	r.pending = append(r.pending, input)
@@ -135,7 +170,7 @@
 		return
 	}
 	r.lastSent = time.Now()
-	r.ticket.Tokens(1)
+	r.countToken()
 	r.check(r.writer.Token(serving.Token{
 		Offset: out.Position.Offset - 1,
 		Text:   out.Text,
@@ -196,6 +231,7 @@
 
 // finishUp accounts for the generation and keeps a detached one.
 func (r *run) finishUp() {
+	r.countTokens()
 	r.generator.meters.account(r.machine.Counters())
 	if r.machine.Ended() {
 		return
--- a/transport/engine/stream.go
+++ b/transport/engine/stream.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"io"
 	"strconv"
 
@@ -14,6 +13,7 @@
 // may be called from any.
 type Stream struct {
 	exchange *sse.Exchange
+	decoder  chunkDecoder
 	bytes    int
 }
 
@@ -51,7 +51,7 @@
 	return taken
 }
 
-// Next returns the next chunk. It returns io.EOF after [DONE], and
+// Next returns the next chunk; its Choices are valid until the next call. It returns io.EOF after [DONE], and
 // EngineUnreachable when the connection ends before it.
 func (s *Stream) Next() (engineapi.Chunk, error) {
 	for {
@@ -65,21 +65,10 @@
 		case string(received.Data) == engineapi.DoneMarker:
 			return engineapi.Chunk{}, io.EOF
 		default:
-			return decodeChunk(received.Data)
+			return s.decoder.decode(received.Data)
 		}
 	}
 }
 
-func decodeChunk(data []byte) (engineapi.Chunk, error) {
-	var chunk engineapi.Chunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return chunk, fault.Wrap(fault.EngineProtocol, domain, "decode event", err)
-	}
-	if len(chunk.Choices) != 1 {
-		return chunk, fault.New(fault.EngineProtocol, "event without exactly one choice")
-	}
-	return chunk, nil
-}
-
 // Close ends the connection.
 func (s *Stream) Close() { s.exchange.Close() }
