--- a/entry/planned_stop_test.go
+++ b/entry/planned_stop_test.go
@@ -21,6 +21,8 @@
 	answers      = 8
 	answerTokens = 100
 	stopTimeout  = time.Minute
+	// callerTimeout ends callers whose answers were cut.
+	callerTimeout = 20 * time.Second
 )
 
 // TestPlannedStopCutsNoRequest stops an instance in the middle of generations
@@ -40,6 +42,8 @@
 		Addresses: estate.CallerAddresses(),
 		Key:       estate.Keys.ClientAccounts["kaufhaus-isar-theke"],
 	})
+	callers, release := context.WithTimeout(context.Background(), callerTimeout)
+	defer release()
 	started := make(chan struct{}, answers)
 	results := make([]client.Answer, answers)
 	failures := make([]error, answers)
@@ -49,7 +53,7 @@
 			generation := client.Generation{CompletionBody: caller.CompletionBody{
 				Model: "auskunft", Prompt: fmt.Sprintf("audit %d", i), MaxTokens: answerTokens,
 			}}
-			results[i], failures[i] = from.Generate(context.Background(), generation, func(offset int, _ string) {
+			results[i], failures[i] = from.Generate(callers, generation, func(offset int, _ string) {
 				if offset == 0 {
 					started <- struct{}{}
 				}
