Drop the cache events from the engine protocol's page

Cause: the page named a path that neither the engines nor the instances have. Change: the line is removed until cache events are used in routing. Conclusion: routing by cache events is still to be built.

--- a/engineapi/doc.go
+++ b/engineapi/doc.go
@@ -6,7 +6,6 @@
 //	POST /v1/streams/{id}/cancel     ends a stream; 404 when it is unknown;
 //	                                 with ?idle=true 409 when it is being read
 //	GET  /v1/load                    LoadReport
-//	GET  /v1/cache-events            CacheEvents, late and with gaps
 //	POST /v1/orders                  Order -> OrderResult
 //	GET  /v1/orders                  OrderState
 //
