Wait for a time or a context in one place

Change: internal/pause.For serves client, load, ctl, operator and the survival experiment. Conclusion: the budget's wait stays apart, because it returns a typed error.

--- a/client/call.go
+++ b/client/call.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
 	"github.com/wisteriahaven/wisteriahaven/transport/sse"
 )
@@ -48,9 +49,7 @@
 		if wait == 0 {
 			return answer, err
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if !pause.For(ctx, wait) {
 			return answer, err
 		}
 	}
--- a/client/generation.go
+++ b/client/generation.go
@@ -11,6 +11,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/engineapi"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/rollinghash"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
 	"github.com/wisteriahaven/wisteriahaven/transport/sse"
@@ -71,7 +72,7 @@
 		if run.cursor != "" {
 			run.answer.Resumes++
 		}
-		pause(ctx, max(reconnectPause, fault.From(err).RetryAfter))
+		pause.For(ctx, max(reconnectPause, fault.From(err).RetryAfter))
 	}
 }
 
@@ -186,10 +187,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/ctl/watch.go
+++ b/ctl/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/dump"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/serving/inflight"
 )
 
@@ -41,24 +42,12 @@
 			current.writeLine(s.options.Writer, previous)
 		}
 		previous = current
-		if looks == options.Count || !sleep(ctx, options.Interval) {
+		if looks == options.Count || !pause.For(ctx, options.Interval) {
 			return ExitOK
 		}
 	}
 }
 
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // view is one look at the estate.
 type view struct {
 	time        time.Time
--- a/experiment/survival/faults.go
+++ b/experiment/survival/faults.go
@@ -4,9 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"sort"
-	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/entry"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/standin/engine"
 	"github.com/wisteriahaven/wisteriahaven/standin/loopback"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
@@ -31,7 +31,7 @@
 		b.endDataCentre,
 	}
 	for _, step := range steps {
-		if !sleep(ctx, faultGap) {
+		if !pause.For(ctx, faultGap) {
 			return
 		}
 		step(ctx)
@@ -72,7 +72,7 @@
 	if name, chosen := b.pick(); chosen != nil {
 		b.broken = append(b.broken, "engine "+name+" paused and returned")
 		chosen.Pause()
-		sleep(ctx, faultGap)
+		pause.For(ctx, faultGap)
 		chosen.Unpause()
 	}
 }
@@ -93,7 +93,7 @@
 func (b *breaker) platformOutage(ctx context.Context) {
 	b.broken = append(b.broken, "the platform was away")
 	b.estate.ObjectAPI.SetFaults(objectapi.Faults{Outage: true})
-	sleep(ctx, outageLength)
+	pause.For(ctx, outageLength)
 	b.estate.ObjectAPI.SetFaults(objectapi.Faults{})
 }
 
@@ -124,13 +124,3 @@
 	}
 	return live
 }
-
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits for a time or the end of a context, whichever is first.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits and reports whether the context still ran when the time was over.
+func For(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/client"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/standin/engine"
 	"github.com/wisteriahaven/wisteriahaven/transport/caller"
 )
@@ -59,7 +60,7 @@
 	for index := 0; time.Now().Before(end) && ctx.Err() == nil; index++ {
 		salt := random.Uint64()
 		wait.Go(func() { work(index, salt) })
-		sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
+		pause.For(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
 	}
 	wait.Wait()
 }
@@ -96,10 +97,3 @@
 	})
 	report.addCall(key, err)
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/operator/change.go
+++ b/operator/change.go
@@ -132,18 +132,6 @@
 	return text[:min(len(text), maxTextBytes)]
 }
 
-// pause waits and reports whether the context still runs.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // repeated answers a command whose id was applied before.
 func (x *Executor) repeated(ctx context.Context, current *run, response operatorapi.Response, applied configstore.Applied) operatorapi.Response {
 	if applied.Digest != "" && applied.Digest != current.digest() {
--- a/operator/executor.go
+++ b/operator/executor.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/command"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
@@ -40,7 +41,7 @@
 		parts.Now = time.Now
 	}
 	if parts.Pause == nil {
-		parts.Pause = pause
+		parts.Pause = pause.For
 	}
 	return &Executor{parts: parts}
 }
