--- a/cmd/wisteriahaven/entry.go
+++ b/cmd/wisteriahaven/entry.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return fail(err, exitUsage)
 	}
+	if loaded.Gateway != nil {
+		return runGateway(loaded, c.Settings, level)
+	}
 	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	instance := entry.New(loaded, logger)
 	if err := instance.Start(); err != nil {
--- a/configstore/snapshot.go
+++ b/configstore/snapshot.go
@@ -5,7 +5,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // Snapshot is one revision of the configuration with the commands that led to
@@ -19,7 +19,7 @@
 
 // LoadSnapshot reads the newest revision and its history. Chunks in known,
 // keyed by hash, are not read again; afterwards it holds the head's chunks only.
-func LoadSnapshot(ctx context.Context, store platform.Store, known map[string][]byte) (Snapshot, error) {
+func LoadSnapshot(ctx context.Context, store objectstore.Store, known map[string][]byte) (Snapshot, error) {
 	object, err := store.Get(ctx, HeadKey)
 	if fault.HasCode(err, fault.NotFound) {
 		return Snapshot{Configuration: &estate.Configuration{}}, nil
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -6,7 +6,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // recentCommands is how many applied commands a head remembers.
@@ -14,7 +14,7 @@
 
 // Load reads the configuration in the object API. Before the first Commit it
 // returns NotFound.
-func Load(ctx context.Context, store platform.Store) (*estate.Configuration, error) {
+func Load(ctx context.Context, store objectstore.Store) (*estate.Configuration, error) {
 	object, err := store.Get(ctx, HeadKey)
 	if err != nil {
 		return nil, err
@@ -24,7 +24,7 @@
 
 // LoadHead reads the configuration of a head. Chunks in known, keyed by hash,
 // are not read again; the values of the head's chunks are added to it.
-func LoadHead(ctx context.Context, store platform.Store, object platform.Object, known map[string][]byte) (*estate.Configuration, error) {
+func LoadHead(ctx context.Context, store objectstore.Store, object objectstore.Object, known map[string][]byte) (*estate.Configuration, error) {
 	head, err := DecodeHead(object.Value)
 	if err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 }
 
 // Commit is CommitCommand for a command without a description.
-func Commit(ctx context.Context, store platform.Store, base, next *estate.Configuration, commandID string) (uint64, error) {
+func Commit(ctx context.Context, store objectstore.Store, base, next *estate.Configuration, commandID string) (uint64, error) {
 	return CommitCommand(ctx, store, base, next, Command{ID: commandID})
 }
 
@@ -56,7 +56,7 @@
 // its revision again. Errors: CommandConflict when another change came first,
 // CommandUnknown when the answer was lost (repeat with the same id), NotApplied
 // when the platform did not take the write.
-func CommitCommand(ctx context.Context, store platform.Store, base, next *estate.Configuration, command Command) (uint64, error) {
+func CommitCommand(ctx context.Context, store objectstore.Store, base, next *estate.Configuration, command Command) (uint64, error) {
 	head, err := currentHead(ctx, store)
 	if err != nil {
 		return 0, err
@@ -89,7 +89,7 @@
 }
 
 // settleConflict tells a lost race from this command's own earlier write.
-func settleConflict(ctx context.Context, store platform.Store, base uint64, commandID string) (uint64, error) {
+func settleConflict(ctx context.Context, store objectstore.Store, base uint64, commandID string) (uint64, error) {
 	head, err := currentHead(ctx, store)
 	if err != nil {
 		return 0, fault.Wrap(fault.CommandUnknown, "configstore", "repeat the command with id "+commandID, err)
@@ -101,7 +101,7 @@
 }
 
 // writeChunks stores the chunks that the current head does not have.
-func writeChunks(ctx context.Context, store platform.Store, next *estate.Configuration, head versionedHead) ([]Chunk, error) {
+func writeChunks(ctx context.Context, store objectstore.Store, next *estate.Configuration, head versionedHead) ([]Chunk, error) {
 	encoded, err := encode(next)
 	if err != nil {
 		return nil, err
@@ -116,7 +116,7 @@
 		if present[chunk.Hash] {
 			continue
 		}
-		if _, err := store.Put(ctx, ChunkPrefix+chunk.Hash, chunk.value, platform.Always()); err != nil {
+		if _, err := store.Put(ctx, ChunkPrefix+chunk.Hash, chunk.value, objectstore.Always()); err != nil {
 			return nil, err
 		}
 	}
--- a/configstore/versioned_head.go
+++ b/configstore/versioned_head.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // versionedHead is a head as read from the platform; version zero means that
@@ -14,7 +14,7 @@
 	version uint64
 }
 
-func currentHead(ctx context.Context, store platform.Store) (versionedHead, error) {
+func currentHead(ctx context.Context, store objectstore.Store) (versionedHead, error) {
 	object, err := store.Get(ctx, HeadKey)
 	if fault.HasCode(err, fault.NotFound) {
 		return versionedHead{}, nil
@@ -27,11 +27,11 @@
 }
 
 // condition guards the replacement of this head.
-func (h versionedHead) condition() platform.Condition {
+func (h versionedHead) condition() objectstore.Condition {
 	if h.version == 0 {
-		return platform.IfAbsent()
+		return objectstore.IfAbsent()
 	}
-	return platform.IfVersion(h.version)
+	return objectstore.IfVersion(h.version)
 }
 
 // appliedAt returns the revision at which a command was applied.
--- a/control/configuration/exchange.go
+++ b/control/configuration/exchange.go
@@ -9,7 +9,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
 )
 
@@ -104,12 +104,12 @@
 }
 
 func inflate(body []byte) ([]byte, error) {
-	limited := io.LimitReader(flate.NewReader(bytes.NewReader(body)), platform.MaxValueBytes+1)
+	limited := io.LimitReader(flate.NewReader(bytes.NewReader(body)), objectstore.MaxValueBytes+1)
 	value, err := io.ReadAll(limited)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerMessage, "configuration", "decompress chunk", err)
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectstore.MaxValueBytes {
 		return nil, fault.New(fault.PeerMessage, "a chunk is over the size limit")
 	}
 	return value, nil
--- a/control/configuration/follower.go
+++ b/control/configuration/follower.go
@@ -15,7 +15,7 @@
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/ring"
 	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
 )
@@ -44,7 +44,7 @@
 type Options struct {
 	Instance   string
 	DataCentre string
-	Store      platform.Store
+	Store      objectstore.Store
 	Members    Members
 	Peers      PeerSource
 	Seed       uint64
--- a/control/configuration/follower_test.go
+++ b/control/configuration/follower_test.go
@@ -16,7 +16,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/peer/peerpb"
 )
@@ -27,22 +27,22 @@
 
 // store is an object API in memory.
 type store struct {
-	platform.Store
+	objectstore.Store
 	mu      sync.Mutex
 	version uint64
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	down    bool
 	reads   int
 }
 
-func newStore() *store { return &store{objects: make(map[string]platform.Object)} }
+func newStore() *store { return &store{objects: make(map[string]objectstore.Object)} }
 
-func (s *store) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *store) Get(_ context.Context, key string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
-		return platform.Object{}, fault.New(fault.PlatformUnavailable, "outage")
+		return objectstore.Object{}, fault.New(fault.PlatformUnavailable, "outage")
 	}
 	object, ok := s.objects[key]
 	if !ok {
@@ -51,15 +51,15 @@
 	return object, nil
 }
 
-func (s *store) Put(_ context.Context, key string, value []byte, _ platform.Condition) (uint64, error) {
+func (s *store) Put(_ context.Context, key string, value []byte, _ objectstore.Condition) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	s.objects[key] = objectstore.Object{Key: key, Value: value, Version: s.version}
 	return s.version, nil
 }
 
-func (s *store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Change, error) {
+func (s *store) Watch(ctx context.Context, prefix string, after uint64) ([]objectstore.Change, error) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		object, down := s.objects[prefix], s.down
@@ -68,7 +68,7 @@
 			break
 		}
 		if object.Version > after {
-			return []platform.Change{{Object: object}}, nil
+			return []objectstore.Change{{Object: object}}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/control/membership/list_reader.go
+++ b/control/membership/list_reader.go
@@ -9,7 +9,7 @@
 
 	decision "github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/event"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/rendezvous"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
@@ -30,7 +30,7 @@
 
 // InstanceList reads the platform's instance list.
 type InstanceList interface {
-	List(ctx context.Context) ([]platform.Instance, error)
+	List(ctx context.Context) ([]objectstore.Instance, error)
 }
 
 // ListReader is the duty that reads the platform's instance list. Only a few
@@ -88,7 +88,7 @@
 				DataCentre: instance.DataCentre,
 				Gossip:     instance.Address,
 			})
-		case instance.State == platform.InstanceLeaving && instance.DataCentre == own.DataCentre:
+		case instance.State == objectstore.InstanceLeaving && instance.DataCentre == own.DataCentre:
 			r.markLeaving(instance.Name)
 		case instance.DataCentre == own.DataCentre:
 			r.withdraw(instance.Name)
--- a/control/membership/list_reader_test.go
+++ b/control/membership/list_reader_test.go
@@ -11,22 +11,22 @@
 
 	"github.com/wisteriahaven/wisteriahaven/control/membership"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/membership"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // instanceList is a platform's list in memory.
 type instanceList struct {
 	mu        sync.Mutex
-	instances []platform.Instance
+	instances []objectstore.Instance
 }
 
-func (l *instanceList) List(context.Context) ([]platform.Instance, error) {
+func (l *instanceList) List(context.Context) ([]objectstore.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.instances, nil
 }
 
-func (l *instanceList) set(instances ...platform.Instance) {
+func (l *instanceList) set(instances ...objectstore.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.instances = instances
@@ -38,8 +38,8 @@
 	first := startInstance(t, "entry-0", shared, nil)
 	second := startInstance(t, "entry-1", shared, nil) // no seed: only the list joins them
 	list := &instanceList{}
-	server := platform.Instance{Name: "engine-1", DataCentre: "a", State: platform.InstanceLeaving, Role: "backend-server"}
-	list.set(platform.Instance{Name: "entry-0", DataCentre: "a", Address: first.Address(), Role: "entry", State: platform.InstanceLive}, server)
+	server := objectstore.Instance{Name: "engine-1", DataCentre: "a", State: objectstore.InstanceLeaving, Role: "backend-server"}
+	list.set(objectstore.Instance{Name: "entry-0", DataCentre: "a", Address: first.Address(), Role: "entry", State: objectstore.InstanceLive}, server)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
@@ -54,7 +54,7 @@
 	await(t, "the leaving server is marked", marked)
 
 	is.True(first.MarkLeaving(decision.NoticeBackendServer, "engine-2", "operator", time.Now().Add(time.Hour), true))
-	server.State = platform.InstanceLive
+	server.State = objectstore.InstanceLive
 	other := server
 	other.Name = "engine-2"
 	list.set(server, other)
--- a/control/orders/keeper_test.go
+++ b/control/orders/keeper_test.go
@@ -12,7 +12,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/lease"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/orders"
 	"github.com/wisteriahaven/wisteriahaven/estate"
-	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/serving/explain"
 	standin "github.com/wisteriahaven/wisteriahaven/standin/engine"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
--- a/control/orders/lease_keeper.go
+++ b/control/orders/lease_keeper.go
@@ -7,7 +7,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/lease"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // leasePrefix is the prefix of the lease objects' keys.
@@ -17,13 +17,13 @@
 // goroutine; calls to the platform run in others and come back over answers.
 type leaseKeeper struct {
 	key     string
-	store   platform.Store
+	store   objectstore.Store
 	machine *lease.Machine
 	started time.Time
 	answers chan lease.Input
 }
 
-func newLeaseKeeper(dataCentre string, store platform.Store, settings lease.Settings) *leaseKeeper {
+func newLeaseKeeper(dataCentre string, store objectstore.Store, settings lease.Settings) *leaseKeeper {
 	return &leaseKeeper{
 		key:     leasePrefix + dataCentre,
 		store:   store,
@@ -79,9 +79,9 @@
 	if err != nil {
 		return lease.CallFailed{Call: write.Call}
 	}
-	condition := platform.IfAbsent()
+	condition := objectstore.IfAbsent()
 	if write.IfVersion != 0 {
-		condition = platform.IfVersion(write.IfVersion)
+		condition = objectstore.IfVersion(write.IfVersion)
 	}
 	version, err := k.store.Put(ctx, k.key, value, condition)
 	switch {
--- a/control/orders/options.go
+++ b/control/orders/options.go
@@ -7,7 +7,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/lease"
 	decision "github.com/wisteriahaven/wisteriahaven/decision/orders"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 	"github.com/wisteriahaven/wisteriahaven/transport/engine"
 )
@@ -29,7 +29,7 @@
 	// Candidate reports whether this instance should try for the lease; few
 	// instances of a data centre do, so that the platform's reads stay few.
 	Candidate     func() bool
-	Store         platform.Store
+	Store         objectstore.Store
 	Configuration serving.ConfigurationSource
 	Recorder      serving.Recorder
 	Engines       *engine.Client
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -11,7 +11,7 @@
 )
 
 // settingsFields are fields that only settings have at their top level.
-var settingsFields = []string{"instance", "data_centre", "region", "listen", "platform", "keys", "seeds", "operators", "limits", "intervals"}
+var settingsFields = []string{"instance", "data_centre", "region", "listen", "platform", "keys", "seeds", "operators", "limits", "intervals", "gateway"}
 
 // checker validates files, alone and together.
 type checker struct {
--- /dev/null
+++ b/decision/placement/call.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"time"
+)
+
+// ChooseCall returns the server that is expected to answer a call first, and
+// false when there is no candidate. Avoided servers are only chosen when all
+// are avoided.
+func (l *Ledger) ChooseCall(now time.Time, candidates []Candidate) (string, bool) {
+	best, bestCost, found, bestAvoided := "", time.Duration(0), false, false
+	for i := range candidates {
+		avoided := l.Avoided(now, candidates[i].ID)
+		if found && avoided && !bestAvoided {
+			continue
+		}
+		cost := l.callCost(now, &candidates[i])
+		if !found || (bestAvoided && !avoided) || cost < bestCost {
+			best, bestCost, bestAvoided, found = candidates[i].ID, cost, avoided, true
+		}
+	}
+	return best, found
+}
+
+func (l *Ledger) callCost(now time.Time, candidate *Candidate) time.Duration {
+	distance := l.distance(candidate.Place, l.policy.CallNearCost, l.policy.CallFarCost)
+	known := l.servers[candidate.ID]
+	if known == nil {
+		return l.spread(l.policy.UsualCall + distance)
+	}
+	known.age(now, l.policy.Forget)
+	// The usual duration counts as one call, so that it is believed again when
+	// the others are forgotten.
+	duration := (time.Duration(known.weight*float64(known.duration)) + l.policy.UsualCall) / time.Duration(known.weight+1)
+	duration = max(duration, known.oldestPending(now))
+	failed := known.failed * known.weight / (known.weight + 1)
+	load := known.load(now, l.policy.ReportLifetime)
+	queue := time.Duration(0)
+	if waiting := load.Requests + 1 - candidate.Slots; waiting > 0 {
+		queue = l.policy.UsualCall * time.Duration(waiting) / time.Duration(candidate.Slots)
+	}
+	return l.spread(duration + distance + queue + time.Duration(failed*float64(l.policy.FailureCost)))
+}
+
+// CallStarted notes a call to a server.
+func (l *Ledger) CallStarted(now time.Time, id string) {
+	known := l.record(id)
+	known.own.Requests++
+	known.pending = append(known.pending, now)
+}
+
+// CallEnded notes the end of a call; failed says that the server did not
+// answer it well.
+func (l *Ledger) CallEnded(now, started time.Time, id string, failed bool) {
+	known := l.record(id)
+	known.own.Requests = max(0, known.own.Requests-1)
+	known.endPending(started)
+	known.answered(now, l.policy.Forget, now.Sub(started), failed)
+	if !failed {
+		known.heard = now
+		known.failures = 0
+		known.avoidUntil = time.Time{}
+	}
+}
+
+// CallCancelled notes a call that was cut before it said anything about its
+// server.
+func (l *Ledger) CallCancelled(started time.Time, id string) {
+	known := l.record(id)
+	known.own.Requests = max(0, known.own.Requests-1)
+	known.endPending(started)
+}
--- /dev/null
+++ b/decision/placement/generation.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"time"
+)
+
+// Choice is a chosen server.
+type Choice struct {
+	ID string
+	// Wait is the expected time until the first event.
+	Wait time.Duration
+	// Waiting, Requests and Memory are the loads that decided it.
+	Load Load
+}
+
+// ChooseGeneration returns the server where a generation is expected to begin
+// first, and false when there is no candidate. Avoided servers are only chosen
+// when all are avoided.
+func (l *Ledger) ChooseGeneration(now time.Time, generation Generation, candidates []Candidate) (Choice, bool) {
+	var best Choice
+	var bestCost time.Duration
+	found, bestAvoided := false, false
+	for i := range candidates {
+		avoided := l.Avoided(now, candidates[i].ID)
+		if found && avoided && !bestAvoided {
+			continue
+		}
+		choice, cost := l.generationCost(now, generation, &candidates[i])
+		if !found || (bestAvoided && !avoided) || cost < bestCost {
+			best, bestCost, bestAvoided, found = choice, cost, avoided, true
+		}
+	}
+	return best, found
+}
+
+func (l *Ledger) generationCost(now time.Time, generation Generation, candidate *Candidate) (Choice, time.Duration) {
+	var load Load
+	if known := l.servers[candidate.ID]; known != nil {
+		load = known.load(now, l.policy.ReportLifetime)
+	}
+	wait := l.prefill(load.Waiting + generation.Prompt)
+	if candidate.MemoryTokens > 0 && load.Memory+generation.Memory > candidate.MemoryTokens {
+		wait += l.policy.FullCost
+	}
+	cost := wait + time.Duration(load.Requests)*l.policy.NeighbourCost +
+		l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost)
+	return Choice{ID: candidate.ID, Wait: wait, Load: load}, l.spread(cost)
+}
+
+// prefill returns the time that an engine needs for prompt tokens.
+func (l *Ledger) prefill(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / l.policy.PrefillPerMillisecond * float64(time.Millisecond))
+}
+
+// ChooseCopy returns the server that keeps a copy of a generation that runs at
+// another: not in the data centre of the first if there is one elsewhere, with
+// the most room, and near. It returns false when no server has room.
+func (l *Ledger) ChooseCopy(now time.Time, generation Generation, running Candidate, candidates []Candidate) (string, bool) {
+	best, bestCost, found := "", time.Duration(0), false
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.ID == running.ID || l.Avoided(now, candidate.ID) {
+			continue
+		}
+		var load Load
+		if known := l.servers[candidate.ID]; known != nil {
+			load = known.load(now, l.policy.ReportLifetime)
+		}
+		if load.Memory+generation.Memory > candidate.MemoryTokens {
+			continue
+		}
+		cost := l.prefill(load.Memory+load.Waiting) + l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost)
+		if candidate.Place.DataCentre == running.Place.DataCentre {
+			cost += sameCentreCost
+		}
+		cost = l.spread(cost)
+		if !found || cost < bestCost {
+			best, bestCost, found = candidate.ID, cost, true
+		}
+	}
+	return best, found
+}
+
+// sameCentreCost keeps copies out of the data centre of the generation, which
+// is lost as a whole more often than two of them: more than any load costs.
+const sameCentreCost = time.Hour
--- /dev/null
+++ b/decision/placement/ledger.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Ledger is one instance's knowledge of the load of backend servers. It is not
+// safe for concurrent use.
+type Ledger struct {
+	policy  Policy
+	own     Place
+	random  *rand.Rand
+	servers map[string]*record
+}
+
+// NewLedger returns an empty ledger of an instance.
+func NewLedger(policy Policy, own Place, random *rand.Rand) *Ledger {
+	return &Ledger{policy: policy, own: own, random: random, servers: make(map[string]*record)}
+}
+
+// Forget drops what is known of a server that ended or started again.
+func (l *Ledger) Forget(id string) { delete(l.servers, id) }
+
+// Servers returns the number of servers with a record.
+func (l *Ledger) Servers() int { return len(l.servers) }
+
+// Load returns the instance's own load of a server, for other instances.
+func (l *Ledger) Load(id string) Load {
+	if known := l.servers[id]; known != nil {
+		return known.own
+	}
+	return Load{}
+}
+
+// Loads calls a function with the own load of each server that has any.
+func (l *Ledger) Loads(visit func(id string, load Load)) {
+	for id, known := range l.servers {
+		if known.own != (Load{}) {
+			visit(id, known.own)
+		}
+	}
+}
+
+// Report notes what another instance has sent to a server.
+func (l *Ledger) Report(now time.Time, instance, id string, load Load) {
+	l.record(id).report(now, instance, load)
+}
+
+// Add changes the own load of a server.
+func (l *Ledger) Add(id string, change Load) { l.record(id).own = l.record(id).own.plus(change) }
+
+// Heard notes that a server sent something.
+func (l *Ledger) Heard(now time.Time, id string) {
+	known := l.record(id)
+	known.heard = now
+	known.failures = 0
+	known.avoidUntil = time.Time{}
+}
+
+// LastHeard returns when a server last sent something; zero when it never did.
+func (l *Ledger) LastHeard(id string) time.Time {
+	if known := l.servers[id]; known != nil {
+		return known.heard
+	}
+	return time.Time{}
+}
+
+// Unreachable notes that a server could not be reached or fell silent, and
+// returns until when it is avoided.
+func (l *Ledger) Unreachable(now time.Time, id string) time.Time {
+	known := l.record(id)
+	wait := min(l.policy.Avoid<<min(known.failures, 8), l.policy.AvoidLimit)
+	known.failures++
+	known.avoidUntil = now.Add(wait)
+	return known.avoidUntil
+}
+
+// Avoided reports whether a server is avoided now.
+func (l *Ledger) Avoided(now time.Time, id string) bool {
+	known := l.servers[id]
+	return known != nil && now.Before(known.avoidUntil)
+}
+
+func (l *Ledger) record(id string) *record {
+	known := l.servers[id]
+	if known == nil {
+		known = &record{reports: make(map[string]report)}
+		l.servers[id] = known
+	}
+	return known
+}
+
+// distance returns the cost of a place's distance.
+func (l *Ledger) distance(place Place, near, far time.Duration) time.Duration {
+	switch {
+	case place.DataCentre == l.own.DataCentre:
+		return 0
+	case place.Region == l.own.Region:
+		return near
+	default:
+		return far
+	}
+}
+
+// spread changes a cost at random.
+func (l *Ledger) spread(cost time.Duration) time.Duration {
+	return cost + time.Duration(l.policy.Spread*l.random.Float64()*float64(cost+10*time.Millisecond))
+}
--- /dev/null
+++ b/decision/placement/policy.go
@@ -0,0 +1,64 @@
+package placement
+
+import "time"
+
+// Policy holds the weights of the choice.
+type Policy struct {
+	// PrefillPerMillisecond is how many prompt tokens an engine reads in a
+	// millisecond; an engine does not state it.
+	PrefillPerMillisecond float64
+	// NeighbourCost is added for each generation that runs at a server: all of
+	// them wait while a new prompt is read.
+	NeighbourCost time.Duration
+	// NearCost and FarCost are added for a server in another data centre of the
+	// region and in another region: the way there, and the price of its bytes.
+	NearCost time.Duration
+	FarCost  time.Duration
+	// CallNearCost and CallFarCost do the same for calls, whose answers are
+	// expected sooner: the round trip, twice with a new connection.
+	CallNearCost time.Duration
+	CallFarCost  time.Duration
+	// FullCost is added for a server without room in its memory: about the time
+	// until one of its generations ends.
+	FullCost time.Duration
+	// UsualCall is the assumed duration of a call at a server without recent
+	// answers.
+	UsualCall time.Duration
+	// FailureCost is added for a server all of whose calls fail, and in part
+	// for one that fails in part.
+	FailureCost time.Duration
+	// Avoid and AvoidLimit bound how long a server that could not be reached is
+	// avoided; the time doubles with each failure.
+	Avoid      time.Duration
+	AvoidLimit time.Duration
+	// Forget is the time after which half of what answers said is forgotten.
+	Forget time.Duration
+	// ReportLifetime is how long another instance's report counts.
+	ReportLifetime time.Duration
+	// Spread is the part of a cost that is drawn at random, so that instances
+	// with the same knowledge do not all choose the same server.
+	Spread float64
+}
+
+// DefaultPolicy returns the weights of entry instances. The speed of prompts is
+// that of the users' engines (8 tokens a millisecond); the costs of distance
+// follow from their 30 ms one way between regions and 0.5 to 1.4 ms between
+// data centres; the others were compared in the package's tests.
+func DefaultPolicy() Policy {
+	return Policy{
+		PrefillPerMillisecond: 8,
+		NeighbourCost:         25 * time.Millisecond,
+		NearCost:              30 * time.Millisecond,
+		FarCost:               350 * time.Millisecond,
+		CallNearCost:          3 * time.Millisecond,
+		CallFarCost:           120 * time.Millisecond,
+		FullCost:              2 * time.Second,
+		UsualCall:             30 * time.Millisecond,
+		FailureCost:           600 * time.Millisecond,
+		Avoid:                 250 * time.Millisecond,
+		AvoidLimit:            2 * time.Second,
+		Forget:                3 * time.Second,
+		ReportLifetime:        2 * time.Second,
+		Spread:                0.1,
+	}
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -11,10 +11,10 @@
 	decision "github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/budgeted"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httplist"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
-	"github.com/wisteriahaven/wisteriahaven/platform"
-	"github.com/wisteriahaven/wisteriahaven/platform/budgeted"
-	"github.com/wisteriahaven/wisteriahaven/platform/httplist"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/gossip"
 	"github.com/wisteriahaven/wisteriahaven/transport/peer"
@@ -249,7 +249,7 @@
 }
 
 // List implements membership.InstanceList.
-func (b budgetedList) List(ctx context.Context) (instances []platform.Instance, err error) {
+func (b budgetedList) List(ctx context.Context) (instances []objectstore.Instance, err error) {
 	err = b.gate.Do(ctx, budget.Read, func(ctx context.Context) (err error) {
 		instances, err = b.list.List(ctx)
 		return err
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/dump"
-	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/standin/loopback"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,10 +20,10 @@
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/budgeted"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/operator"
-	"github.com/wisteriahaven/wisteriahaven/platform"
-	"github.com/wisteriahaven/wisteriahaven/platform/budgeted"
-	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/serving/admission"
 	"github.com/wisteriahaven/wisteriahaven/serving/call"
 	"github.com/wisteriahaven/wisteriahaven/serving/explain"
@@ -48,7 +48,7 @@
 	duties   *duty.Group
 	serve    *duty.Group
 	gate     *budgeted.Gate
-	store    platform.Store
+	store    objectstore.Store
 	// control is nil until Start.
 	control  *control
 	follower *configuration.Follower
--- a/experiment/overhead/system.go
+++ b/experiment/overhead/system.go
@@ -13,7 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/entry"
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/standin/objectapi"
 )
--- a/experiment/slopes/configuration.go
+++ b/experiment/slopes/configuration.go
@@ -11,7 +11,7 @@
 	"github.com/wisteriahaven/wisteriahaven/control/configuration"
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // changesMeasured is how many changes are applied for one point.
@@ -92,7 +92,7 @@
 }
 
 // commit writes a configuration and reads it back as a node's copy.
-func commit(ctx context.Context, store platform.Store, base *configuration.Copy, next *estate.Configuration, id string) (*configuration.Copy, error) {
+func commit(ctx context.Context, store objectstore.Store, base *configuration.Copy, next *estate.Configuration, id string) (*configuration.Copy, error) {
 	from := &estate.Configuration{}
 	if base != nil {
 		from = base.Configuration()
@@ -146,15 +146,15 @@
 
 // memoryStore is an object API in memory.
 type memoryStore struct {
-	platform.Store
-	objects map[string]platform.Object
+	objectstore.Store
+	objects map[string]objectstore.Object
 	version uint64
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]objectstore.Object)} }
 
-// Get implements platform.Store.
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *memoryStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	object, ok := s.objects[key]
 	if !ok {
 		return object, fault.New(fault.NotFound, "no such object")
@@ -162,9 +162,9 @@
 	return object, nil
 }
 
-// Put implements platform.Store.
-func (s *memoryStore) Put(_ context.Context, key string, value []byte, _ platform.Condition) (uint64, error) {
+// Put implements objectstore.Store.
+func (s *memoryStore) Put(_ context.Context, key string, value []byte, _ objectstore.Condition) (uint64, error) {
 	s.version++
-	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	s.objects[key] = objectstore.Object{Key: key, Value: value, Version: s.version}
 	return s.version, nil
 }
--- a/fault/code.go
+++ b/fault/code.go
@@ -19,6 +19,7 @@
 var definitions = mergeDefinitions(
 	requestDefinitions,
 	platformDefinitions,
+	forwardingDefinitions,
 	generationDefinitions,
 	callDefinitions,
 	routingDefinitions,
--- a/fault/codes_platform.go
+++ b/fault/codes_platform.go
@@ -9,6 +9,8 @@
 	PlatformRateLimited Code = "platform_rate_limited"
 	PlatformAnswerLost  Code = "platform_answer_lost"
 	PlatformValueSize   Code = "platform_value_size"
+	PlatformHistoryGone Code = "platform_history_gone"
+	ServerEntryInvalid  Code = "server_entry_invalid"
 )
 
 var platformDefinitions = map[Code]Definition{
@@ -17,4 +19,6 @@
 	PlatformRateLimited: {http.StatusTooManyRequests, "the platform's or our own rate limit was reached", "retry later"},
 	PlatformAnswerLost:  {http.StatusBadGateway, "the platform's answer was lost: the write may have been applied", "read the object back"},
 	PlatformValueSize:   {http.StatusRequestEntityTooLarge, "the value is over the platform's size limit", "split the value"},
+	PlatformHistoryGone: {http.StatusGone, "the platform no longer has the changes since a revision", "list the objects again"},
+	ServerEntryInvalid:  {http.StatusUnprocessableEntity, "a backend server's entry in the store can't be used", "look at who wrote the entry"},
 }
--- /dev/null
+++ b/gateway/directory/directory.go
@@ -0,0 +1,97 @@
+package directory
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// removedLimit bounds the removals that are remembered.
+const removedLimit = 4096
+
+// Directory is the set of known backend servers. It is safe for concurrent
+// use.
+type Directory struct {
+	mu      sync.Mutex
+	servers map[string]*Server
+	// removed holds the revision at which a server was removed, so that older
+	// news of it from other instances does not bring it back.
+	removed  map[string]uint64
+	revision uint64
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	d := &Directory{servers: make(map[string]*Server), removed: make(map[string]uint64)}
+	d.snapshot.Store(&Snapshot{})
+	return d
+}
+
+// Snapshot returns the current servers.
+func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
+
+// Put takes over one entry and reports whether it was news.
+func (d *Directory) Put(server *Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.put(server) {
+		return false
+	}
+	d.publish()
+	return true
+}
+
+func (d *Directory) put(server *Server) bool {
+	if old := d.servers[server.ID]; old != nil && old.Revision >= server.Revision {
+		return false
+	}
+	if d.removed[server.ID] >= server.Revision {
+		return false
+	}
+	delete(d.removed, server.ID)
+	d.servers[server.ID] = server
+	d.revision = max(d.revision, server.Revision)
+	return true
+}
+
+// Remove drops a server whose entry was removed at a revision, and returns it;
+// nil when nothing was dropped.
+func (d *Directory) Remove(id string, revision uint64) *Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.servers[id]
+	if old != nil && old.Revision > revision {
+		return nil
+	}
+	if len(d.removed) >= removedLimit {
+		clear(d.removed)
+	}
+	d.removed[id] = max(d.removed[id], revision)
+	d.revision = max(d.revision, revision)
+	if old == nil {
+		return nil
+	}
+	delete(d.servers, id)
+	d.publish()
+	return old
+}
+
+// Revision returns the highest revision seen.
+func (d *Directory) Revision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// publish builds the snapshot; mu is held.
+func (d *Directory) publish() {
+	all := slices.SortedFunc(maps.Values(d.servers), func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	services := make(map[string][]*Server)
+	for _, server := range all {
+		services[server.Service] = append(services[server.Service], server)
+	}
+	d.snapshot.Store(&Snapshot{All: all, services: services})
+}
--- /dev/null
+++ b/gateway/directory/server.go
@@ -0,0 +1,28 @@
+package directory
+
+import "time"
+
+// Server is one incarnation of a backend server.
+type Server struct {
+	// ID names the server; a restarted server may have the same one.
+	ID string
+	// Incarnation is the server's start in Unix milliseconds by its own clock;
+	// 0 when it does not say.
+	Incarnation int64
+	Service     string
+	// Address is "ip:port"; it may belong to another server later.
+	Address    string
+	DataCentre string
+	Slots      int
+	// Draining servers take no new requests.
+	Draining bool
+	// ColdFor is how long the server is slow after its start.
+	ColdFor time.Duration
+	// Revision is the store's revision of the entry that says so.
+	Revision uint64
+}
+
+// SameProcess reports whether two entries mean the same running process.
+func (s *Server) SameProcess(other *Server) bool {
+	return s.ID == other.ID && s.Incarnation == other.Incarnation && s.Address == other.Address
+}
--- /dev/null
+++ b/gateway/directory/snapshot.go
@@ -0,0 +1,21 @@
+package directory
+
+// Snapshot is the directory at one moment. It is not changed.
+type Snapshot struct {
+	// All holds every server in the order of the ids.
+	All      []*Server
+	services map[string][]*Server
+}
+
+// Of returns the servers of a service.
+func (s *Snapshot) Of(service string) []*Server { return s.services[service] }
+
+// Find returns the server with an id, or nil.
+func (s *Snapshot) Find(id string) *Server {
+	for _, server := range s.All {
+		if server.ID == id {
+			return server
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/discovery/follower.go
@@ -0,0 +1,231 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
+)
+
+// Times of the follower.
+const (
+	// retryWait and retryLimit bound the wait before a failed call is
+	// repeated. Each call has a price, and a change has to be in force three
+	// seconds after the store is reachable again.
+	retryWait  = 150 * time.Millisecond
+	retryLimit = 1200 * time.Millisecond
+	// serverPause is the time between two watches of the backend servers:
+	// changes that come together cost one call.
+	serverPause = 300 * time.Millisecond
+	// configurationPause does the same for the configuration, which changes
+	// rarely.
+	configurationPause = 100 * time.Millisecond
+	// lapseGrace is how long an entry may be missing after the store was away:
+	// living servers write theirs again within two seconds.
+	lapseGrace = 2300 * time.Millisecond
+)
+
+// Follower follows the object store.
+type Follower struct {
+	feed      Feed
+	state     *State
+	directory *directory.Directory
+	logger    zerolog.Logger
+	mu        sync.Mutex
+	// failing counts the watches that fail now.
+	failing    map[string]bool
+	regainedAt time.Time
+	// missing holds the servers whose entry lapsed and may come back, with the
+	// time of their removal and the revision of it.
+	missing map[string]lapse
+}
+
+// lapse is an entry that is missing since the store was away.
+type lapse struct {
+	due      time.Time
+	revision uint64
+}
+
+// NewFollower returns a follower that fills a state and a directory.
+func NewFollower(feed Feed, state *State, servers *directory.Directory, logger zerolog.Logger) *Follower {
+	return &Follower{
+		feed: feed, state: state, directory: servers, logger: logger,
+		failing: make(map[string]bool), missing: make(map[string]lapse),
+	}
+}
+
+// Reachable reports whether no call to the store fails now.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, failing := range f.failing {
+		if failing {
+			return false
+		}
+	}
+	return true
+}
+
+// RunConfiguration keeps the configuration up to date until the context ends.
+func (f *Follower) RunConfiguration(ctx context.Context) {
+	f.run(ctx, "configuration", configurationPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+		var newest *Configuration
+		var revision uint64
+		var err error
+		if listed {
+			newest, revision, err = f.feed.WatchConfiguration(ctx, after)
+		} else {
+			newest, revision, err = f.feed.Configuration(ctx)
+		}
+		if err != nil {
+			return 0, err
+		}
+		if f.state.Offer(newest) {
+			event.Log(f.logger, event.ConfigurationInForce).Uint64("version", newest.Table.Version).
+				Int("routes", newest.Table.Routes()).Uint64("revision", revision).Str("source", "store").Send()
+		}
+		return revision, nil
+	})
+}
+
+// RunServers keeps the directory up to date until the context ends.
+func (f *Follower) RunServers(ctx context.Context) {
+	f.run(ctx, "servers", serverPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+		if listed {
+			changes, revision, err := f.feed.WatchServers(ctx, after)
+			if err != nil {
+				return 0, err
+			}
+			f.apply(changes, revision)
+			return revision, nil
+		}
+		servers, revision, err := f.feed.Servers(ctx)
+		if err != nil {
+			return 0, err
+		}
+		f.replace(servers, revision)
+		return revision, nil
+	})
+}
+
+// run lists once and then watches; a failed call is repeated after a growing
+// wait, and a lost history starts with a list again.
+func (f *Follower) run(ctx context.Context, what string, spacing time.Duration, read func(context.Context, uint64, bool) (uint64, error)) {
+	var revision uint64
+	listed, wait := false, retryWait
+	for ctx.Err() == nil {
+		next, err := read(ctx, revision, listed)
+		switch {
+		case err == nil:
+			f.note(what, nil)
+			revision, listed, wait = next, true, retryWait
+			pause.For(ctx, spacing)
+		case fault.HasCode(err, fault.PlatformHistoryGone):
+			event.Log(f.logger, event.StoreHistoryGone).Str("what", what).Uint64("revision", revision).Send()
+			listed = false
+			pause.For(ctx, spacing)
+		default:
+			f.note(what, err)
+			pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait/2))))
+			wait = min(2*wait, retryLimit)
+		}
+	}
+}
+
+// note logs the first failed call and the first that works again.
+func (f *Follower) note(what string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing[what] == (err != nil) {
+		return
+	}
+	f.failing[what] = err != nil
+	if err != nil {
+		event.Log(f.logger, event.StoreLost).Str("what", what).Err(err).Send()
+		return
+	}
+	f.regainedAt = time.Now()
+	event.Log(f.logger, event.StoreRegained).Str("what", what).Send()
+}
+
+// apply takes over the changes of a watch.
+func (f *Follower) apply(changes []ServerChange, revision uint64) {
+	for _, change := range changes {
+		if change.Server == nil {
+			f.lapse(change.ID, max(change.Revision, revision))
+			continue
+		}
+		f.put(change)
+	}
+}
+
+// replace takes over a whole list: servers that it does not hold were removed.
+func (f *Follower) replace(servers []ServerChange, revision uint64) {
+	listed := make(map[string]bool, len(servers))
+	for _, change := range servers {
+		if change.Server != nil {
+			listed[change.ID] = true
+			f.put(change)
+		}
+	}
+	for _, server := range f.directory.Snapshot().All {
+		if !listed[server.ID] {
+			f.lapse(server.ID, revision)
+		}
+	}
+}
+
+func (f *Follower) put(change ServerChange) {
+	f.mu.Lock()
+	delete(f.missing, change.ID)
+	f.mu.Unlock()
+	if f.directory.Put(change.Server) {
+		event.Log(f.logger, event.ServersChanged).Str("server", change.ID).Str("address", change.Server.Address).
+			Bool("draining", change.Server.Draining).Uint64("revision", change.Revision).Send()
+	}
+}
+
+// lapse removes a server whose entry is gone: at once, or after a grace when
+// the store was away a moment ago.
+func (f *Follower) lapse(id string, revision uint64) {
+	f.mu.Lock()
+	recent := !f.regainedAt.IsZero() && time.Since(f.regainedAt) < lapseGrace
+	if recent {
+		if _, waiting := f.missing[id]; !waiting {
+			f.missing[id] = lapse{due: f.regainedAt.Add(lapseGrace), revision: revision}
+		}
+	}
+	f.mu.Unlock()
+	if !recent {
+		f.remove(id, revision)
+	}
+}
+
+func (f *Follower) remove(id string, revision uint64) {
+	if f.directory.Remove(id, revision) != nil {
+		event.Log(f.logger, event.ServersChanged).Str("server", id).Bool("removed", true).Uint64("revision", revision).Send()
+	}
+}
+
+// Tick removes the servers whose grace ended.
+func (f *Follower) Tick(now time.Time) {
+	f.mu.Lock()
+	due := make(map[string]uint64)
+	for id, entry := range f.missing {
+		if !now.Before(entry.due) {
+			due[id] = entry.revision
+			delete(f.missing, id)
+		}
+	}
+	f.mu.Unlock()
+	for id, revision := range due {
+		f.remove(id, revision)
+	}
+}
--- /dev/null
+++ b/gateway/forward/forwarder.go
@@ -0,0 +1,136 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
+	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+)
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	protocol  Protocol
+	state     *discovery.State
+	directory *directory.Directory
+	selector  *selector
+	pool      *upstream.Pool
+	logger    zerolog.Logger
+	meters    *meters
+}
+
+// New returns a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{
+		protocol:  options.Protocol,
+		state:     options.State,
+		directory: options.Directory,
+		selector:  newSelector(options),
+		pool:      upstream.NewPool(),
+		logger:    options.Logger,
+		meters:    newMeters(options.Metrics),
+	}
+}
+
+// defaultLimits hold until a configuration is known.
+var defaultLimits = route.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// Limits implements ingress.Handler.
+func (f *Forwarder) Limits() route.Limits {
+	current := f.state.Current()
+	if current == nil {
+		return defaultLimits
+	}
+	limits := current.Table.Limits
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultLimits.HeaderBytes
+	}
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = defaultLimits.BodyBytes
+	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultLimits.HeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultLimits.IdleTimeout
+	}
+	return limits
+}
+
+// Tick closes idle connections and forgets servers that are gone.
+func (f *Forwarder) Tick(now time.Time) {
+	f.pool.Tick(now)
+	f.selector.Tick()
+}
+
+// Reject implements ingress.Handler.
+func (f *Forwarder) Reject(exchange *ingress.Exchange, cause *http1.ProtocolError) {
+	f.answer(exchange, "", ownAnswer{status: cause.Status, code: fault.MessageMalformed, cause: cause})
+}
+
+// Serve implements ingress.Handler.
+func (f *Forwarder) Serve(ctx context.Context, exchange *ingress.Exchange) {
+	request, err := f.protocol.Request(exchange.Head)
+	if err != nil {
+		var protocol *http1.ProtocolError
+		if errors.As(err, &protocol) {
+			f.Reject(exchange, protocol)
+			return
+		}
+		f.answer(exchange, request.ID, ownAnswer{status: 400, code: fault.MessageMalformed, cause: err})
+		return
+	}
+	current := f.state.Current()
+	if current == nil {
+		f.answer(exchange, request.ID, ownAnswer{status: 503, code: fault.NoConfiguration, retryAfter: unknownConfigurationRetry})
+		return
+	}
+	j := &job{exchange: exchange, request: request, table: current.Table}
+	j.route = j.table.Match(exchange.Head.Fields.Get("Host"), exchange.Head.Path())
+	if j.route == nil {
+		f.answer(exchange, request.ID, ownAnswer{status: 404, code: fault.RouteUnknown, version: j.table.Version})
+		return
+	}
+	if account := j.table.Account(request.Key); account != nil {
+		j.account = account.Name
+	} else if j.table.HasAccounts() && !j.route.Anonymous {
+		f.answer(exchange, request.ID, ownAnswer{status: 401, code: fault.KeyUnknown, version: j.table.Version})
+		return
+	}
+	f.serveJob(ctx, j)
+}
+
+// serveJob serves a request whose route is known.
+func (f *Forwarder) serveJob(ctx context.Context, j *job) {
+	patience := usualPatience
+	if j.request.Patience > 0 {
+		patience = j.request.Patience
+	}
+	if j.route.Timeout > 0 {
+		patience = min(patience, j.route.Timeout)
+	}
+	j.deadline = j.exchange.Received.Add(patience - answerMargin)
+	j.service = j.route.Choose(rand.Float64())
+	service := j.table.Service(j.service)
+	if service == nil {
+		f.reject(j, ownAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetry})
+		return
+	}
+	f.selector.request(j.service)
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if j.route.Kind == route.Stream {
+		f.serveStream(ctx, j, service)
+		return
+	}
+	f.serveCall(ctx, j, service)
+}
--- /dev/null
+++ b/gateway/forward/options.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+)
+
+// Options are the parts of a forwarder.
+type Options struct {
+	Protocol  Protocol
+	State     *discovery.State
+	Directory *directory.Directory
+	// Place is the place of this instance, and Regions the region of each data
+	// centre.
+	Place   placement.Place
+	Regions map[string]string
+	Policy  placement.Policy
+	// SecondSends bounds the sends to second servers over all instances.
+	SecondSends secondsends.Limits
+	// Instances returns the number of instances that share that bound.
+	Instances func() int
+	Logger    zerolog.Logger
+	Metrics   metrics.Registry
+}
+
+// Times of forwarding.
+const (
+	// usualPatience is assumed when neither client nor route give a time.
+	usualPatience = 30 * time.Second
+	// answerMargin is how long before the deadline the own answer is sent, so
+	// that it reaches the client before it gives up.
+	answerMargin = 30 * time.Millisecond
+	// connectTimeout bounds the opening of a connection: a round trip between
+	// regions takes 60 ms, and a lost opening packet is repeated after a
+	// second.
+	connectTimeout = 350 * time.Millisecond
+)
--- /dev/null
+++ b/gateway/forward/silence.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/suspicion"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+)
+
+// silence bounds the time without an event of a running stream. The ceiling
+// leaves time to go on elsewhere within the 700 ms that callers expect; the
+// floor is above the time that a neighbour's prompt takes in the engine.
+var silence = suspicion.Policy{Floor: 240 * time.Millisecond, Ceiling: 400 * time.Millisecond, Deviations: 6}
+
+const (
+	// quietCheck is how often a server is checked that has not sent the first
+	// event yet.
+	quietCheck = 400 * time.Millisecond
+	// probeTimeout bounds one check: a new connection and an answer over two
+	// round trips between regions.
+	probeTimeout = 250 * time.Millisecond
+	// lateWake is how much later than its time a read deadline may be handled;
+	// beyond, this process did not run, and the silence proves nothing.
+	lateWake = 60 * time.Millisecond
+)
+
+// wait reads from the server until something comes, it is taken for lost, or
+// the context ends. read must be repeatable after a timeout.
+func (a *streamAttempt) wait(ctx context.Context, read func() error) error {
+	for {
+		budget := quietCheck
+		if !a.waiting {
+			budget = a.cadence.Budget(silence)
+		}
+		due := time.Now().Add(budget)
+		if err := a.conn.SetReadDeadline(due); err != nil {
+			return err
+		}
+		err := read()
+		now := time.Now()
+		if err == nil {
+			if !a.waiting {
+				a.cadence.Observe(now.Sub(a.heard))
+			}
+			a.heard = now
+			a.run.f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, a.server.ID) })
+			return nil
+		}
+		if !upstream.IsTimeout(err) || ctx.Err() != nil {
+			return err
+		}
+		if now.Sub(due) < lateWake && !a.alive(ctx, now, budget) {
+			return err
+		}
+	}
+}
+
+// alive reports whether the server shows that it runs though this stream is
+// silent.
+func (a *streamAttempt) alive(ctx context.Context, now time.Time, budget time.Duration) bool {
+	var heard time.Time
+	f := a.run.f
+	f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(a.server.ID) })
+	if now.Sub(heard) < budget/2 {
+		return now.Sub(a.heard) < longestSilence || a.waiting
+	}
+	if !a.waiting && a.copyTo != nil {
+		return false
+	}
+	return (now.Sub(a.heard) < longestSilence || a.waiting) && f.probe(ctx, a.server)
+}
+
+// longestSilence is the silence of a running stream that ends its attempt even
+// though the server runs.
+const longestSilence = 1500 * time.Millisecond
--- /dev/null
+++ b/gateway/forward/stream.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+)
+
+// streamRun is one streamed answer with its attempts, one after another.
+type streamRun struct {
+	f       *Forwarder
+	j       *job
+	service *route.Service
+	events  eventReader
+	buffer  []byte
+	// size is the generation's size in tokens.
+	size placement.Generation
+	// copyAt holds a copy of the generation's KV cache, when the attempt that
+	// makes it has begun to run.
+	copyAt *directory.Server
+	// mayHaveRun is set when an attempt may have run the request.
+	mayHaveRun bool
+	firstEvent time.Time
+	delivered  int
+	resumes    int
+	last       streamResult
+	// passed is an answer of a server that is no stream.
+	answer *callResult
+}
+
+// streamResult is how one attempt of a stream ended.
+type streamResult struct {
+	server *directory.Server
+	// complete is set when the stream reached its end.
+	complete bool
+	// answered is set when the server's answer is no stream and is passed on.
+	answered *callResult
+	notRun   bool
+	code     fault.Code
+	err      error
+}
+
+// defaultPrompt and defaultOutput are assumed, in tokens, for generations that
+// do not state their size.
+const (
+	defaultPrompt = 1000
+	defaultOutput = 500
+)
+
+// serveStream serves a request whose answer is a stream of events.
+func (f *Forwarder) serveStream(ctx context.Context, j *job, service *route.Service) {
+	run := &streamRun{f: f, j: j, service: service}
+	run.size = placement.Generation{Prompt: j.request.PromptTokens, Memory: j.request.PromptTokens + j.request.OutputTokens}
+	if run.size.Prompt == 0 {
+		run.size = placement.Generation{Prompt: defaultPrompt, Memory: defaultPrompt + defaultOutput}
+	}
+	run.events.position, run.events.checked = j.request.Position, j.request.Position > 0
+	for {
+		result, found := run.attempt(ctx)
+		if !found {
+			run.noServer(result)
+			return
+		}
+		if ctx.Err() != nil && !result.complete {
+			run.cancelled(ctx)
+			return
+		}
+		if run.finished(&result) {
+			return
+		}
+		run.last = result
+		if !run.another(&result) {
+			run.fail()
+			return
+		}
+	}
+}
+
+// finished ends the exchange when the attempt brought its end.
+func (r *streamRun) finished(result *streamResult) bool {
+	switch {
+	case result.complete:
+		err := r.j.exchange.End()
+		r.f.meters.count("requests.served." + r.j.route.Kind.String())
+		event.Log(r.f.logger, event.RequestServed).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
+			Str("server", result.server.ID).Int("sends", r.j.sends).Int("resumes", r.resumes).Int("events", r.delivered).
+			Uint64("version", r.j.table.Version).Dur("first_event_ms", r.firstEvent.Sub(r.j.exchange.Received)).
+			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("write", err).Send()
+		return true
+	case result.answered != nil && !(result.answered.failedAnswer() && r.j.route.Resumable && r.j.sends < r.j.route.Attempts):
+		r.f.pass(r.j, result.answered)
+		return true
+	}
+	return false
+}
+
+// another reports whether the stream goes on with another attempt.
+func (r *streamRun) another(result *streamResult) bool {
+	if !result.notRun {
+		r.mayHaveRun = true
+		if !r.j.route.Resumable {
+			return false
+		}
+	}
+	if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.service) {
+		return false
+	}
+	if r.delivered > 0 || r.events.checked {
+		r.resumes++
+	}
+	if result.server != nil {
+		r.j.failed = append(r.j.failed, result.server.ID)
+	}
+	return true
+}
+
+// fail ends a stream that can't go on.
+func (r *streamRun) fail() {
+	switch {
+	case r.j.exchange.Started():
+		r.j.exchange.Abort()
+		r.f.meters.count("requests.broken")
+		event.Log(r.f.logger, event.RequestBroken).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
+			Str("code", string(r.last.code)).Uint64("position", r.events.position).Int("sends", r.j.sends).
+			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", r.last.err).Send()
+	case r.last.answered != nil:
+		r.f.pass(r.j, r.last.answered)
+	case r.mayHaveRun && !r.j.route.Resumable:
+		r.f.reject(r.j, ownAnswer{status: 502, code: fault.UpstreamBroken, cause: r.last.err})
+	case r.mayHaveRun:
+		r.f.reject(r.j, ownAnswer{status: 502, code: r.last.code, cause: r.last.err})
+	default:
+		r.f.reject(r.j, ownAnswer{status: 503, code: r.last.code, cause: r.last.err, retryAfter: noServerRetry})
+	}
+}
+
+// noServer ends a stream for which no server can be chosen.
+func (r *streamRun) noServer(result streamResult) {
+	if r.j.sends == 0 {
+		r.f.reject(r.j, ownAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetry})
+		return
+	}
+	if r.last.code == "" {
+		r.last = result
+	}
+	r.fail()
+}
+
+// cancelled ends a stream whose client left or whose time is over.
+func (r *streamRun) cancelled(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.f.clientLeft(r.j)
+		return
+	}
+	if r.j.exchange.Started() {
+		r.last = streamResult{code: fault.UpstreamTimeout, err: ctx.Err()}
+		r.fail()
+		return
+	}
+	r.f.reject(r.j, ownAnswer{status: 504, code: fault.UpstreamTimeout})
+}
+
+// begin sends the head of the stream to the client, once.
+func (r *streamRun) begin(response *http1.Response) error {
+	if r.j.exchange.Started() {
+		return nil
+	}
+	return r.j.exchange.Begin(r.f.protocol.AppendAnswer(make([]byte, 0, 512), response))
+}
--- /dev/null
+++ b/gateway/forward/stream_attempt.go
@@ -0,0 +1,252 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/suspicion"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+)
+
+// streamAttempt is one attempt of a stream at one server.
+type streamAttempt struct {
+	run    *streamRun
+	server *directory.Server
+	// copyTo keeps a copy of this attempt's KV cache.
+	copyTo *directory.Server
+	conn   *upstream.Conn
+	// sent is when the request was sent, heard when the server last sent
+	// something.
+	sent    time.Time
+	heard   time.Time
+	cadence suspicion.Cadence
+	// waiting is set until the first event.
+	waiting bool
+	load    placement.Load
+}
+
+var errClientWrite = errors.New("the client does not take the answer")
+
+// attempt sends the request to one server and passes its events on. found is
+// false when there is no server.
+func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
+	a := &streamAttempt{run: r, waiting: true}
+	fromCopy := r.copyAt != nil
+	if fromCopy {
+		a.server, r.copyAt = r.copyAt, nil
+	} else {
+		var choice placement.Choice
+		a.server, choice = r.f.selector.forGeneration(r.service, r.size, r.j.hasFailed)
+		if a.server == nil {
+			return streamResult{code: fault.NoServer}, false
+		}
+		r.logChoice(a.server, choice)
+	}
+	if r.service.Engine != nil && r.service.Engine.Copies && r.j.route.Resumable {
+		a.copyTo = r.f.selector.forCopy(r.service, r.size, a.server)
+	}
+	r.j.sends++
+	a.charge(fromCopy)
+	defer a.discharge()
+	result = a.exchange(ctx, fromCopy)
+	result.server = a.server
+	if !result.complete && result.answered == nil && ctx.Err() == nil {
+		a.failed(&result, fromCopy)
+	}
+	return result, true
+}
+
+// charge counts the attempt in the load of its servers.
+func (a *streamAttempt) charge(fromCopy bool) {
+	a.load = placement.Load{Requests: 1, Waiting: a.run.size.Prompt, Memory: a.run.size.Memory}
+	if fromCopy {
+		a.load.Waiting = 0
+	}
+	a.run.f.selector.update(func(ledger *placement.Ledger, _ time.Time) {
+		ledger.Add(a.server.ID, a.load)
+		if a.copyTo != nil {
+			ledger.Add(a.copyTo.ID, placement.Load{Memory: a.run.size.Memory})
+		}
+	})
+}
+
+func (a *streamAttempt) discharge() {
+	a.run.f.selector.update(func(ledger *placement.Ledger, _ time.Time) {
+		ledger.Add(a.server.ID, a.load.Negative())
+		if a.copyTo != nil {
+			ledger.Add(a.copyTo.ID, placement.Load{Memory: -a.run.size.Memory})
+		}
+	})
+}
+
+// failed notes an attempt that did not reach the end of the stream. The copy
+// that it made is used next.
+func (a *streamAttempt) failed(result *streamResult, fromCopy bool) {
+	r := a.run
+	if !result.notRun && a.copyTo != nil && r.f.directory.Snapshot().Find(a.copyTo.ID) != nil {
+		r.copyAt = a.copyTo
+	}
+	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
+	if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
+		r.f.selector.unreachable(a.server, result.err)
+	}
+	r.f.meters.attemptFailed(result.code)
+	event.Log(r.f.logger, event.AttemptFailed).Str("request", r.j.request.ID).Str("server", a.server.ID).
+		Str("code", string(result.code)).Bool("not_run", result.notRun).Int("sends", r.j.sends).Bool("from_copy", fromCopy).
+		Uint64("position", r.events.position).Bool("has_copy", r.copyAt != nil).
+		Dur("silent_ms", time.Since(a.heard)).Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", result.err).Send()
+}
+
+// exchange sends the request and reads the answer.
+func (a *streamAttempt) exchange(ctx context.Context, fromCopy bool) streamResult {
+	r := a.run
+	conn, err := r.f.pool.Open(ctx, a.server.ID, a.server.Address, connectTimeout, false)
+	a.heard = time.Now()
+	if err != nil {
+		return streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
+	}
+	a.conn = conn
+	defer conn.Close()
+	cut := context.AfterFunc(ctx, conn.Close)
+	defer cut()
+	dispatch := message.Dispatch{
+		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
+		Position: r.events.position, Resume: r.j.sends > 1, Urgent: r.delivered > 0,
+	}
+	if a.copyTo != nil {
+		dispatch.CopyTo = a.copyTo.Address
+	}
+	if fromCopy {
+		dispatch.CopyAt = a.server.Address
+	}
+	head := r.f.protocol.AppendRequest(make([]byte, 0, 1024), r.j.exchange.Head, len(r.j.exchange.Body), dispatch)
+	a.sent = time.Now()
+	if sent, err := conn.Send(head, r.j.exchange.Body); err != nil {
+		return streamResult{notRun: !sent, code: fault.UpstreamBroken, err: err}
+	}
+	if err := a.wait(ctx, conn.WaitHead); err != nil {
+		return streamResult{code: failureCode(err), err: err}
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		return streamResult{code: fault.UpstreamBroken, err: err}
+	}
+	response, err := conn.ReadHead(r.j.exchange.Head.Method)
+	if err != nil {
+		return streamResult{code: failureCode(err), err: err}
+	}
+	return a.receive(ctx, response)
+}
+
+// headTimeout bounds the rest of an answer's head once it began.
+const headTimeout = time.Second
+
+// failureCode tells silence from a broken connection.
+func failureCode(err error) fault.Code {
+	if upstream.IsTimeout(err) {
+		return fault.UpstreamTimeout
+	}
+	return fault.UpstreamBroken
+}
+
+// receive passes the answer on.
+func (a *streamAttempt) receive(ctx context.Context, response *http1.Response) streamResult {
+	r := a.run
+	answer := r.f.protocol.Answer(response)
+	judged := callResult{server: a.server, response: response}
+	r.f.judge(&judged, r.j, answer)
+	if !judged.usable() {
+		return streamResult{notRun: judged.notRun, code: judged.code, err: judged.err}
+	}
+	if response.Status != 200 {
+		return a.receiveWhole(response, judged)
+	}
+	if !strings.HasPrefix(response.Fields.Get("Content-Type"), "text/event-stream") {
+		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
+	}
+	if err := r.begin(response); err != nil {
+		return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
+	}
+	if r.resumes > 0 {
+		event.Log(r.f.logger, event.StreamContinued).Str("request", r.j.request.ID).Str("server", a.server.ID).
+			Uint64("position", r.events.position).Int("sends", r.j.sends).Dur("after_ms", time.Since(a.sent)).Send()
+	}
+	return a.relay(ctx, a.conn.Body(response))
+}
+
+var errNoStream = errors.New("the answer is no event stream")
+
+// receiveWhole reads an answer that is no stream.
+func (a *streamAttempt) receiveWhole(response *http1.Response, judged callResult) streamResult {
+	body, err := a.conn.Body(response).ReadAll(answerLimit)
+	if err != nil {
+		return streamResult{code: failureCode(err), err: err}
+	}
+	judged.body = body
+	if a.run.j.exchange.Started() {
+		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
+	}
+	return streamResult{answered: &judged, code: fault.UpstreamBroken, err: errNoStream}
+}
+
+// relay passes events on until the stream ends.
+func (a *streamAttempt) relay(ctx context.Context, body *http1.Body) streamResult {
+	r := a.run
+	r.events.restart()
+	for {
+		var data []byte
+		err := a.wait(ctx, func() (err error) {
+			data, err = body.Next()
+			return err
+		})
+		if errors.Is(err, io.EOF) && body.Ended() {
+			err := r.events.complete()
+			return streamResult{complete: err == nil, code: fault.UpstreamBroken, err: err}
+		}
+		if err != nil {
+			return streamResult{code: failureCode(err), err: err}
+		}
+		events, count, err := r.events.take(data, r.buffer)
+		r.buffer = events
+		if count > 0 {
+			a.noteEvents(count)
+			if err := r.j.exchange.Write(events); err != nil {
+				return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
+			}
+		}
+		if err != nil {
+			return streamResult{code: fault.UpstreamBroken, err: err}
+		}
+	}
+}
+
+// noteEvents notes that events came.
+func (a *streamAttempt) noteEvents(count int) {
+	r := a.run
+	r.delivered += count
+	if r.firstEvent.IsZero() {
+		r.firstEvent = time.Now()
+		r.f.meters.served(r.j.route.Kind, r.firstEvent.Sub(r.j.exchange.Received))
+	}
+	if !a.waiting {
+		return
+	}
+	a.waiting = false
+	change := placement.Load{Waiting: -a.load.Waiting}
+	a.load.Waiting = 0
+	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.Add(a.server.ID, change) })
+}
+
+// logChoice notes why a server was chosen.
+func (r *streamRun) logChoice(server *directory.Server, choice placement.Choice) {
+	r.f.logger.Debug().Str("request", r.j.request.ID).Str("server", server.ID).Dur("wait_ms", choice.Wait).
+		Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory).Msg("")
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/duty"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
+	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+const domain = "gateway"
+
+// reservedDescriptors are left for backend servers, the store and files: a
+// client's connection needs one for itself and, while a request runs, one more.
+const reservedDescriptors = 400
+
+// Gateway is one running instance.
+type Gateway struct {
+	settings  settings.Settings
+	parts     Parts
+	logger    zerolog.Logger
+	metrics   metrics.Registry
+	duties    *duty.Group
+	state     *discovery.State
+	directory *directory.Directory
+	follower  *discovery.Follower
+	forwarder *forward.Forwarder
+	ingress   *ingress.Server
+	monitor   *monitor
+	listeners []net.Listener
+	leaving   atomic.Bool
+	mu        sync.Mutex
+	ready     bool
+}
+
+// New builds an instance that does not run yet.
+func New(s settings.Settings, parts Parts, logger zerolog.Logger) *Gateway {
+	logger = logger.With().Str("instance", s.Instance).Logger()
+	g := &Gateway{
+		settings:  s,
+		parts:     parts,
+		logger:    logger,
+		metrics:   metrics.NewRegistry(),
+		duties:    duty.NewGroup(context.Background(), logger),
+		state:     discovery.NewState(),
+		directory: directory.New(),
+	}
+	g.follower = discovery.NewFollower(parts.Feed, g.state, g.directory, logger)
+	own := s.Gateway
+	g.forwarder = forward.New(forward.Options{
+		Protocol:  parts.Protocol,
+		State:     g.state,
+		Directory: g.directory,
+		Place:     placement.Place{DataCentre: s.DataCentre, Region: s.Region},
+		Regions:   own.Regions(),
+		Policy:    placement.DefaultPolicy(),
+		SecondSends: secondsends.Limits{
+			Ratio:  own.SecondSends.Ratio,
+			Extra:  own.SecondSends.Extra,
+			Window: time.Duration(own.SecondSends.WindowSeconds * float64(time.Second)),
+		},
+		Instances: g.instances,
+		Logger:    logger,
+		Metrics:   g.metrics,
+	})
+	g.ingress = ingress.NewServer(g.forwarder, max(1, (own.Descriptors-reservedDescriptors)/2), logger)
+	g.monitor = newMonitor(g)
+	return g
+}
+
+// instances returns the number of instances that share the bounds.
+func (g *Gateway) instances() int { return assumedInstances }
+
+// assumedInstances stands for the number of instances until they know each
+// other.
+const assumedInstances = 10
+
+// Start listens on the instance's addresses and starts its duties.
+func (g *Gateway) Start() error {
+	own := g.settings.Gateway
+	clients, err := g.listen("clients", own.Clients)
+	if err != nil {
+		return err
+	}
+	if err := g.monitor.start(); err != nil {
+		return err
+	}
+	g.duties.Go("configuration", g.follower.RunConfiguration)
+	g.duties.Go("servers", g.follower.RunServers)
+	g.duties.Go("housekeeping", g.keepHouse)
+	g.duties.Go("clients", func(context.Context) { g.ingress.Serve(clients) })
+	event.Log(g.logger, event.ProcessStarted).Str("clients", own.Clients).Str("readiness", own.Readiness).
+		Str("metrics", own.Metrics).Str("store", own.Store).Send()
+	return nil
+}
+
+func (g *Gateway) listen(field, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.SettingsInvalid, domain, "gateway."+field, err)
+	}
+	g.listeners = append(g.listeners, listener)
+	return listener, nil
+}
+
+// Ready reports whether the instance can serve.
+func (g *Gateway) Ready() bool {
+	ready := !g.leaving.Load() && g.state.Current() != nil && len(g.directory.Snapshot().All) > 0
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ready != g.ready {
+		g.ready = ready
+		event.Log(g.logger, event.ReadinessChanged).Bool("ready", ready).Bool("leaving", g.leaving.Load()).
+			Uint64("version", g.state.Version()).Int("servers", len(g.directory.Snapshot().All)).Send()
+	}
+	return ready
+}
+
+// housePeriod is the time between two rounds of housekeeping.
+const housePeriod = 250 * time.Millisecond
+
+// pauseLimit is a gap between two rounds after which this process must have
+// been suspended.
+const pauseLimit = time.Second
+
+// keepHouse does what is due from time to time.
+func (g *Gateway) keepHouse(ctx context.Context) {
+	ticker := time.NewTicker(housePeriod)
+	defer ticker.Stop()
+	last, dropped := time.Now(), int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if gap := now.Sub(last); gap > pauseLimit {
+				event.Log(g.logger, event.ProcessResumed).Dur("gap_ms", gap).Send()
+			}
+			last = now
+			g.follower.Tick(now)
+			g.forwarder.Tick(now)
+			if total := g.parts.DroppedLogLines(); total > dropped {
+				event.Log(g.logger, event.LogLinesDropped).Int64("lines", total-dropped).Send()
+				dropped = total
+			}
+		}
+	}
+}
--- /dev/null
+++ b/gateway/ingress/doc.go
@@ -0,0 +1,2 @@
+// Package ingress reads clients' requests and writes their answers.
+package ingress
--- /dev/null
+++ b/gateway/ingress/exchange.go
@@ -0,0 +1,125 @@
+package ingress
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+)
+
+// ErrAnswered means that an exchange got a second answer.
+var ErrAnswered = errors.New("ingress: the request was answered before")
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Head *http1.Request
+	// Body is the whole body of the request.
+	Body []byte
+	// Received is when the first bytes of the request came.
+	Received time.Time
+	conn     *clientConn
+	answered bool
+	streamed bool
+	ended    bool
+	// closing is set when the connection ends with this answer.
+	closing bool
+	chunk   []byte
+}
+
+// Started reports whether a part of the answer was sent.
+func (x *Exchange) Started() bool { return x.answered }
+
+// Answer sends a whole answer. The head is a status line with fields, without
+// the empty line, the framing and the fields of the connection.
+func (x *Exchange) Answer(head, body []byte) error {
+	if x.answered {
+		return ErrAnswered
+	}
+	x.answered = true
+	if hasBody(head) {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(body)), 10)
+		head = append(head, "\r\n"...)
+	} else {
+		body = nil
+	}
+	head = x.endHead(head)
+	if x.Head.Method != "HEAD" {
+		head = append(head, body...)
+	}
+	if err := x.conn.write(head); err != nil {
+		x.closing = true
+		return err
+	}
+	x.ended = true
+	return nil
+}
+
+// Begin sends the head of a streamed answer.
+func (x *Exchange) Begin(head []byte) error {
+	if x.answered {
+		return ErrAnswered
+	}
+	x.answered, x.streamed = true, true
+	head = append(head, "Transfer-Encoding: chunked\r\n"...)
+	return x.send(x.endHead(head))
+}
+
+// Write sends the next part of a streamed answer.
+func (x *Exchange) Write(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	x.chunk = strconv.AppendInt(x.chunk[:0], int64(len(data)), 16)
+	x.chunk = append(x.chunk, "\r\n"...)
+	x.chunk = append(x.chunk, data...)
+	x.chunk = append(x.chunk, "\r\n"...)
+	return x.send(x.chunk)
+}
+
+// End completes a streamed answer.
+func (x *Exchange) End() error {
+	if err := x.send([]byte("0\r\n\r\n")); err != nil {
+		return err
+	}
+	x.ended = true
+	return nil
+}
+
+// Abort ends the connection, so that the answer does not look complete.
+func (x *Exchange) Abort() {
+	x.closing = true
+	x.conn.close()
+}
+
+// Leaving reports whether the connection ends with this answer.
+func (x *Exchange) Leaving() bool {
+	return x.closing || x.conn.server.leaving.Load() || !x.Head.KeepAlive()
+}
+
+func (x *Exchange) send(data []byte) error {
+	err := x.conn.write(data)
+	if err != nil {
+		x.closing = true
+	}
+	return err
+}
+
+func (x *Exchange) endHead(head []byte) []byte {
+	if x.Leaving() {
+		x.closing = true
+		head = append(head, "Connection: close\r\n"...)
+	}
+	return append(head, "\r\n"...)
+}
+
+// reusable reports whether the connection can carry another request.
+func (x *Exchange) reusable() bool { return x.ended && !x.closing }
+
+// hasBody reports whether the answer with this head has a body.
+func hasBody(head []byte) bool {
+	const statusAt = len("HTTP/1.1 ")
+	status := string(head[statusAt : statusAt+3])
+	return status != "204" && status != "304"
+}
--- /dev/null
+++ b/gateway/message/answer.go
@@ -0,0 +1,26 @@
+package message
+
+// Answer is what a backend server says about its answer.
+type Answer struct {
+	// ID is the id of the request that it answers; empty when not given.
+	ID string
+	// Signed reports whether the server vouches for the answer.
+	Signed bool
+	// NotRun reports whether the server states that the request has not run
+	// and never will.
+	NotRun bool
+	// WrongServer reports whether another server has the address.
+	WrongServer bool
+	// Encoded reports a coded body, which is not the server's own.
+	Encoded bool
+	// Load is the server's load, valid when HasLoad is set.
+	Load    Load
+	HasLoad bool
+}
+
+// Load is the load of a backend server as it states it.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
--- /dev/null
+++ b/gateway/monitor.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bytes"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// metricsPath is where counters and histograms are served as text.
+const metricsPath = "/metrics"
+
+// monitor answers the balancer's questions and serves the metrics.
+type monitor struct {
+	gateway *Gateway
+	server  *fasthttp.Server
+}
+
+func newMonitor(g *Gateway) *monitor {
+	m := &monitor{gateway: g}
+	m.server = &fasthttp.Server{
+		Handler:               m.handle,
+		NoDefaultServerHeader: true,
+		// Questions are small; a longer one is refused.
+		MaxRequestBodySize: 1 << 10,
+		ReadBufferSize:     4 << 10,
+	}
+	return m
+}
+
+func (m *monitor) start() error {
+	own := m.gateway.settings.Gateway
+	readiness, err := m.gateway.listen("readiness", own.Readiness)
+	if err != nil {
+		return err
+	}
+	served, err := m.gateway.listen("metrics", own.Metrics)
+	if err != nil {
+		return err
+	}
+	for _, listener := range []struct {
+		name   string
+		listen func() error
+	}{
+		{"readiness", func() error { return m.server.Serve(readiness) }},
+		{"metrics", func() error { return m.server.Serve(served) }},
+	} {
+		// Serve ends with its listener, when the process stops.
+		go func() { _ = listener.listen() }()
+	}
+	return nil
+}
+
+func (m *monitor) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case m.gateway.parts.Protocol.ReadinessPath():
+		if !m.gateway.Ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case metricsPath:
+		var text bytes.Buffer
+		metrics.WriteOnce(m.gateway.metrics, &text)
+		ctx.SetBody(text.Bytes())
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
--- /dev/null
+++ b/gateway/parts.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
+)
+
+// Parts are the adapters to what is outside the system.
+type Parts struct {
+	Feed     discovery.Feed
+	Protocol Protocol
+	// DroppedLogLines returns the number of log lines that were dropped.
+	DroppedLogLines func() int64
+}
+
+// Protocol spells what clients, backend servers and the balancer say.
+type Protocol interface {
+	forward.Protocol
+	// ReadinessPath is the path that the balancer asks.
+	ReadinessPath() string
+}
--- /dev/null
+++ b/gateway/route/table.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table is one version of the configuration, ready for lookups. It is not
+// changed after it was built.
+type Table struct {
+	// Version grows with every change by the operators.
+	Version uint64
+	// Limits bound what clients send.
+	Limits   Limits
+	services map[string]*Service
+	accounts map[string]*Account
+	hosts    map[string][]*Route
+	routes   int
+}
+
+// NewTable builds a table.
+func NewTable(version uint64, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Table {
+	table := &Table{
+		Version:  version,
+		Limits:   limits,
+		services: make(map[string]*Service, len(services)),
+		accounts: make(map[string]*Account),
+		hosts:    make(map[string][]*Route),
+		routes:   len(routes),
+	}
+	for _, service := range services {
+		table.services[service.Name] = service
+	}
+	for _, account := range accounts {
+		for _, key := range account.Keys {
+			table.accounts[key] = account
+		}
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		table.hosts[host] = append(table.hosts[host], r)
+	}
+	for _, list := range table.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	return table
+}
+
+// Match returns the route with the longest prefix of a path, or nil. A port
+// behind the host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.hosts[name] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds a key, or nil.
+func (t *Table) Account(key string) *Account { return t.accounts[key] }
+
+// HasAccounts reports whether requests need a key.
+func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns the names of all services in order.
+func (t *Table) Services() []string {
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return t.routes }
--- /dev/null
+++ b/gateway/upstream/conn.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+)
+
+const (
+	// headLimit bounds the head of an answer in bytes.
+	headLimit = 32 << 10
+	// inlineBytes is the size of a request that fits into the buffers of a
+	// connection; a larger one is written beside the reading of its answer,
+	// because a server may answer before it has read it.
+	inlineBytes = 4 << 10
+	// writeTimeout bounds the sending of one request.
+	writeTimeout = 5 * time.Second
+)
+
+// ErrExtraBytes means that a server sent bytes that answer no request.
+var ErrExtraBytes = errors.New("upstream: bytes without a request")
+
+// Conn is one connection to a backend server. It carries one request at a
+// time.
+type Conn struct {
+	conn   net.Conn
+	reader *http1.Reader
+	// Reused is set when the connection carried a request before.
+	Reused  bool
+	address string
+	// written receives the result of a request that is written beside the
+	// reading; nil when it was written inline.
+	written   chan error
+	idleUntil time.Time
+	closed    atomic.Bool
+}
+
+// Send writes a request. sent is false when no byte can have reached the
+// server.
+func (c *Conn) Send(head, body []byte) (sent bool, err error) {
+	if c.reader.Buffered() > 0 {
+		return false, ErrExtraBytes
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return false, err
+	}
+	if len(head)+len(body) <= inlineBytes {
+		n, err := c.conn.Write(append(head, body...))
+		return n > 0, err
+	}
+	c.written = make(chan error, 1)
+	go func(written chan<- error) {
+		buffers := net.Buffers{head, body}
+		_, err := buffers.WriteTo(c.conn)
+		written <- err
+	}(c.written)
+	return true, nil
+}
+
+// SetReadDeadline bounds the following reads.
+func (c *Conn) SetReadDeadline(at time.Time) error { return c.conn.SetReadDeadline(at) }
+
+// ReadHead reads the head of the answer to a request of the given method.
+// Interim answers are skipped.
+func (c *Conn) ReadHead(method string) (*http1.Response, error) {
+	for {
+		head, err := c.reader.Head(headLimit)
+		if err != nil {
+			return nil, err
+		}
+		response, err := http1.ParseResponse(head, method)
+		if err != nil {
+			return nil, err
+		}
+		if response.Status >= 200 {
+			return response, nil
+		}
+	}
+}
+
+// WaitHead receives until the head of the answer begins, so that a read
+// deadline that passes before leaves nothing half read.
+func (c *Conn) WaitHead() error {
+	if c.reader.Buffered() > 0 {
+		return nil
+	}
+	err := c.reader.Fill(headLimit)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Body returns the body of the answer.
+func (c *Conn) Body(response *http1.Response) *http1.Body { return c.reader.Body(response.Framing) }
+
+// Close ends the connection. It may be called from any goroutine and more than
+// once.
+func (c *Conn) Close() {
+	if c.closed.CompareAndSwap(false, true) {
+		_ = c.conn.Close() // The connection is given up; there is nothing to do about an error.
+	}
+}
+
+// fullyWritten reports whether the request was written whole.
+func (c *Conn) fullyWritten() bool {
+	if c.written == nil {
+		return true
+	}
+	select {
+	case err := <-c.written:
+		c.written = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// IsTimeout reports whether a read ended because of its deadline.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/gateway/upstream/doc.go
@@ -0,0 +1,2 @@
+// Package upstream holds the connections to backend servers.
+package upstream
--- /dev/null
+++ b/logring/writer.go
@@ -0,0 +1,95 @@
+// Package logring writes log lines through a bounded ring, so that a slow
+// output never blocks the work that is logged.
+package logring
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/ring"
+)
+
+const (
+	// capacity is the number of lines that wait for the output.
+	capacity = 2048
+	// flushPause is the time in which lines are gathered for one write.
+	flushPause = 50 * time.Millisecond
+	// batchBytes bounds one write.
+	batchBytes = 64 << 10
+	// linesPerSecond bounds the volume: a usual instance logs some 30 lines a
+	// second, and a line costs about 300 bytes and its write.
+	linesPerSecond = 400
+)
+
+// Writer is an io.Writer whose writes never block. Lines over the rate or over
+// the capacity are dropped and counted.
+type Writer struct {
+	lines   *ring.Ring[[]byte]
+	output  io.Writer
+	second  atomic.Int64
+	count   atomic.Int64
+	dropped atomic.Int64
+}
+
+// New returns a writer to an output. Run must be called for lines to appear.
+func New(output io.Writer) *Writer {
+	return &Writer{lines: ring.New[[]byte]("log", capacity), output: output}
+}
+
+// Write takes one line. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	if second := time.Now().Unix(); w.second.Swap(second) != second {
+		w.count.Store(0)
+	}
+	if w.count.Add(1) > linesPerSecond || !w.lines.Offer(bytes.Clone(line)) {
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Run writes lines until the context ends, and then those that are left.
+func (w *Writer) Run(ctx context.Context) {
+	var batch []byte
+	for {
+		select {
+		case <-ctx.Done():
+			w.write(w.gather(batch[:0]))
+			return
+		case line := <-w.lines.Items():
+			batch = append(batch[:0], line...)
+			time.Sleep(flushPause)
+			batch = w.gather(batch)
+			w.write(batch)
+		}
+	}
+}
+
+// gather adds the lines that wait to a batch.
+func (w *Writer) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line := <-w.lines.Items():
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// write counts the lines of a batch that the output did not take: there is
+// nowhere else to report it.
+func (w *Writer) write(batch []byte) {
+	if len(batch) == 0 {
+		return
+	}
+	if _, err := w.output.Write(batch); err != nil {
+		w.dropped.Add(int64(bytes.Count(batch, []byte("\n"))))
+	}
+}
--- a/platform/budgeted/store.go
+++ b/objectstore/budgeted/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/budget"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // Gate applies the budget decisions. It is safe for concurrent use.
@@ -97,17 +97,17 @@
 	}
 }
 
-// Store is a platform.Store whose calls pass a gate.
+// Store is a objectstore.Store whose calls pass a gate.
 type Store struct {
-	store platform.Store
+	store objectstore.Store
 	gate  *Gate
 }
 
 // NewStore returns a store behind a gate.
-func NewStore(store platform.Store, gate *Gate) *Store { return &Store{store: store, gate: gate} }
+func NewStore(store objectstore.Store, gate *Gate) *Store { return &Store{store: store, gate: gate} }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (object platform.Object, err error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (object objectstore.Object, err error) {
 	err = s.gate.Do(ctx, budget.Read, func(ctx context.Context) (err error) {
 		object, err = s.store.Get(ctx, key)
 		return err
@@ -115,8 +115,8 @@
 	return object, err
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (version uint64, err error) {
+// Put implements objectstore.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (version uint64, err error) {
 	err = s.gate.Do(ctx, budget.Write, func(ctx context.Context) (err error) {
 		version, err = s.store.Put(ctx, key, value, condition)
 		return err
@@ -124,15 +124,15 @@
 	return version, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, condition platform.Condition) error {
+// Delete implements objectstore.Store.
+func (s *Store) Delete(ctx context.Context, key string, condition objectstore.Condition) error {
 	return s.gate.Do(ctx, budget.Write, func(ctx context.Context) error {
 		return s.store.Delete(ctx, key, condition)
 	})
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) (objects []platform.Object, err error) {
+// List implements objectstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) (objects []objectstore.Object, err error) {
 	err = s.gate.Do(ctx, budget.Read, func(ctx context.Context) (err error) {
 		objects, err = s.store.List(ctx, prefix)
 		return err
@@ -140,8 +140,8 @@
 	return objects, err
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (changes []platform.Change, err error) {
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (changes []objectstore.Change, err error) {
 	err = s.gate.Do(ctx, budget.Watch, func(ctx context.Context) (err error) {
 		changes, err = s.store.Watch(ctx, prefix, after)
 		return err
--- a/platform/condition.go
+++ b/objectstore/condition.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // Condition guards a write.
 type Condition struct {
--- a/platform/httplist/client.go
+++ b/objectstore/httplist/client.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 const (
@@ -28,7 +28,7 @@
 // New returns a client for the list at a base URL.
 func New(base string) *Client {
 	return &Client{
-		url: strings.TrimSuffix(base, "/") + platform.InstancesPath,
+		url: strings.TrimSuffix(base, "/") + objectstore.InstancesPath,
 		client: &fasthttp.Client{
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       64 << 20,
@@ -38,7 +38,7 @@
 
 // List returns the instances as the platform shows them now. Errors:
 // PlatformUnavailable, PlatformRateLimited.
-func (c *Client) List(context.Context) ([]platform.Instance, error) {
+func (c *Client) List(context.Context) ([]objectstore.Instance, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -54,7 +54,7 @@
 	default:
 		return nil, fault.New(fault.PlatformUnavailable, "status "+strconv.Itoa(status))
 	}
-	var list platform.InstanceList
+	var list objectstore.InstanceList
 	if err := json.Unmarshal(response.Body(), &list); err != nil {
 		return nil, fault.Wrap(fault.PlatformUnavailable, domain, "decode answer", err)
 	}
--- a/platform/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 const domain = "platform/httpstore"
@@ -24,7 +24,7 @@
 	watchTimeout = watchWait + callTimeout
 )
 
-// Store is a platform.Store over HTTP. It makes no retries.
+// Store is a objectstore.Store over HTTP. It makes no retries.
 type Store struct {
 	base   string
 	client *fasthttp.Client
@@ -42,58 +42,58 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
-	var object platform.Object
-	query := url.Values{platform.KeyArgument: {key}}
-	err := s.do(ctx, fasthttp.MethodGet, platform.ObjectsPath, query, nil, callTimeout, &object)
+// Get implements objectstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	var object objectstore.Object
+	query := url.Values{objectstore.KeyArgument: {key}}
+	err := s.do(ctx, fasthttp.MethodGet, objectstore.ObjectsPath, query, nil, callTimeout, &object)
 	return object, err
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (uint64, error) {
-	if len(value) > platform.MaxValueBytes {
+// Put implements objectstore.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (uint64, error) {
+	if len(value) > objectstore.MaxValueBytes {
 		return 0, fault.New(fault.PlatformValueSize, "value of "+key+" is over the size limit")
 	}
-	var object platform.Object
+	var object objectstore.Object
 	query := conditionQuery(key, condition)
-	err := s.do(ctx, fasthttp.MethodPut, platform.ObjectsPath, query, value, callTimeout, &object)
+	err := s.do(ctx, fasthttp.MethodPut, objectstore.ObjectsPath, query, value, callTimeout, &object)
 	return object.Version, err
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, condition platform.Condition) error {
-	return s.do(ctx, fasthttp.MethodDelete, platform.ObjectsPath, conditionQuery(key, condition), nil, callTimeout, nil)
+// Delete implements objectstore.Store.
+func (s *Store) Delete(ctx context.Context, key string, condition objectstore.Condition) error {
+	return s.do(ctx, fasthttp.MethodDelete, objectstore.ObjectsPath, conditionQuery(key, condition), nil, callTimeout, nil)
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
-	var list platform.ObjectList
-	query := url.Values{platform.PrefixArgument: {prefix}}
-	err := s.do(ctx, fasthttp.MethodGet, platform.ObjectsPath, query, nil, callTimeout, &list)
+// List implements objectstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
+	var list objectstore.ObjectList
+	query := url.Values{objectstore.PrefixArgument: {prefix}}
+	err := s.do(ctx, fasthttp.MethodGet, objectstore.ObjectsPath, query, nil, callTimeout, &list)
 	return list.Objects, err
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Change, error) {
-	var list platform.ChangeList
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) ([]objectstore.Change, error) {
+	var list objectstore.ChangeList
 	query := url.Values{
-		platform.PrefixArgument: {prefix},
-		platform.AfterArgument:  {strconv.FormatUint(after, 10)},
-		platform.WaitArgument:   {watchWait.String()},
+		objectstore.PrefixArgument: {prefix},
+		objectstore.AfterArgument:  {strconv.FormatUint(after, 10)},
+		objectstore.WaitArgument:   {watchWait.String()},
 	}
-	err := s.do(ctx, fasthttp.MethodGet, platform.WatchPath, query, nil, watchTimeout, &list)
+	err := s.do(ctx, fasthttp.MethodGet, objectstore.WatchPath, query, nil, watchTimeout, &list)
 	return list.Changes, err
 }
 
-func conditionQuery(key string, condition platform.Condition) url.Values {
-	query := url.Values{platform.KeyArgument: {key}}
+func conditionQuery(key string, condition objectstore.Condition) url.Values {
+	query := url.Values{objectstore.KeyArgument: {key}}
 	absent, version := condition.Query()
 	if absent {
-		query.Set(platform.AbsentArgument, "true")
+		query.Set(objectstore.AbsentArgument, "true")
 	}
 	if version != 0 {
-		query.Set(platform.VersionArgument, strconv.FormatUint(version, 10))
+		query.Set(objectstore.VersionArgument, strconv.FormatUint(version, 10))
 	}
 	return query
 }
--- a/platform/instance.go
+++ b/objectstore/instance.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // InstancesPath is the path of the instance list's HTTP interface.
 const InstancesPath = "/v1/instances"
--- a/platform/wire.go
+++ b/objectstore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // Paths and query arguments of the object API's HTTP interface.
 //
--- a/operator/configurations.go
+++ b/operator/configurations.go
@@ -7,20 +7,20 @@
 
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/estate"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // StoredConfigurations implements Configurations on the platform's object API.
 // It is safe for concurrent use.
 type StoredConfigurations struct {
-	store platform.Store
+	store objectstore.Store
 	mu    sync.Mutex
 	// chunks holds the values of the last head's chunks, by hash.
 	chunks map[string][]byte
 }
 
 // NewStoredConfigurations returns the configurations in a store.
-func NewStoredConfigurations(store platform.Store) *StoredConfigurations {
+func NewStoredConfigurations(store objectstore.Store) *StoredConfigurations {
 	return &StoredConfigurations{store: store, chunks: make(map[string][]byte)}
 }
 
--- a/operator/race_test.go
+++ b/operator/race_test.go
@@ -14,9 +14,9 @@
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/estate"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/operator"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
-	"github.com/wisteriahaven/wisteriahaven/platform"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -305,7 +305,7 @@
 // chunksOf reads through an outage.
 type chunksOf struct{ *faultyStore }
 
-func (s chunksOf) Get(_ context.Context, key string) (platform.Object, error) {
+func (s chunksOf) Get(_ context.Context, key string) (objectstore.Object, error) {
 	return s.objects[key], nil
 }
 
--- a/operator/store_test.go
+++ b/operator/store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/configstore"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // headFault is what happens to one write of the head.
@@ -28,15 +28,15 @@
 // delayedWrite is a write that is still under way.
 type delayedWrite struct {
 	value     []byte
-	condition platform.Condition
+	condition objectstore.Condition
 	ofMark    bool
 }
 
-// faultyStore is a platform.Store that keeps every head it ever held.
+// faultyStore is a objectstore.Store that keeps every head it ever held.
 type faultyStore struct {
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	version uint64
-	heads   []platform.Object
+	heads   []objectstore.Object
 	delayed []delayedWrite
 	outage  bool
 	// writingMarks is on while an instance writes its local marks; ofMark
@@ -50,12 +50,12 @@
 }
 
 func newFaultyStore() *faultyStore {
-	return &faultyStore{objects: make(map[string]platform.Object), ofMark: make(map[uint64]bool), beforeHead: func() headFault { return headWritten }, loseChunk: func() bool { return false }}
+	return &faultyStore{objects: make(map[string]objectstore.Object), ofMark: make(map[uint64]bool), beforeHead: func() headFault { return headWritten }, loseChunk: func() bool { return false }}
 }
 
-func (s *faultyStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	if s.outage {
-		return platform.Object{}, fault.New(fault.PlatformUnavailable, "outage")
+		return objectstore.Object{}, fault.New(fault.PlatformUnavailable, "outage")
 	}
 	object, found := s.objects[key]
 	if !found {
@@ -64,7 +64,7 @@
 	return object, nil
 }
 
-func (s *faultyStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (uint64, error) {
+func (s *faultyStore) Put(_ context.Context, key string, value []byte, condition objectstore.Condition) (uint64, error) {
 	if s.outage {
 		return 0, fault.New(fault.PlatformUnavailable, "outage")
 	}
@@ -85,13 +85,13 @@
 	return 0, fault.New(fault.PlatformAnswerLost, "timeout")
 }
 
-func (s *faultyStore) put(key string, value []byte, condition platform.Condition) (uint64, error) {
+func (s *faultyStore) put(key string, value []byte, condition objectstore.Condition) (uint64, error) {
 	current, exists := s.objects[key]
 	if !condition.Holds(exists, current.Version) {
 		return 0, fault.New(fault.PlatformConflict, key)
 	}
 	s.version++
-	object := platform.Object{Key: key, Value: value, Version: s.version}
+	object := objectstore.Object{Key: key, Value: value, Version: s.version}
 	s.objects[key] = object
 	if key == configstore.HeadKey {
 		s.heads = append(s.heads, object)
@@ -101,7 +101,7 @@
 }
 
 // putChunk writes a chunk, whose answer may be lost.
-func (s *faultyStore) putChunk(key string, value []byte, condition platform.Condition) (uint64, error) {
+func (s *faultyStore) putChunk(key string, value []byte, condition objectstore.Condition) (uint64, error) {
 	version, err := s.put(key, value, condition)
 	if s.loseChunk() {
 		return 0, fault.New(fault.PlatformAnswerLost, "timeout")
@@ -120,10 +120,10 @@
 	}
 }
 
-func (s *faultyStore) Delete(context.Context, string, platform.Condition) error { return nil }
+func (s *faultyStore) Delete(context.Context, string, objectstore.Condition) error { return nil }
 
-func (s *faultyStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
-	var found []platform.Object
+func (s *faultyStore) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
+	var found []objectstore.Object
 	for key, object := range s.objects {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, object)
@@ -133,6 +133,6 @@
 	return found, nil
 }
 
-func (s *faultyStore) Watch(context.Context, string, uint64) ([]platform.Change, error) {
+func (s *faultyStore) Watch(context.Context, string, uint64) ([]objectstore.Change, error) {
 	return nil, nil
 }
--- a/serving/call/bench_test.go
+++ b/serving/call/bench_test.go
@@ -14,7 +14,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	"github.com/wisteriahaven/wisteriahaven/estate"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform/httpstore"
+	"github.com/wisteriahaven/wisteriahaven/objectstore/httpstore"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 	"github.com/wisteriahaven/wisteriahaven/serving/call"
 	"github.com/wisteriahaven/wisteriahaven/serving/explain"
--- a/serving/call/parts.go
+++ b/serving/call/parts.go
@@ -7,7 +7,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/call"
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/serving"
 	"github.com/wisteriahaven/wisteriahaven/transport/service"
 )
@@ -35,7 +35,7 @@
 	Recorder      serving.Recorder
 	Guard         serving.Guard
 	Services      *service.Client
-	Store         platform.Store
+	Store         objectstore.Store
 	// Instances and Forwarder may be nil: every claim is then committed by
 	// this instance.
 	Instances Instances
--- a/serving/call/shard.go
+++ b/serving/call/shard.go
@@ -10,7 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/claim"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // Bounds of a shard's duty.
@@ -23,7 +23,7 @@
 // shard runs the committer of one claim shard in a goroutine of its own.
 type shard struct {
 	name      claim.Shard
-	store     platform.Store
+	store     objectstore.Store
 	logger    zerolog.Logger
 	committer *claim.Committer
 	inbox     chan shardInput
@@ -185,9 +185,9 @@
 func (s *shard) write(ctx context.Context, write claim.Write) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	condition := platform.IfVersion(write.Version)
+	condition := objectstore.IfVersion(write.Version)
 	if write.Absent {
-		condition = platform.IfAbsent()
+		condition = objectstore.IfAbsent()
 	}
 	version, err := s.store.Put(bounded, write.Key, write.Value, condition)
 	done := claim.WriteDone{Ticket: write.Ticket, Version: version}
@@ -205,7 +205,7 @@
 func (s *shard) remove(ctx context.Context, remove claim.Delete) {
 	bounded, cancel := context.WithTimeout(ctx, deleteTimeout)
 	defer cancel()
-	_ = s.store.Delete(bounded, remove.Key, platform.Always())
+	_ = s.store.Delete(bounded, remove.Key, objectstore.Always())
 }
 
 // deliver hands in the result of a read or write, which must not be dropped.
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -33,5 +33,8 @@
 	s.Intervals.Gossip = cmp.Or(s.Intervals.Gossip, DefaultGossip)
 	s.Intervals.LoadReport = cmp.Or(s.Intervals.LoadReport, DefaultLoadReport)
 	s.Intervals.KeepAlive = cmp.Or(s.Intervals.KeepAlive, DefaultKeepAlive)
+	if s.Gateway != nil {
+		s.Gateway = s.Gateway.withDefaults()
+	}
 	return s
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,13 +8,16 @@
 	Instance   string    `json:"instance"`
 	DataCentre string    `json:"data_centre"`
 	Region     string    `json:"region"`
-	Listen     Listen    `json:"listen"`
-	Platform   Platform  `json:"platform"`
-	Keys       Keys      `json:"keys"`
-	Seeds      []Peer    `json:"seeds"`
-	Operators  []Token   `json:"operators"`
+	Listen     Listen    `json:"listen,omitzero"`
+	Platform   Platform  `json:"platform,omitzero"`
+	Keys       Keys      `json:"keys,omitzero"`
+	Seeds      []Peer    `json:"seeds,omitempty"`
+	Operators  []Token   `json:"operators,omitempty"`
 	Limits     Limits    `json:"limits,omitzero"`
 	Intervals  Intervals `json:"intervals,omitzero"`
+	// Gateway makes the instance forward requests by a table of routes; the
+	// sections from Listen to Operators are then not needed.
+	Gateway *Gateway `json:"gateway,omitempty"`
 }
 
 // Listen holds the addresses of the instance, each "ip:port".
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -22,6 +22,10 @@
 	check.required("instance", settings.Instance)
 	check.required("data_centre", settings.DataCentre)
 	check.required("region", settings.Region)
+	if settings.Gateway != nil {
+		check.gateway(settings.Gateway)
+		return check.problems
+	}
 	check.listen(settings.Listen)
 	check.platform(settings.Platform)
 	check.keyRing("keys.cursor", settings.Keys.Cursor)
--- a/standin/instancelist/server.go
+++ b/standin/instancelist/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/standin/faultnet"
 )
 
@@ -28,7 +28,7 @@
 // update is the whole list from a moment on.
 type update struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []objectstore.Instance
 }
 
 // Start starts a stand-in instance list with a lag.
@@ -63,14 +63,14 @@
 }
 
 // Set replaces the list; readers see it after the lag.
-func (s *Server) Set(instances []platform.Instance) {
+func (s *Server) Set(instances []objectstore.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updates = append(s.updates, update{at: time.Now(), instances: slices.Clone(instances)})
 }
 
 // visible returns the list as readers see it now.
-func (s *Server) visible() []platform.Instance {
+func (s *Server) visible() []objectstore.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := time.Now().Add(-s.lag)
@@ -90,11 +90,11 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	if string(ctx.Path()) != platform.InstancesPath {
+	if string(ctx.Path()) != objectstore.InstancesPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	body, err := json.Marshal(platform.InstanceList{Instances: s.visible()})
+	body, err := json.Marshal(objectstore.InstanceList{Instances: s.visible()})
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/standin/loopback/addresses.go
+++ b/standin/loopback/addresses.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/estate"
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -50,7 +50,7 @@
 // joinSeeds points every instance at the platform and at all others.
 func (e *Estate) joinSeeds(all []settings.Settings) {
 	peers := make([]settings.Peer, 0, len(all))
-	listed := make([]platform.Instance, 0, len(all))
+	listed := make([]objectstore.Instance, 0, len(all))
 	for _, s := range all {
 		peers = append(peers, settings.Peer{
 			Instance:   s.Instance,
@@ -61,11 +61,11 @@
 			Callers:    s.Listen.Callers,
 			Operators:  s.Listen.Operators,
 		})
-		listed = append(listed, platform.Instance{
+		listed = append(listed, objectstore.Instance{
 			Name:       s.Instance,
 			Address:    s.Listen.Gossip,
 			DataCentre: s.DataCentre,
-			State:      platform.InstanceLive,
+			State:      objectstore.InstanceLive,
 			Role:       "entry",
 		})
 	}
--- a/standin/objectapi/memory.go
+++ b/standin/objectapi/memory.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 )
 
 // keptChanges bounds the history that a watch can start from.
@@ -15,16 +15,16 @@
 type memory struct {
 	mu      sync.Mutex
 	version uint64
-	objects map[string]platform.Object
-	changes []platform.Change
+	objects map[string]objectstore.Object
+	changes []objectstore.Change
 	changed chan struct{}
 }
 
 func newMemory() *memory {
-	return &memory{objects: make(map[string]platform.Object), changed: make(chan struct{})}
+	return &memory{objects: make(map[string]objectstore.Object), changed: make(chan struct{})}
 }
 
-func (m *memory) get(key string) (platform.Object, bool) {
+func (m *memory) get(key string) (objectstore.Object, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	object, found := m.objects[key]
@@ -32,7 +32,7 @@
 }
 
 // put writes the value and reports whether the condition held.
-func (m *memory) put(key string, value []byte, condition platform.Condition) (uint64, bool) {
+func (m *memory) put(key string, value []byte, condition objectstore.Condition) (uint64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	current, exists := m.objects[key]
@@ -40,15 +40,15 @@
 		return current.Version, false
 	}
 	m.version++
-	object := platform.Object{Key: key, Value: value, Version: m.version}
+	object := objectstore.Object{Key: key, Value: value, Version: m.version}
 	m.objects[key] = object
-	m.noteLocked(platform.Change{Object: object})
+	m.noteLocked(objectstore.Change{Object: object})
 	return m.version, true
 }
 
 // remove deletes the object and reports whether it existed and the condition
 // held.
-func (m *memory) remove(key string, condition platform.Condition) (exists, held bool) {
+func (m *memory) remove(key string, condition objectstore.Condition) (exists, held bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	current, exists := m.objects[key]
@@ -57,23 +57,23 @@
 	}
 	m.version++
 	delete(m.objects, key)
-	m.noteLocked(platform.Change{Object: platform.Object{Key: key, Version: m.version}, Deleted: true})
+	m.noteLocked(objectstore.Change{Object: objectstore.Object{Key: key, Version: m.version}, Deleted: true})
 	return true, true
 }
 
-func (m *memory) noteLocked(change platform.Change) {
+func (m *memory) noteLocked(change objectstore.Change) {
 	m.changes = append(m.changes, change)
 	if len(m.changes) > keptChanges {
-		m.changes = append([]platform.Change(nil), m.changes[len(m.changes)-keptChanges:]...)
+		m.changes = append([]objectstore.Change(nil), m.changes[len(m.changes)-keptChanges:]...)
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
-func (m *memory) list(prefix string) []platform.Object {
+func (m *memory) list(prefix string) []objectstore.Object {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var found []platform.Object
+	var found []objectstore.Object
 	for key, object := range m.objects {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, object)
@@ -85,10 +85,10 @@
 
 // since returns the changes under a prefix after a version and a channel that
 // closes at the next change.
-func (m *memory) since(prefix string, after uint64) ([]platform.Change, <-chan struct{}) {
+func (m *memory) since(prefix string, after uint64) ([]objectstore.Change, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var found []platform.Change
+	var found []objectstore.Change
 	for _, change := range m.changes {
 		if change.Version > after && strings.HasPrefix(change.Key, prefix) {
 			found = append(found, change)
--- a/standin/objectapi/server.go
+++ b/standin/objectapi/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/wisteriahaven/wisteriahaven/platform"
+	"github.com/wisteriahaven/wisteriahaven/objectstore"
 	"github.com/wisteriahaven/wisteriahaven/standin/faultnet"
 )
 
@@ -47,7 +47,7 @@
 		writes:   newRate(settings.WritesPerSecond),
 		stopped:  make(chan struct{}),
 	}
-	http := &fasthttp.Server{Handler: server.handle, MaxRequestBodySize: 2 * platform.MaxValueBytes, NoDefaultDate: true, Logger: faultnet.Quiet{}}
+	http := &fasthttp.Server{Handler: server.handle, MaxRequestBodySize: 2 * objectstore.MaxValueBytes, NoDefaultDate: true, Logger: faultnet.Quiet{}}
 	server.wait.Go(func() { _ = http.Serve(listener) })
 	return server, nil
 }
@@ -117,13 +117,13 @@
 func (s *Server) dispatch(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
-	case path == platform.WatchPath && ctx.IsGet():
+	case path == objectstore.WatchPath && ctx.IsGet():
 		s.handleWatch(ctx)
-	case path == platform.ObjectsPath && ctx.IsGet():
+	case path == objectstore.ObjectsPath && ctx.IsGet():
 		s.handleRead(ctx)
-	case path == platform.ObjectsPath && ctx.IsPut():
+	case path == objectstore.ObjectsPath && ctx.IsPut():
 		s.handlePut(ctx)
-	case path == platform.ObjectsPath && ctx.IsDelete():
+	case path == objectstore.ObjectsPath && ctx.IsDelete():
 		s.handleDelete(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -133,11 +133,11 @@
 func (s *Server) handleRead(ctx *fasthttp.RequestCtx) {
 	s.count(func(c *Counters) { c.Reads++ })
 	query := ctx.QueryArgs()
-	if query.Has(platform.PrefixArgument) {
-		writeJSON(ctx, platform.ObjectList{Objects: s.memory.list(string(query.Peek(platform.PrefixArgument)))})
+	if query.Has(objectstore.PrefixArgument) {
+		writeJSON(ctx, objectstore.ObjectList{Objects: s.memory.list(string(query.Peek(objectstore.PrefixArgument)))})
 		return
 	}
-	object, found := s.memory.get(string(query.Peek(platform.KeyArgument)))
+	object, found := s.memory.get(string(query.Peek(objectstore.KeyArgument)))
 	if !found {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -147,11 +147,11 @@
 
 func (s *Server) handlePut(ctx *fasthttp.RequestCtx) {
 	s.count(func(c *Counters) { c.Writes++ })
-	if len(ctx.PostBody()) > platform.MaxValueBytes {
+	if len(ctx.PostBody()) > objectstore.MaxValueBytes {
 		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
-	key := string(ctx.QueryArgs().Peek(platform.KeyArgument))
+	key := string(ctx.QueryArgs().Peek(objectstore.KeyArgument))
 	value := append([]byte(nil), ctx.PostBody()...)
 	version, held := s.memory.put(key, value, condition(ctx))
 	if s.loseAnswer(ctx) {
@@ -161,12 +161,12 @@
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		return
 	}
-	writeJSON(ctx, platform.Object{Key: key, Version: version})
+	writeJSON(ctx, objectstore.Object{Key: key, Version: version})
 }
 
 func (s *Server) handleDelete(ctx *fasthttp.RequestCtx) {
 	s.count(func(c *Counters) { c.Writes++ })
-	exists, held := s.memory.remove(string(ctx.QueryArgs().Peek(platform.KeyArgument)), condition(ctx))
+	exists, held := s.memory.remove(string(ctx.QueryArgs().Peek(objectstore.KeyArgument)), condition(ctx))
 	switch {
 	case s.loseAnswer(ctx):
 	case !exists:
@@ -195,23 +195,23 @@
 	s.count(func(c *Counters) { c.Watches++; c.Waiting++ })
 	defer s.count(func(c *Counters) { c.Waiting-- })
 	query := ctx.QueryArgs()
-	after, _ := strconv.ParseUint(string(query.Peek(platform.AfterArgument)), 10, 64)
-	wait, err := time.ParseDuration(string(query.Peek(platform.WaitArgument)))
+	after, _ := strconv.ParseUint(string(query.Peek(objectstore.AfterArgument)), 10, 64)
+	wait, err := time.ParseDuration(string(query.Peek(objectstore.WaitArgument)))
 	if err != nil || wait > maxWatchWait {
 		wait = maxWatchWait
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		changes, changed := s.memory.since(string(query.Peek(platform.PrefixArgument)), after)
+		changes, changed := s.memory.since(string(query.Peek(objectstore.PrefixArgument)), after)
 		if len(changes) > 0 {
-			writeJSON(ctx, platform.ChangeList{Changes: changes})
+			writeJSON(ctx, objectstore.ChangeList{Changes: changes})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(ctx, platform.ChangeList{})
+			writeJSON(ctx, objectstore.ChangeList{})
 			return
 		case <-s.stopped:
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -231,16 +231,16 @@
 }
 
 // condition reads the condition of a write.
-func condition(ctx *fasthttp.RequestCtx) platform.Condition {
+func condition(ctx *fasthttp.RequestCtx) objectstore.Condition {
 	query := ctx.QueryArgs()
-	if query.Has(platform.AbsentArgument) {
-		return platform.IfAbsent()
+	if query.Has(objectstore.AbsentArgument) {
+		return objectstore.IfAbsent()
 	}
-	version, err := strconv.ParseUint(string(query.Peek(platform.VersionArgument)), 10, 64)
+	version, err := strconv.ParseUint(string(query.Peek(objectstore.VersionArgument)), 10, 64)
 	if err != nil {
-		return platform.Always()
+		return objectstore.Always()
 	}
-	return platform.IfVersion(version)
+	return objectstore.IfVersion(version)
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
