Count only sends that can have arrived; suspect data centres that fail together

Cause: after the loss of a data centre a stream spent its sends and the budget of second sends on refused connections; copies were asked for before the first event, when there are none; servers that restarted at the same address under a new id answered as the wrong one. Ruled out: the time to notice (3 ms after a reset) and the copies themselves (continued within 80 ms).

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -10,7 +10,7 @@
 func (l *Ledger) ChooseCall(now time.Time, candidates []Candidate) (string, bool) {
 	best, bestCost, found, bestAvoided := "", time.Duration(0), false, false
 	for i := range candidates {
-		avoided := l.Avoided(now, candidates[i].ID)
+		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
 		if found && avoided && !bestAvoided {
 			continue
 		}
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -21,7 +21,7 @@
 	var bestCost time.Duration
 	found, bestAvoided := false, false
 	for i := range candidates {
-		avoided := l.Avoided(now, candidates[i].ID)
+		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
 		if found && avoided && !bestAvoided {
 			continue
 		}
@@ -59,7 +59,7 @@
 	best, bestCost, found := "", time.Duration(0), false
 	for i := range candidates {
 		candidate := &candidates[i]
-		if candidate.ID == running.ID || l.Avoided(now, candidate.ID) {
+		if candidate.ID == running.ID || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
 			continue
 		}
 		var load Load
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -12,11 +12,12 @@
 	own     Place
 	random  *rand.Rand
 	servers map[string]*record
+	centres map[string]*centre
 }
 
 // NewLedger returns an empty ledger of an instance.
 func NewLedger(policy Policy, own Place, random *rand.Rand) *Ledger {
-	return &Ledger{policy: policy, own: own, random: random, servers: make(map[string]*record)}
+	return &Ledger{policy: policy, own: own, random: random, servers: make(map[string]*record), centres: make(map[string]*centre)}
 }
 
 // Forget drops what is known of a server that ended or started again.
@@ -67,19 +68,42 @@
 }
 
 // Unreachable notes that a server could not be reached or fell silent, and
-// returns until when it is avoided.
-func (l *Ledger) Unreachable(now time.Time, id string) time.Time {
+// returns until when it is avoided. down says that nothing listens at its
+// address: it is avoided for longer.
+func (l *Ledger) Unreachable(now time.Time, id, dataCentre string, down bool) time.Time {
 	known := l.record(id)
 	wait := min(l.policy.Avoid<<min(known.failures, 8), l.policy.AvoidLimit)
+	if down {
+		wait = l.policy.AvoidLimit
+	}
 	known.failures++
 	known.avoidUntil = now.Add(wait)
+	l.centre(dataCentre).failed(now, id, l.policy.CentreWindow)
 	return known.avoidUntil
 }
 
-// Avoided reports whether a server is avoided now.
-func (l *Ledger) Avoided(now time.Time, id string) bool {
+// Avoided reports whether a server is avoided now: because of itself, or
+// because others of its data centre failed together and it was not heard since.
+func (l *Ledger) Avoided(now time.Time, id, dataCentre string) bool {
 	known := l.servers[id]
-	return known != nil && now.Before(known.avoidUntil)
+	if known != nil && now.Before(known.avoidUntil) {
+		return true
+	}
+	lost := l.centres[dataCentre]
+	if lost == nil {
+		return false
+	}
+	since, suspected := lost.suspected(now, l.policy)
+	return suspected && (known == nil || known.heard.Before(since))
+}
+
+func (l *Ledger) centre(name string) *centre {
+	known := l.centres[name]
+	if known == nil {
+		known = &centre{failures: make(map[string]time.Time)}
+		l.centres[name] = known
+	}
+	return known
 }
 
 func (l *Ledger) record(id string) *record {
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -31,6 +31,10 @@
 	// avoided; the time doubles with each failure.
 	Avoid      time.Duration
 	AvoidLimit time.Duration
+	// CentreFailures servers that fail within CentreWindow make the others of
+	// their data centre suspects until they are heard again.
+	CentreFailures int
+	CentreWindow   time.Duration
 	// Forget is the time after which half of what answers said is forgotten.
 	Forget time.Duration
 	// ReportLifetime is how long another instance's report counts.
@@ -55,8 +59,10 @@
 		FullCost:              2 * time.Second,
 		UsualCall:             30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
-		Avoid:                 250 * time.Millisecond,
-		AvoidLimit:            2 * time.Second,
+		Avoid:                 300 * time.Millisecond,
+		AvoidLimit:            1500 * time.Millisecond,
+		CentreFailures:        2,
+		CentreWindow:          1200 * time.Millisecond,
 		Forget:                3 * time.Second,
 		ReportLifetime:        2 * time.Second,
 		Spread:                0.1,
--- a/decision/secondsends/budget.go
+++ b/decision/secondsends/budget.go
@@ -20,7 +20,7 @@
 
 // reserve is the part of the bound that is used: instances cut their windows
 // at different moments and learn late how many there are.
-const reserve = 0.75
+const reserve = 0.85
 
 // Budget counts the sends to one service. It is not safe for concurrent use.
 type Budget struct {
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -88,7 +88,14 @@
 
 // publish builds the snapshot; mu is held.
 func (d *Directory) publish() {
-	all := slices.SortedFunc(maps.Values(d.servers), func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	// An address belongs to the server that registered last.
+	owners := make(map[string]*Server, len(d.servers))
+	for _, server := range d.servers {
+		if owner := owners[server.Address]; owner == nil || owner.Revision < server.Revision {
+			owners[server.Address] = server
+		}
+	}
+	all := slices.SortedFunc(maps.Values(owners), func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	services := make(map[string][]*Server)
 	for _, server := range all {
 		services[server.Service] = append(services[server.Service], server)
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -144,7 +146,7 @@
 // unreachable notes that a server could not be reached or fell silent.
 func (s *selector) unreachable(server *directory.Server, cause error) {
 	s.mu.Lock()
-	until := s.ledger.Unreachable(time.Now(), server.ID)
+	until := s.ledger.Unreachable(time.Now(), server.ID, server.DataCentre, errors.Is(cause, syscall.ECONNREFUSED))
 	s.mu.Unlock()
 	event.Log(s.logger, event.ServerSuspected).Str("server", server.ID).Str("address", server.Address).
 		Dur("avoid_ms", time.Until(until)).AnErr("cause", cause).Send()
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -30,11 +30,17 @@
 	firstEvent time.Time
 	delivered  int
 	resumes    int
-	last       streamResult
+	// unreached counts the servers that could not be reached.
+	unreached int
+	last      streamResult
 	// passed is an answer of a server that is no stream.
 	answer *callResult
 }
 
+// unreachedLimit bounds the servers that are tried in vain: more than a data
+// centre of the users has.
+const unreachedLimit = 40
+
 // streamResult is how one attempt of a stream ended.
 type streamResult struct {
 	server *directory.Server
@@ -43,8 +49,10 @@
 	// answered is set when the server's answer is no stream and is passed on.
 	answered *callResult
 	notRun   bool
-	code     fault.Code
-	err      error
+	// wrongServer is set when the address belongs to another server now.
+	wrongServer bool
+	code        fault.Code
+	err         error
 }
 
 // defaultPrompt and defaultOutput are assumed, in tokens, for generations that
@@ -109,7 +117,14 @@
 			return false
 		}
 	}
-	if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.service) {
+	if result.code == fault.UpstreamUnreachable {
+		// Nothing was sent: only time bounds the search for a server.
+		r.unreached++
+		r.j.sends--
+		if r.unreached > unreachedLimit {
+			return false
+		}
+	} else if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.service) {
 		return false
 	}
 	if r.delivered > 0 || r.events.checked {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -89,14 +89,16 @@
 }
 
 // failed notes an attempt that did not reach the end of the stream. The copy
-// that it made is used next.
+// that it made is used next; there is none before the first event.
 func (a *streamAttempt) failed(result *streamResult, fromCopy bool) {
 	r := a.run
-	if !result.notRun && a.copyTo != nil && r.f.directory.Snapshot().Find(a.copyTo.ID) != nil {
+	if !result.notRun && r.delivered > 0 && a.copyTo != nil && r.f.directory.Snapshot().Find(a.copyTo.ID) != nil {
 		r.copyAt = a.copyTo
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
-	if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
+	if result.wrongServer {
+		r.f.directory.Remove(a.server.ID, a.server.Revision)
+	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
 		r.f.selector.unreachable(a.server, result.err)
 	}
 	r.f.meters.attemptFailed(result.code)
@@ -164,7 +166,7 @@
 	judged := callResult{server: a.server, response: response}
 	r.f.judge(&judged, r.j, answer)
 	if !judged.usable() {
-		return streamResult{notRun: judged.notRun, code: judged.code, err: judged.err}
+		return streamResult{notRun: judged.notRun, wrongServer: answer.WrongServer, code: judged.code, err: judged.err}
 	}
 	if response.Status != 200 {
 		return a.receiveWhole(response, judged)
