Tell other instances loads, lost servers and configurations

Cause: instances placed copies on servers that others had found lost, chose servers by their own load alone, and had no second way to the configuration when cut off from the store.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -34,7 +34,7 @@
 	duration := (time.Duration(known.weight*float64(known.duration)) + l.policy.UsualCall) / time.Duration(known.weight+1)
 	duration = max(duration, known.oldestPending(now))
 	failed := known.failed * known.weight / (known.weight + 1)
-	load := known.load(now, l.policy.ReportLifetime)
+	load := known.load()
 	queue := time.Duration(0)
 	if waiting := load.Requests + 1 - candidate.Slots; waiting > 0 {
 		queue = l.policy.UsualCall * time.Duration(waiting) / time.Duration(candidate.Slots)
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -25,7 +25,7 @@
 		if found && avoided && !bestAvoided {
 			continue
 		}
-		choice, cost := l.generationCost(now, generation, &candidates[i])
+		choice, cost := l.generationCost(generation, &candidates[i])
 		if !found || (bestAvoided && !avoided) || cost < bestCost {
 			best, bestCost, bestAvoided, found = choice, cost, avoided, true
 		}
@@ -33,10 +33,10 @@
 	return best, found
 }
 
-func (l *Ledger) generationCost(now time.Time, generation Generation, candidate *Candidate) (Choice, time.Duration) {
+func (l *Ledger) generationCost(generation Generation, candidate *Candidate) (Choice, time.Duration) {
 	var load Load
 	if known := l.servers[candidate.ID]; known != nil {
-		load = known.load(now, l.policy.ReportLifetime)
+		load = known.load()
 	}
 	wait := l.prefill(load.Waiting + generation.Prompt)
 	if candidate.MemoryTokens > 0 && load.Memory+generation.Memory > candidate.MemoryTokens {
@@ -64,7 +64,7 @@
 		}
 		var load Load
 		if known := l.servers[candidate.ID]; known != nil {
-			load = known.load(now, l.policy.ReportLifetime)
+			load = known.load()
 		}
 		if load.Memory+generation.Memory > candidate.MemoryTokens {
 			continue
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -13,15 +13,21 @@
 	random  *rand.Rand
 	servers map[string]*record
 	centres map[string]*centre
+	reports map[string]report
 }
 
 // NewLedger returns an empty ledger of an instance.
 func NewLedger(policy Policy, own Place, random *rand.Rand) *Ledger {
-	return &Ledger{policy: policy, own: own, random: random, servers: make(map[string]*record), centres: make(map[string]*centre)}
+	return &Ledger{policy: policy, own: own, random: random, servers: make(map[string]*record), centres: make(map[string]*centre), reports: make(map[string]report)}
 }
 
 // Forget drops what is known of a server that ended or started again.
-func (l *Ledger) Forget(id string) { delete(l.servers, id) }
+func (l *Ledger) Forget(id string) {
+	delete(l.servers, id)
+	for _, stated := range l.reports {
+		delete(stated.loads, id)
+	}
+}
 
 // Servers returns the number of servers with a record.
 func (l *Ledger) Servers() int { return len(l.servers) }
@@ -43,9 +49,49 @@
 	}
 }
 
-// Report notes what another instance has sent to a server.
-func (l *Ledger) Report(now time.Time, instance, id string, load Load) {
-	l.record(id).report(now, instance, load)
+// Report replaces what another instance has sent to servers.
+func (l *Ledger) Report(now time.Time, instance string, loads map[string]Load) {
+	l.withdraw(instance)
+	for id, load := range loads {
+		l.record(id).others = l.record(id).others.plus(load)
+	}
+	l.reports[instance] = report{loads: loads, at: now}
+}
+
+// withdraw takes the last report of an instance back.
+func (l *Ledger) withdraw(instance string) {
+	for id, load := range l.reports[instance].loads {
+		if known := l.servers[id]; known != nil {
+			known.others = known.others.plus(load.Negative())
+		}
+	}
+	delete(l.reports, instance)
+}
+
+// Expire drops reports that are too old.
+func (l *Ledger) Expire(now time.Time) {
+	for instance, stated := range l.reports {
+		if now.Sub(stated.at) > l.policy.ReportLifetime {
+			l.withdraw(instance)
+		}
+	}
+}
+
+// LostElsewhere notes that another instance lost a server at a time, unless the
+// server was heard since.
+func (l *Ledger) LostElsewhere(at time.Time, id, dataCentre string, down bool) {
+	known := l.record(id)
+	if known.heard.After(at) {
+		return
+	}
+	wait := l.policy.Avoid
+	if down {
+		wait = l.policy.AvoidLimit
+	}
+	if until := at.Add(wait); until.After(known.avoidUntil) {
+		known.avoidUntil = until
+	}
+	l.centre(dataCentre).failed(at, id, l.policy.CentreWindow)
 }
 
 // Add changes the own load of a server.
@@ -109,7 +155,7 @@
 func (l *Ledger) record(id string) *record {
 	known := l.servers[id]
 	if known == nil {
-		known = &record{reports: make(map[string]report)}
+		known = &record{}
 		l.servers[id] = known
 	}
 	return known
--- a/decision/placement/record.go
+++ b/decision/placement/record.go
@@ -7,9 +7,10 @@
 
 // record is what the ledger knows of one server.
 type record struct {
-	own     Load
-	reports map[string]report
-	heard   time.Time
+	own Load
+	// others is the sum of what other instances stated.
+	others Load
+	heard  time.Time
 	// failures counts the times in a row that it could not be reached.
 	failures   int
 	avoidUntil time.Time
@@ -24,32 +25,14 @@
 	pending []time.Time
 }
 
-// report is the load that another instance stated.
+// report is what another instance stated.
 type report struct {
-	load Load
-	at   time.Time
-}
-
-func (r *record) report(now time.Time, instance string, load Load) {
-	if load == (Load{}) {
-		delete(r.reports, instance)
-		return
-	}
-	r.reports[instance] = report{load: load, at: now}
+	loads map[string]Load
+	at    time.Time
 }
 
 // load returns the own load and that of other instances.
-func (r *record) load(now time.Time, lifetime time.Duration) Load {
-	total := r.own
-	for instance, stated := range r.reports {
-		if now.Sub(stated.at) > lifetime {
-			delete(r.reports, instance)
-			continue
-		}
-		total = total.plus(stated.load)
-	}
-	return total
-}
+func (r *record) load() Load { return r.own.plus(r.others) }
 
 // meanWeight is the number of calls over which the means reach.
 const meanWeight = 8
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -62,6 +62,15 @@
 func (d *Directory) Remove(id string, revision uint64) *Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	old := d.remove(id, revision)
+	if old != nil {
+		d.publish()
+	}
+	return old
+}
+
+// remove is Remove; mu is held and nothing is published.
+func (d *Directory) remove(id string, revision uint64) *Server {
 	old := d.servers[id]
 	if old != nil && old.Revision > revision {
 		return nil
@@ -71,11 +80,7 @@
 	}
 	d.removed[id] = max(d.removed[id], revision)
 	d.revision = max(d.revision, revision)
-	if old == nil {
-		return nil
-	}
 	delete(d.servers, id)
-	d.publish()
 	return old
 }
 
--- /dev/null
+++ b/gateway/directory/export.go
@@ -0,0 +1,43 @@
+package directory
+
+import "maps"
+
+// Export is the content of a directory for another instance.
+type Export struct {
+	Revision uint64
+	Servers  []*Server
+	// Removed holds the revisions at which servers were removed.
+	Removed map[string]uint64
+}
+
+// Export returns the content.
+func (d *Directory) Export() Export {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	export := Export{Revision: d.revision, Removed: maps.Clone(d.removed)}
+	for _, server := range d.servers {
+		export.Servers = append(export.Servers, server)
+	}
+	return export
+}
+
+// Import takes over what is newer in another directory's content and returns
+// the number of changes.
+func (d *Directory) Import(export Export) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := 0
+	for _, server := range export.Servers {
+		if server != nil && d.put(server) {
+			changed++
+		}
+	}
+	for id, revision := range export.Removed {
+		if d.remove(id, revision) != nil {
+			changed++
+		}
+	}
+	d.revision = max(d.revision, export.Revision)
+	d.publish()
+	return changed
+}
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
@@ -106,7 +107,7 @@
 	case answer.ID != "" && answer.ID != j.request.ID:
 		result.code, result.err = fault.UpstreamBroken, errForeignAnswer
 	case answer.NotRun:
-		result.notRun, result.code = true, fault.UpstreamRejected
+		result.notRun, result.code, result.err = true, fault.UpstreamRejected, errors.New("status "+strconv.Itoa(result.response.Status))
 	case promise:
 		result.code, result.err = fault.UpstreamBroken, errFalsePromise
 	case !answer.Signed || answer.ID == "":
--- /dev/null
+++ b/gateway/forward/exchange.go
@@ -0,0 +1,47 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+)
+
+// Ledger returns what other instances are told and tell about servers.
+func (f *Forwarder) Ledger() peers.Ledger { return f.selector }
+
+// Loads implements peers.Ledger.
+func (s *selector) Loads() []peers.ServerLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var loads []peers.ServerLoad
+	s.ledger.Loads(func(id string, load placement.Load) {
+		loads = append(loads, peers.ServerLoad{Server: id, Load: load})
+	})
+	return loads
+}
+
+// Report implements peers.Ledger.
+func (s *selector) Report(instance string, loads []peers.ServerLoad) {
+	stated := make(map[string]placement.Load, len(loads))
+	for _, load := range loads {
+		stated[load.Server] = load.Load
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Report(time.Now(), instance, stated)
+}
+
+// LostElsewhere implements peers.Ledger.
+func (s *selector) LostElsewhere(lost peers.LostServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.LostElsewhere(time.Now().Add(-lost.Age), lost.Server, lost.DataCentre, lost.Down)
+}
+
+// Expire implements peers.Ledger.
+func (s *selector) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Expire(time.Now())
+}
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -26,8 +26,10 @@
 	SecondSends secondsends.Limits
 	// Instances returns the number of instances that share that bound.
 	Instances func() int
-	Logger    zerolog.Logger
-	Metrics   metrics.Registry
+	// Lost is called with each server that could not be reached.
+	Lost    func(server *directory.Server, down bool)
+	Logger  zerolog.Logger
+	Metrics metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -22,6 +22,7 @@
 	directory *directory.Directory
 	regions   map[string]string
 	instances func() int
+	lost      func(server *directory.Server, down bool)
 	limits    secondsends.Limits
 	logger    zerolog.Logger
 	started   time.Time
@@ -38,6 +39,7 @@
 		directory: options.Directory,
 		regions:   options.Regions,
 		instances: options.Instances,
+		lost:      options.Lost,
 		limits:    options.SecondSends,
 		logger:    options.Logger,
 		started:   time.Now(),
@@ -146,8 +148,10 @@
 // unreachable notes that a server could not be reached or fell silent.
 func (s *selector) unreachable(server *directory.Server, cause error) {
 	s.mu.Lock()
-	until := s.ledger.Unreachable(time.Now(), server.ID, server.DataCentre, errors.Is(cause, syscall.ECONNREFUSED))
+	down := errors.Is(cause, syscall.ECONNREFUSED)
+	until := s.ledger.Unreachable(time.Now(), server.ID, server.DataCentre, down)
 	s.mu.Unlock()
+	s.lost(server, down)
 	event.Log(s.logger, event.ServerSuspected).Str("server", server.ID).Str("address", server.Address).
 		Dur("avoid_ms", time.Until(until)).AnErr("cause", cause).Send()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
+	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -40,6 +42,7 @@
 	follower  *discovery.Follower
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
+	peers     *peers.Service
 	monitor   *monitor
 	listeners []net.Listener
 	leaving   atomic.Bool
@@ -73,22 +76,17 @@
 			Extra:  own.SecondSends.Extra,
 			Window: time.Duration(own.SecondSends.WindowSeconds * float64(time.Second)),
 		},
-		Instances: g.instances,
+		Instances: func() int { return g.peers.Instances() },
+		Lost:      func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
 		Logger:    logger,
 		Metrics:   g.metrics,
 	})
 	g.ingress = ingress.NewServer(g.forwarder, max(1, (own.Descriptors-reservedDescriptors)/2), logger)
+	g.peers = peers.New(g.peerOptions())
 	g.monitor = newMonitor(g)
 	return g
 }
 
-// instances returns the number of instances that share the bounds.
-func (g *Gateway) instances() int { return assumedInstances }
-
-// assumedInstances stands for the number of instances until they know each
-// other.
-const assumedInstances = 10
-
 // Start listens on the instance's addresses and starts its duties.
 func (g *Gateway) Start() error {
 	own := g.settings.Gateway
@@ -99,6 +97,11 @@
 	if err := g.monitor.start(); err != nil {
 		return err
 	}
+	if err := g.peers.Listen(); err != nil {
+		return err
+	}
+	g.duties.Go("digests", g.peers.Run)
+	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
 	g.duties.Go("housekeeping", g.keepHouse)
@@ -117,6 +120,22 @@
 	return listener, nil
 }
 
+// peerOptions returns the parts of the exchange with other instances.
+func (g *Gateway) peerOptions() peers.Options {
+	own := g.settings.Gateway
+	// The settings were checked: the addresses can be read.
+	address := netip.MustParseAddrPort(own.Peers)
+	var seeds []netip.Addr
+	for _, seed := range own.Seeds {
+		seeds = append(seeds, netip.MustParseAddrPort(seed).Addr())
+	}
+	return peers.Options{
+		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Address: address, Seeds: seeds,
+		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
+		Decode: g.parts.Decode, Logger: g.logger,
+	}
+}
+
 // Ready reports whether the instance can serve.
 func (g *Gateway) Ready() bool {
 	ready := !g.leaving.Load() && g.state.Current() != nil && len(g.directory.Snapshot().All) > 0
--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -38,11 +38,17 @@
 	if err != nil {
 		return err
 	}
+	exchange, err := m.gateway.listen("peers", own.Peers)
+	if err != nil {
+		return err
+	}
+	others := &fasthttp.Server{Handler: m.gateway.peers.Handle, NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
 	for _, listener := range []struct {
 		name   string
 		listen func() error
 	}{
 		{"readiness", func() error { return m.server.Serve(readiness) }},
+		{"peers", func() error { return others.Serve(exchange) }},
 		{"metrics", func() error { return m.server.Serve(served) }},
 	} {
 		// Serve ends with its listener, when the process stops.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -9,6 +9,8 @@
 type Parts struct {
 	Feed     discovery.Feed
 	Protocol Protocol
+	// Decode reads a configuration document that another instance sent.
+	Decode func(document []byte) (*discovery.Configuration, error)
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() int64
 }
--- /dev/null
+++ b/gateway/peers/codec.go
@@ -0,0 +1,229 @@
+package peers
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
+)
+
+// Numbers of the fields of a digest.
+const (
+	tagInstance protowire.Number = iota + 1
+	tagDataCentre
+	tagIncarnation
+	tagSequence
+	tagVersion
+	tagRevision
+	tagFlags
+	tagLoad
+	tagLost
+	tagMember
+)
+
+// Flags of a digest.
+const (
+	flagLeaving = 1 << iota
+	flagGreeting
+	flagHasLoads
+)
+
+// Numbers of the fields of a load and of a lost server.
+const (
+	tagServer protowire.Number = iota + 1
+	tagRequests
+	tagWaiting
+	tagMemory
+	tagAge
+	tagDown
+	tagPlace
+)
+
+// Encode returns the datagram of a digest. What does not fit is left out: lost
+// servers come before loads, loads before members.
+func Encode(digest *Digest) []byte {
+	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
+	b = appendText(b, tagDataCentre, digest.DataCentre)
+	b = appendNumber(b, tagIncarnation, digest.Incarnation)
+	b = appendNumber(b, tagSequence, digest.Sequence)
+	b = appendNumber(b, tagVersion, digest.Version)
+	b = appendNumber(b, tagRevision, digest.Revision)
+	b = appendNumber(b, tagFlags, digest.flags())
+	for i := range digest.Lost {
+		b = appendIfFits(b, tagLost, encodeLost(&digest.Lost[i]))
+	}
+	for i := range digest.Loads {
+		b = appendIfFits(b, tagLoad, encodeLoad(&digest.Loads[i]))
+	}
+	for _, member := range digest.Members {
+		b = appendIfFits(b, tagMember, member.AsSlice())
+	}
+	return b
+}
+
+func (d *Digest) flags() uint64 {
+	flags := uint64(0)
+	if d.Leaving {
+		flags |= flagLeaving
+	}
+	if d.Greeting {
+		flags |= flagGreeting
+	}
+	if d.HasLoads {
+		flags |= flagHasLoads
+	}
+	return flags
+}
+
+func encodeLoad(load *ServerLoad) []byte {
+	b := appendText(nil, tagServer, load.Server)
+	b = appendNumber(b, tagRequests, uint64(max(0, load.Load.Requests)))
+	b = appendNumber(b, tagWaiting, uint64(max(0, load.Load.Waiting)))
+	return appendNumber(b, tagMemory, uint64(max(0, load.Load.Memory)))
+}
+
+func encodeLost(lost *LostServer) []byte {
+	b := appendText(nil, tagServer, lost.Server)
+	b = appendText(b, tagPlace, lost.DataCentre)
+	b = appendNumber(b, tagAge, uint64(max(0, lost.Age.Milliseconds())))
+	if lost.Down {
+		b = appendNumber(b, tagDown, 1)
+	}
+	return b
+}
+
+func appendText(b []byte, tag protowire.Number, text string) []byte {
+	return protowire.AppendString(protowire.AppendTag(b, tag, protowire.BytesType), text)
+}
+
+func appendNumber(b []byte, tag protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, tag, protowire.VarintType), value)
+}
+
+func appendIfFits(b []byte, tag protowire.Number, part []byte) []byte {
+	if len(b)+len(part)+protowire.SizeTag(tag)+protowire.SizeVarint(uint64(len(part))) > datagram.MaxBytes {
+		return b
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, tag, protowire.BytesType), part)
+}
+
+// maxNumber bounds the numbers of a load, so that sums can't overflow.
+const maxNumber = 1 << 40
+
+// Decode reads a datagram. Fields of newer instances are skipped. Errors have
+// the code PeerMessage.
+func Decode(payload []byte) (*Digest, error) {
+	digest := &Digest{}
+	err := eachField(payload, func(tag protowire.Number, number uint64, text []byte) error {
+		switch tag {
+		case tagInstance:
+			digest.Instance = string(text)
+		case tagDataCentre:
+			digest.DataCentre = string(text)
+		case tagIncarnation:
+			digest.Incarnation = number
+		case tagSequence:
+			digest.Sequence = number
+		case tagVersion:
+			digest.Version = number
+		case tagRevision:
+			digest.Revision = number
+		case tagFlags:
+			digest.Leaving = number&flagLeaving != 0
+			digest.Greeting = number&flagGreeting != 0
+			digest.HasLoads = number&flagHasLoads != 0
+		case tagLoad:
+			return digest.decodeLoad(text)
+		case tagLost:
+			return digest.decodeLost(text)
+		case tagMember:
+			if member, ok := netip.AddrFromSlice(text); ok {
+				digest.Members = append(digest.Members, member)
+			}
+		}
+		return nil
+	})
+	if err == nil && digest.Instance == "" {
+		err = fault.New(fault.PeerMessage, "the digest names no instance")
+	}
+	return digest, err
+}
+
+func (d *Digest) decodeLoad(part []byte) error {
+	var load ServerLoad
+	err := eachField(part, func(tag protowire.Number, number uint64, text []byte) error {
+		value := int(min(number, maxNumber))
+		switch tag {
+		case tagServer:
+			load.Server = string(text)
+		case tagRequests:
+			load.Load.Requests = value
+		case tagWaiting:
+			load.Load.Waiting = value
+		case tagMemory:
+			load.Load.Memory = value
+		}
+		return nil
+	})
+	if err == nil && load.Server != "" && load.Load != (placement.Load{}) {
+		d.Loads = append(d.Loads, load)
+	}
+	return err
+}
+
+func (d *Digest) decodeLost(part []byte) error {
+	var lost LostServer
+	err := eachField(part, func(tag protowire.Number, number uint64, text []byte) error {
+		switch tag {
+		case tagServer:
+			lost.Server = string(text)
+		case tagPlace:
+			lost.DataCentre = string(text)
+		case tagAge:
+			lost.Age = time.Duration(min(number, maxNumber)) * time.Millisecond
+		case tagDown:
+			lost.Down = number != 0
+		}
+		return nil
+	})
+	if err == nil && lost.Server != "" {
+		d.Lost = append(d.Lost, lost)
+	}
+	return err
+}
+
+// eachField visits the fields of a message.
+func eachField(message []byte, visit func(tag protowire.Number, number uint64, text []byte) error) error {
+	for len(message) > 0 {
+		tag, kind, size := protowire.ConsumeTag(message)
+		if size < 0 {
+			return fault.Wrap(fault.PeerMessage, "peers", "decode digest", protowire.ParseError(size))
+		}
+		message = message[size:]
+		var number uint64
+		var text []byte
+		switch kind {
+		case protowire.VarintType:
+			number, size = protowire.ConsumeVarint(message)
+		case protowire.BytesType:
+			text, size = protowire.ConsumeBytes(message)
+		default:
+			size = protowire.ConsumeFieldValue(tag, kind, message)
+		}
+		if size < 0 {
+			return fault.Wrap(fault.PeerMessage, "peers", "decode digest", protowire.ParseError(size))
+		}
+		message = message[size:]
+		if err := visit(tag, number, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/peers/digest.go
@@ -0,0 +1,50 @@
+package peers
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+)
+
+// Digest is what one instance tells another.
+type Digest struct {
+	Instance   string
+	DataCentre string
+	// Incarnation is the start of the instance's process; a higher one
+	// replaces a lower one.
+	Incarnation uint64
+	// Sequence orders the digests of one process.
+	Sequence uint64
+	// Version is the configuration in force, Revision that of the newest known
+	// entry of a backend server.
+	Version  uint64
+	Revision uint64
+	// Leaving is set while the instance stops.
+	Leaving bool
+	// Greeting asks for a digest in return.
+	Greeting bool
+	// HasLoads says that Loads are all loads that the receiver needs; servers
+	// without an entry have none.
+	HasLoads bool
+	Loads    []ServerLoad
+	Lost     []LostServer
+	// Members are addresses of other instances.
+	Members []netip.Addr
+}
+
+// ServerLoad is the load that an instance has at a server.
+type ServerLoad struct {
+	Server string
+	Load   placement.Load
+}
+
+// LostServer is a server that an instance could not reach.
+type LostServer struct {
+	Server     string
+	DataCentre string
+	// Age is the time since it was noticed.
+	Age time.Duration
+	// Down says that nothing listened at its address.
+	Down bool
+}
--- /dev/null
+++ b/gateway/peers/fetch.go
@@ -0,0 +1,154 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+)
+
+// Paths of the interface between instances.
+const (
+	configurationPath = "/v1/configuration"
+	serversPath       = "/v1/servers"
+)
+
+const (
+	// fetchPeriod is the time between two looks whether another instance knows
+	// more.
+	fetchPeriod = 250 * time.Millisecond
+	// fetchTimeout bounds one call to another instance.
+	fetchTimeout = time.Second
+)
+
+// RunFetch reads what other instances know beyond this one, until the context
+// ends. While the store answers it has the first try.
+func (s *Service) RunFetch(ctx context.Context) {
+	ticker := time.NewTicker(fetchPeriod)
+	defer ticker.Stop()
+	var behind time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			address, version, servers := s.table.Ahead(now, s.options.State.Version(), s.options.Directory.Revision())
+			s.mu.Unlock()
+			if !version && !servers {
+				behind = time.Time{}
+				continue
+			}
+			if behind.IsZero() {
+				behind = now
+			}
+			if s.options.Follower.Reachable() && now.Sub(behind) < storeHead {
+				continue
+			}
+			s.fetch(address, version, servers)
+		}
+	}
+}
+
+// fetch asks one instance; what fails is tried again in the next round.
+func (s *Service) fetch(address netip.Addr, version, servers bool) {
+	var err error
+	if version {
+		err = s.fetchConfiguration(address)
+	}
+	if err == nil && servers && !s.options.Follower.Reachable() {
+		err = s.fetchServers(address)
+	}
+	if err != nil {
+		event.Log(s.options.Logger, event.PeerFetchFailed).Stringer("peer", address).Err(err).Send()
+	}
+}
+
+func (s *Service) fetchConfiguration(address netip.Addr) error {
+	document, err := s.get(address, configurationPath+"?after="+strconv.FormatUint(s.options.State.Version(), 10))
+	if err != nil || len(document) == 0 {
+		return err
+	}
+	configuration, err := s.options.Decode(document)
+	if err != nil {
+		return err
+	}
+	if s.options.State.Offer(configuration) {
+		event.Log(s.options.Logger, event.ConfigurationInForce).Uint64("version", configuration.Table.Version).
+			Int("routes", configuration.Table.Routes()).Stringer("source", address).Send()
+	}
+	return nil
+}
+
+func (s *Service) fetchServers(address netip.Addr) error {
+	body, err := s.get(address, serversPath)
+	if err != nil {
+		return err
+	}
+	var export directory.Export
+	if err := json.Unmarshal(body, &export); err != nil {
+		return fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
+	}
+	changed := s.options.Directory.Import(export)
+	event.Log(s.options.Logger, event.PeerServersGot).Stringer("peer", address).Int("changed", changed).
+		Uint64("revision", export.Revision).Send()
+	return nil
+}
+
+func (s *Service) get(address netip.Addr, target string) ([]byte, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + netip.AddrPortFrom(address, s.options.Address.Port()).String() + target)
+	request.SetConnectionClose()
+	client := fasthttp.Client{
+		ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout,
+		Dial: dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+	}
+	if err := client.Do(request, response); err != nil {
+		return nil, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
+	}
+	switch response.StatusCode() {
+	case fasthttp.StatusOK:
+		return append([]byte(nil), response.Body()...), nil
+	case fasthttp.StatusNoContent:
+		return nil, nil
+	default:
+		return nil, fault.New(fault.PeerUnreachable, "status "+strconv.Itoa(response.StatusCode()))
+	}
+}
+
+// Handle answers other instances over HTTP.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case configurationPath:
+		current := s.options.State.Current()
+		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		if current == nil || current.Table.Version <= after {
+			ctx.SetStatusCode(fasthttp.StatusNoContent)
+			return
+		}
+		ctx.SetBody(current.Document)
+	case serversPath:
+		body, err := json.Marshal(s.options.Directory.Export())
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetBody(body)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
--- /dev/null
+++ b/gateway/peers/member.go
@@ -0,0 +1,23 @@
+package peers
+
+import (
+	"net/netip"
+	"time"
+)
+
+// member is another instance.
+type member struct {
+	instance    string
+	dataCentre  string
+	address     netip.Addr
+	incarnation uint64
+	sequence    uint64
+	version     uint64
+	revision    uint64
+	leaving     bool
+	heard       time.Time
+	// sent is when the last digest was sent to it, fingerprint that of its
+	// loads.
+	sent        time.Time
+	fingerprint uint64
+}
--- /dev/null
+++ b/gateway/peers/service.go
@@ -0,0 +1,282 @@
+package peers
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
+)
+
+const (
+	// period is the time between two looks at what others have to know.
+	period = 200 * time.Millisecond
+	// nearRefresh and farRefresh are the times after which a digest is sent
+	// though nothing changed, within and between data centres.
+	nearRefresh = time.Second
+	farRefresh  = 3 * time.Second
+	// farSpacing is the least time between two digests to another data centre,
+	// whose bytes have a price.
+	farSpacing = 600 * time.Millisecond
+	// lostSpacing gathers lost servers for one digest: a lost data centre takes
+	// many at once.
+	lostSpacing = 15 * time.Millisecond
+	// namedMembers is the number of members in a digest.
+	namedMembers = 6
+	// farMembers bounds the members of other data centres that get a digest
+	// without loads in a round.
+	farMembers = 4
+	// storeHead is how long the store has the first try at telling of a change
+	// that another instance knows.
+	storeHead = 400 * time.Millisecond
+	// lostCapacity bounds the lost servers that wait for a digest.
+	lostCapacity = 128
+)
+
+// Ledger is what the service tells of and is told about.
+type Ledger interface {
+	// Loads returns the own load at each server.
+	Loads() []ServerLoad
+	// Report takes over the loads of another instance.
+	Report(instance string, loads []ServerLoad)
+	// LostElsewhere takes over that another instance lost a server.
+	LostElsewhere(lost LostServer)
+	// Expire drops reports that are too old.
+	Expire()
+}
+
+// Options are the parts of a service.
+type Options struct {
+	Instance   string
+	DataCentre string
+	// Address is that of the UDP and the TCP listener.
+	Address   netip.AddrPort
+	Seeds     []netip.Addr
+	State     *discovery.State
+	Directory *directory.Directory
+	Follower  *discovery.Follower
+	Ledger    Ledger
+	// Decode reads a configuration document.
+	Decode func(document []byte) (*discovery.Configuration, error)
+	Logger zerolog.Logger
+}
+
+// Service exchanges digests.
+type Service struct {
+	options     Options
+	transport   *datagram.Transport
+	incarnation uint64
+	lost        chan LostServer
+	mu          sync.Mutex
+	table       *Table
+	sequence    uint64
+	leaving     bool
+}
+
+// New returns a service that does not run yet.
+func New(options Options) *Service {
+	return &Service{
+		options:     options,
+		incarnation: uint64(time.Now().UnixMilli()),
+		lost:        make(chan LostServer, lostCapacity),
+		table:       NewTable(options.Instance, options.Address.Addr(), options.Seeds),
+	}
+}
+
+// Listen opens the UDP address.
+func (s *Service) Listen() error {
+	transport, err := datagram.Listen(s.options.Address.String(), s.receive)
+	if err != nil {
+		return err
+	}
+	s.transport = transport
+	return nil
+}
+
+// Counters returns what the transport counted.
+func (s *Service) Counters() datagram.Counters { return s.transport.Counters() }
+
+// Instances returns the number of known instances with this one.
+func (s *Service) Instances() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.table.members) + 1
+}
+
+// Leave tells the others that this instance stops.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+}
+
+// Lost tells the others of a server that can't be reached. It never blocks.
+func (s *Service) Lost(server *directory.Server, down bool) {
+	select {
+	case s.lost <- LostServer{Server: server.ID, DataCentre: server.DataCentre, Down: down}:
+	default:
+		// The ring is full: the others hear of enough lost servers already.
+	}
+}
+
+// Run sends digests until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.lost:
+			time.Sleep(lostSpacing)
+			s.sendLost(first)
+		case now := <-ticker.C:
+			s.round(now)
+		}
+	}
+}
+
+// sendLost tells all members at once.
+func (s *Service) sendLost(first LostServer) {
+	gathered := []LostServer{first}
+	for len(s.lost) > 0 {
+		gathered = append(gathered, <-s.lost)
+	}
+	s.mu.Lock()
+	members := s.table.Members()
+	digest := s.digest()
+	s.mu.Unlock()
+	digest.Lost = gathered
+	payload := Encode(&digest)
+	for _, known := range members {
+		s.send(known.address, payload)
+	}
+}
+
+// digest returns a digest without loads; mu is held.
+func (s *Service) digest() Digest {
+	s.sequence++
+	return Digest{
+		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
+		Incarnation: s.incarnation, Sequence: s.sequence,
+		Version: s.options.State.Version(), Revision: s.options.Directory.Revision(),
+		Leaving: s.leaving,
+	}
+}
+
+// round sends what is due.
+func (s *Service) round(now time.Time) {
+	s.options.Ledger.Expire()
+	loads := s.options.Ledger.Loads()
+	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
+	centres := make(map[string]string)
+	for _, server := range s.options.Directory.Snapshot().All {
+		centres[server.ID] = server.DataCentre
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Expire(now)
+	for _, address := range s.table.Greet(now) {
+		digest := s.digest()
+		digest.Greeting = true
+		s.send(address, Encode(&digest))
+	}
+	members := s.table.Members()
+	idleFar := 0
+	for _, i := range rand.Perm(len(members)) {
+		known := members[i]
+		near := known.dataCentre == s.options.DataCentre
+		needed := loads
+		if !near {
+			needed = slices.DeleteFunc(slices.Clone(loads), func(load ServerLoad) bool { return centres[load.Server] != known.dataCentre })
+		}
+		mark := fingerprint(needed)
+		if !due(now, known, near, mark) {
+			continue
+		}
+		if !near && len(needed) == 0 && mark == known.fingerprint {
+			if idleFar++; idleFar > farMembers {
+				continue
+			}
+		}
+		digest := s.digest()
+		digest.HasLoads, digest.Loads = true, needed
+		digest.Members = someAddresses(members)
+		known.sent, known.fingerprint = now, mark
+		s.send(known.address, Encode(&digest))
+	}
+}
+
+// due reports whether a member gets a digest now.
+func due(now time.Time, known *member, near bool, mark uint64) bool {
+	since := now.Sub(known.sent)
+	if near {
+		return mark != known.fingerprint || since >= nearRefresh
+	}
+	return since >= farRefresh || (mark != known.fingerprint && since >= farSpacing)
+}
+
+// someAddresses returns addresses of members drawn at random.
+func someAddresses(members []*member) []netip.Addr {
+	var addresses []netip.Addr
+	for range min(namedMembers, len(members)) {
+		addresses = append(addresses, members[rand.IntN(len(members))].address)
+	}
+	return addresses
+}
+
+// fingerprint returns a hash of loads.
+func fingerprint(loads []ServerLoad) uint64 {
+	hash := xxhash.New()
+	for i := range loads {
+		// Writes to a hash never fail.
+		_, _ = hash.Write(encodeLoad(&loads[i]))
+	}
+	return hash.Sum64()
+}
+
+func (s *Service) send(address netip.Addr, payload []byte) {
+	s.transport.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
+}
+
+// receive takes one datagram.
+func (s *Service) receive(payload []byte, from netip.AddrPort) {
+	digest, err := Decode(payload)
+	if err != nil {
+		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
+		return
+	}
+	now, address := time.Now(), from.Addr().Unmap()
+	s.mu.Lock()
+	fresh := s.table.Hear(now, address, digest)
+	s.table.Named(s.options.Address.Addr(), digest.Members)
+	var answer []byte
+	if digest.Greeting && digest.Instance != s.options.Instance {
+		reply := s.digest()
+		reply.Members = someAddresses(s.table.Members())
+		answer = Encode(&reply)
+	}
+	s.mu.Unlock()
+	if answer != nil {
+		s.send(address, answer)
+	}
+	if !fresh {
+		return
+	}
+	if digest.HasLoads {
+		s.options.Ledger.Report(digest.Instance, digest.Loads)
+	}
+	for _, lost := range digest.Lost {
+		s.options.Ledger.LostElsewhere(lost)
+	}
+}
--- /dev/null
+++ b/gateway/peers/table.go
@@ -0,0 +1,135 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// forgetAfter is the silence after which an instance is forgotten: longer
+	// than a cut that instances are expected to live through, because they
+	// share bounds meanwhile.
+	forgetAfter = 30 * time.Second
+	// greetPeriod is the time between greetings to an address that has not
+	// answered.
+	greetPeriod = time.Second
+	// greetLimit bounds the greetings to one address.
+	greetLimit = 20
+)
+
+// Table holds the known instances. It is deterministic and not safe for
+// concurrent use.
+type Table struct {
+	own     string
+	members map[netip.Addr]*member
+	// greeted holds addresses that were named and have not answered.
+	greeted map[netip.Addr]*greeting
+}
+
+// greeting counts the greetings to an address.
+type greeting struct {
+	count int
+	last  time.Time
+}
+
+// NewTable returns a table that knows the addresses of the seeds.
+func NewTable(own string, ownAddress netip.Addr, seeds []netip.Addr) *Table {
+	t := &Table{own: own, members: make(map[netip.Addr]*member), greeted: make(map[netip.Addr]*greeting)}
+	for _, seed := range seeds {
+		if seed != ownAddress {
+			t.greeted[seed] = &greeting{}
+		}
+	}
+	return t
+}
+
+// Hear takes over what a digest says about its sender and reports whether it is
+// news; an older digest than the last is not.
+func (t *Table) Hear(now time.Time, from netip.Addr, digest *Digest) bool {
+	if digest.Instance == t.own {
+		return false
+	}
+	known := t.members[from]
+	if known == nil || known.instance != digest.Instance {
+		known = &member{instance: digest.Instance, address: from}
+		t.members[from] = known
+	}
+	delete(t.greeted, from)
+	if digest.Incarnation < known.incarnation || (digest.Incarnation == known.incarnation && digest.Sequence <= known.sequence) {
+		return false
+	}
+	known.dataCentre, known.leaving, known.heard = digest.DataCentre, digest.Leaving, now
+	known.incarnation, known.sequence = digest.Incarnation, digest.Sequence
+	known.version, known.revision = digest.Version, digest.Revision
+	return true
+}
+
+// Named notes addresses that another instance named.
+func (t *Table) Named(own netip.Addr, addresses []netip.Addr) {
+	for _, address := range addresses {
+		if address == own || t.members[address] != nil || t.greeted[address] != nil {
+			continue
+		}
+		t.greeted[address] = &greeting{}
+	}
+}
+
+// Greet returns the addresses that are to be greeted now.
+func (t *Table) Greet(now time.Time) []netip.Addr {
+	var due []netip.Addr
+	for address, entry := range t.greeted {
+		if now.Sub(entry.last) < greetPeriod {
+			continue
+		}
+		if entry.count >= greetLimit {
+			delete(t.greeted, address)
+			continue
+		}
+		entry.count++
+		entry.last = now
+		due = append(due, address)
+	}
+	slices.SortFunc(due, netip.Addr.Compare)
+	return due
+}
+
+// Expire forgets instances that were silent for long.
+func (t *Table) Expire(now time.Time) {
+	for address, known := range t.members {
+		if now.Sub(known.heard) > forgetAfter {
+			delete(t.members, address)
+		}
+	}
+}
+
+// Members returns the known instances in the order of their addresses.
+func (t *Table) Members() []*member {
+	all := make([]*member, 0, len(t.members))
+	for _, known := range t.members {
+		all = append(all, known)
+	}
+	slices.SortFunc(all, func(a, b *member) int { return a.address.Compare(b.address) })
+	return all
+}
+
+// Ahead returns the address of an instance that lately said to know more than
+// the given version or revision.
+func (t *Table) Ahead(now time.Time, version, revision uint64) (address netip.Addr, newVersion, newServers bool) {
+	for _, known := range t.Members() {
+		if now.Sub(known.heard) > aheadLifetime {
+			continue
+		}
+		if known.version > version {
+			return known.address, true, known.revision > revision
+		}
+		if known.revision > revision {
+			address, newServers = known.address, true
+		}
+	}
+	return address, false, newServers
+}
+
+// aheadLifetime is how long a digest counts as a sign that its sender can be
+// asked.
+const aheadLifetime = 5 * time.Second
--- /dev/null
+++ b/transport/datagram/doc.go
@@ -0,0 +1,2 @@
+// Package datagram sends and receives UDP datagrams on gnet.
+package datagram
--- a/transport/gossip/handler.go
+++ b/transport/datagram/handler.go
@@ -1,10 +1,10 @@
-package gossip
+package datagram
 
 import (
-	"github.com/panjf2000/gnet/v2"
+	"net"
+	"net/netip"
 
-	"github.com/wisteriahaven/wisteriahaven/decision/membership"
-	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/panjf2000/gnet/v2"
 )
 
 // handler takes the events of gnet.
@@ -24,25 +24,21 @@
 // OnTraffic implements gnet.EventHandler: one datagram arrived.
 func (h *handler) OnTraffic(conn gnet.Conn) gnet.Action {
 	counters := &h.transport.counters
-	datagram, err := conn.Next(-1)
+	payload, err := conn.Next(-1)
 	if err != nil {
 		counters.malformed.Add(1)
 		return gnet.None
 	}
 	counters.received.Add(1)
-	counters.receivedBytes.Add(uint64(len(datagram)))
-	if len(datagram) > MaxDatagramBytes {
+	counters.receivedBytes.Add(uint64(len(payload)))
+	if len(payload) > MaxBytes {
 		counters.oversized.Add(1)
 		return gnet.None
 	}
-	digest, err := h.transport.codec.Decode(datagram)
-	switch {
-	case err == nil:
-		h.receive(digest, len(datagram)+membership.DatagramHeaderBytes)
-	case fault.HasCode(err, fault.PeerUnauthenticated):
-		counters.unauthenticated.Add(1)
-	default:
-		counters.malformed.Add(1)
+	var from netip.AddrPort
+	if address, ok := conn.RemoteAddr().(*net.UDPAddr); ok {
+		from = address.AddrPort()
 	}
+	h.receive(payload, from)
 	return gnet.None
 }
--- a/transport/gossip/quiet_logger.go
+++ b/transport/datagram/quiet_logger.go
@@ -1,4 +1,4 @@
-package gossip
+package datagram
 
 // quietLogger drops the library's own log lines: only numbered events are
 // logged.
--- a/transport/gossip/codec.go
+++ b/transport/gossip/codec.go
@@ -9,13 +9,14 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 	"github.com/wisteriahaven/wisteriahaven/transport/gossip/gossippb"
 	"github.com/wisteriahaven/wisteriahaven/transport/peerauth"
 )
 
 // MaxDatagramBytes is the largest datagram taken; it fits into one packet of
 // common links.
-const MaxDatagramBytes = 1200
+const MaxDatagramBytes = datagram.MaxBytes
 
 // maxAge bounds the age of a record, so that it can't overflow.
 const maxAge = 365 * 24 * time.Hour
--- a/transport/gossip/counters.go
+++ b/transport/gossip/counters.go
@@ -1,18 +1,17 @@
 package gossip
 
-import "sync/atomic"
+import (
+	"sync/atomic"
 
-// counters count datagrams.
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
+)
+
+// counters count digests.
 type counters struct {
-	received        atomic.Uint64
-	receivedBytes   atomic.Uint64
-	sent            atomic.Uint64
-	sentBytes       atomic.Uint64
-	oversized       atomic.Uint64
 	malformed       atomic.Uint64
 	unauthenticated atomic.Uint64
 	encodeFailed    atomic.Uint64
-	sendFailed      atomic.Uint64
+	badAddress      atomic.Uint64
 }
 
 // Counters is a copy of the counters. Bytes are of the UDP payload.
@@ -28,16 +27,17 @@
 	SendFailed      uint64 `json:"send_failed"`
 }
 
-func (c *counters) copy() Counters {
+// with returns the counters of digests with those of their datagrams.
+func (c *counters) with(datagrams datagram.Counters) Counters {
 	return Counters{
-		Received:        c.received.Load(),
-		ReceivedBytes:   c.receivedBytes.Load(),
-		Sent:            c.sent.Load(),
-		SentBytes:       c.sentBytes.Load(),
-		Oversized:       c.oversized.Load(),
-		Malformed:       c.malformed.Load(),
+		Received:        datagrams.Received,
+		ReceivedBytes:   datagrams.ReceivedBytes,
+		Sent:            datagrams.Sent,
+		SentBytes:       datagrams.SentBytes,
+		Oversized:       datagrams.Oversized,
+		Malformed:       datagrams.Malformed + c.malformed.Load(),
 		Unauthenticated: c.unauthenticated.Load(),
 		EncodeFailed:    c.encodeFailed.Load(),
-		SendFailed:      c.sendFailed.Load(),
+		SendFailed:      datagrams.SendFailed + c.badAddress.Load(),
 	}
 }
--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -1,138 +1,63 @@
 package gossip
 
 import (
-	"context"
-	"net"
 	"net/netip"
-	"os"
-	"time"
-
-	"github.com/panjf2000/gnet/v2"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/membership"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
-// stopTimeout bounds the end of the event loop.
-const stopTimeout = 5 * time.Second
-
 // Receiver takes verified digests. Calls come from the event loop and must not
 // block. Bytes is the size of the datagram with its headers.
 type Receiver func(digest membership.Digest, bytes int)
 
 // Transport sends and receives digests on one UDP address.
 type Transport struct {
+	*datagram.Transport
 	codec    *Codec
 	counters counters
-	engine   gnet.Engine
-	socket   net.PacketConn
-	stopped  chan struct{}
 }
 
 // Listen opens the UDP address, "ip:port", and hands what arrives to receive.
 func Listen(address string, codec *Codec, receive Receiver) (*Transport, error) {
-	address, err := freeAddress(address)
+	t := &Transport{codec: codec}
+	var err error
+	t.Transport, err = datagram.Listen(address, func(payload []byte, _ netip.AddrPort) { t.receive(payload, receive) })
 	if err != nil {
 		return nil, err
 	}
-	t := &Transport{codec: codec, stopped: make(chan struct{})}
-	handler := &handler{transport: t, receive: receive, booted: make(chan gnet.Engine, 1)}
-	failed := make(chan error, 1)
-	go func() {
-		defer close(t.stopped)
-		failed <- gnet.Run(handler, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogger(quietLogger{}))
-	}()
-	select {
-	case t.engine = <-handler.booted:
-	case err := <-failed:
-		return nil, fault.Wrap(fault.SettingsInvalid, "gossip", "listen.gossip", err)
-	}
-	if err := t.openSocket(); err != nil {
-		_ = t.Close()
-		return nil, err
-	}
 	return t, nil
 }
 
-// freeAddress returns the address with a port that nobody else has. The event
-// loop's socket would share the port of another one silently, also one that
-// the system picked, and one of both would receive nothing.
-func freeAddress(address string) (string, error) {
-	probe, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return "", fault.Wrap(fault.SettingsInvalid, "gossip", "listen.gossip", err)
-	}
-	defer func() { _ = probe.Close() }()
-	return probe.LocalAddr().String(), nil
-}
-
-// openSocket opens the event loop's socket a second time for sending from
-// other goroutines.
-func (t *Transport) openSocket() error {
-	descriptor, err := t.engine.Dup()
-	if err != nil {
-		return fault.Wrap(fault.Internal, "gossip", "open the socket for sending", err)
+// receive reads one datagram.
+func (t *Transport) receive(payload []byte, receive Receiver) {
+	digest, err := t.codec.Decode(payload)
+	switch {
+	case err == nil:
+		receive(digest, len(payload)+membership.DatagramHeaderBytes)
+	case fault.HasCode(err, fault.PeerUnauthenticated):
+		t.counters.unauthenticated.Add(1)
+	default:
+		t.counters.malformed.Add(1)
 	}
-	file := os.NewFile(uintptr(descriptor), "gossip")
-	defer func() { _ = file.Close() }()
-	t.socket, err = net.FilePacketConn(file)
-	if err != nil {
-		return fault.Wrap(fault.Internal, "gossip", "open the socket for sending", err)
-	}
-	return nil
 }
 
-// Address returns the address the transport listens on.
-func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
-
 // Counters returns what the transport counted.
-func (t *Transport) Counters() Counters { return t.counters.copy() }
+func (t *Transport) Counters() Counters { return t.counters.with(t.Transport.Counters()) }
 
 // Send sends one digest. A digest that can't be sent is counted and lost, as
 // any datagram may be.
 func (t *Transport) Send(address string, digest membership.Digest) {
-	datagram, err := t.codec.Encode(digest)
+	payload, err := t.codec.Encode(digest)
 	if err != nil {
 		t.counters.encodeFailed.Add(1)
 		return
 	}
 	target, err := netip.ParseAddrPort(address)
 	if err != nil {
-		t.counters.sendFailed.Add(1)
-		return
-	}
-	if _, err := t.socket.WriteTo(datagram, net.UDPAddrFromAddrPort(target)); err != nil {
-		t.counters.sendFailed.Add(1)
+		t.counters.badAddress.Add(1)
 		return
 	}
-	t.counters.sent.Add(1)
-	t.counters.sentBytes.Add(uint64(len(datagram)))
-}
-
-// Close ends the event loop and waits for it.
-func (t *Transport) Close() error {
-	if t.socket != nil {
-		_ = t.socket.Close()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	ended := make(chan struct{})
-	var failure error
-	go func() {
-		defer close(ended)
-		failure = t.engine.Stop(ctx)
-	}()
-	select {
-	case <-t.stopped:
-		// The library would look for its own end only every half second.
-		cancel()
-		<-ended
-		return nil
-	case <-ended:
-	}
-	if failure != nil {
-		return fault.Wrap(fault.Internal, "gossip", "stop the event loop", failure)
-	}
-	<-t.stopped
-	return nil
+	t.Transport.Send(target, payload)
 }
