Find a generation's copy by the address that it was sent to

Cause: a copy was given up when the server it was sent to had restarted under another id, though the new process received it; a server whose port refuses was tried again before its entry went.

--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -86,7 +86,7 @@
 	}
 	wait := l.policy.Avoid
 	if down {
-		wait = l.policy.AvoidLimit
+		wait = l.policy.AvoidDown
 	}
 	if until := at.Add(wait); until.After(known.avoidUntil) {
 		known.avoidUntil = until
@@ -120,7 +120,7 @@
 	known := l.record(id)
 	wait := min(l.policy.Avoid<<min(known.failures, 8), l.policy.AvoidLimit)
 	if down {
-		wait = l.policy.AvoidLimit
+		wait = l.policy.AvoidDown
 	}
 	known.failures++
 	known.avoidUntil = now.Add(wait)
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -31,6 +31,9 @@
 	// avoided; the time doubles with each failure.
 	Avoid      time.Duration
 	AvoidLimit time.Duration
+	// AvoidDown is the time for a server at whose address nothing listens: it
+	// comes back as another process, with an entry of its own.
+	AvoidDown time.Duration
 	// CentreFailures servers that fail within CentreWindow make the others of
 	// their data centre suspects until they are heard again.
 	CentreFailures int
@@ -61,6 +64,7 @@
 		FailureCost:           600 * time.Millisecond,
 		Avoid:                 300 * time.Millisecond,
 		AvoidLimit:            1500 * time.Millisecond,
+		AvoidDown:             3 * time.Second,
 		CentreFailures:        2,
 		CentreWindow:          1200 * time.Millisecond,
 		Forget:                3 * time.Second,
--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -19,3 +19,13 @@
 	}
 	return nil
 }
+
+// At returns the server that owns an address, or nil.
+func (s *Snapshot) At(address string) *Server {
+	for _, server := range s.All {
+		if server.Address == address {
+			return server
+		}
+	}
+	return nil
+}
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -92,8 +92,10 @@
 // that it made is used next; there is none before the first event.
 func (a *streamAttempt) failed(result *streamResult, fromCopy bool) {
 	r := a.run
-	if !result.notRun && r.delivered > 0 && a.copyTo != nil && r.f.directory.Snapshot().Find(a.copyTo.ID) != nil {
-		r.copyAt = a.copyTo
+	if !result.notRun && r.delivered > 0 && a.copyTo != nil {
+		// The copy went to an address: a server that restarted there under
+		// another id may hold it.
+		r.copyAt = r.f.directory.Snapshot().At(a.copyTo.Address)
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
