Reject what a stopping instance can't answer any more

Ruled out: the connection was not idle when idle ones were closed. Now streams are admitted until the balancer has noticed, calls while they end before the process: others get 503 at once, which is true, and come to another instance.

--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -8,6 +8,7 @@
 	KeyUnknown              Code = "key_unknown"
 	NoConfiguration         Code = "no_configuration"
 	NoServer                Code = "no_server"
+	InstanceStopping        Code = "instance_stopping"
 	ServersBusy             Code = "servers_busy"
 	UpstreamUnreachable     Code = "upstream_unreachable"
 	UpstreamRejected        Code = "upstream_rejected"
@@ -23,6 +24,7 @@
 	KeyUnknown:              {http.StatusUnauthorized, "no client account holds the key", "check the key and the configuration in force"},
 	NoConfiguration:         {http.StatusServiceUnavailable, "the instance knows no configuration yet", "retry later; check the platform"},
 	NoServer:                {http.StatusServiceUnavailable, "no backend server of the service is usable: the request was not sent", "retry later; check the service's backend servers"},
+	InstanceStopping:        {http.StatusServiceUnavailable, "the instance stops before it could answer: the request was not sent", "retry at once; another instance serves it"},
 	ServersBusy:             {http.StatusServiceUnavailable, "the backend servers can't answer in time: the request was not sent", "retry after the time given"},
 	UpstreamUnreachable:     {http.StatusServiceUnavailable, "no backend server could be reached: the request was not sent", "retry later; check the link and the servers"},
 	UpstreamRejected:        {http.StatusServiceUnavailable, "the backend servers rejected the request without running it", "retry after the time given"},
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,8 @@
 	pool      *upstream.Pool
 	logger    zerolog.Logger
 	meters    *meters
+	// stop is nil until a planned stop begins.
+	stop atomic.Pointer[plannedStop]
 }
 
 // New returns a forwarder.
@@ -125,6 +128,10 @@
 		f.reject(j, ownAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetry})
 		return
 	}
+	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j) {
+		f.reject(j, ownAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetry})
+		return
+	}
 	f.selector.request(j.service)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
