--- a/duty/group.go
+++ b/duty/group.go
@@ -88,9 +88,12 @@
 	change(state)
 }
 
+// Cancel ends every duty without waiting for them.
+func (g *Group) Cancel() { g.cancel() }
+
 // Stop ends every duty and waits for them.
 func (g *Group) Stop() {
-	g.cancel()
+	g.Cancel()
 	g.wait.Wait()
 }
 
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -77,6 +77,7 @@
 
 // Reject implements ingress.Handler.
 func (f *Forwarder) Reject(exchange *ingress.Exchange, cause *http1.ProtocolError) {
+	exchange.CloseAfter()
 	f.answer(exchange, "", ownAnswer{status: cause.Status, code: fault.MessageMalformed, cause: cause})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	monitor   *monitor
 	listeners []net.Listener
 	leaving   atomic.Bool
+	aborted   sync.Once
 	mu        sync.Mutex
 	ready     bool
 }
@@ -149,6 +150,15 @@
 	return ready
 }
 
+// Version returns the version of the configuration in force, 0 for none.
+func (g *Gateway) Version() uint64 { return g.state.Version() }
+
+// Servers returns the number of known backend servers.
+func (g *Gateway) Servers() int { return len(g.directory.Snapshot().All) }
+
+// Instances returns the number of known instances with this one.
+func (g *Gateway) Instances() int { return g.peers.Instances() }
+
 // housePeriod is the time between two rounds of housekeeping.
 const housePeriod = 250 * time.Millisecond
 
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -93,6 +93,9 @@
 	x.conn.close()
 }
 
+// CloseAfter ends the connection with the answer.
+func (x *Exchange) CloseAfter() { x.closing = true }
+
 // Leaving reports whether the connection ends with this answer.
 func (x *Exchange) Leaving() bool {
 	return x.closing || x.conn.server.leaving.Load() || !x.Head.KeepAlive()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,9 +40,17 @@
 		}
 	}
 	cut := g.ingress.Active()
-	for _, listener := range g.listeners {
-		_ = listener.Close() // The process ends.
-	}
-	g.ingress.Abort()
+	g.Abort()
 	event.Log(g.logger, event.ProcessStopped).Int("cut", cut).Dur("took_ms", time.Since(begun)).Send()
 }
+
+// Abort ends the instance at once.
+func (g *Gateway) Abort() {
+	g.aborted.Do(func() {
+		for _, listener := range g.listeners {
+			_ = listener.Close() // The process ends.
+		}
+		g.ingress.Abort()
+		g.duties.Cancel()
+	})
+}
