Let two relays a data centre follow the store and tell the others

Now two instances of each data centre follow it, announce what they learn to all, and the others read it from them; an instance takes over when it hears fewer than two relays that the store answers. Ruled out: one relay a data centre, because one that is cut off silently is noticed only after three seconds.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // removedLimit bounds the removals that are remembered.
@@ -105,5 +108,16 @@
 	for _, server := range all {
 		services[server.Service] = append(services[server.Service], server)
 	}
-	d.snapshot.Store(&Snapshot{All: all, services: services})
+	d.snapshot.Store(&Snapshot{All: all, Fingerprint: fingerprint(all), services: services})
+}
+
+// fingerprint returns a hash of servers in the order of their ids.
+func fingerprint(servers []*Server) uint64 {
+	hash := xxhash.New()
+	for _, server := range servers {
+		// Writes to a hash never fail.
+		_, _ = hash.WriteString(server.ID)
+		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, server.Revision))
+	}
+	return hash.Sum64()
 }
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -5,18 +5,23 @@
 // Export is the content of a directory for another instance.
 type Export struct {
 	Revision uint64
-	Servers  []*Server
+	// Fingerprint is that of all servers.
+	Fingerprint uint64
+	// Servers are the entries that are newer than the other instance's.
+	Servers []*Server
 	// Removed holds the revisions at which servers were removed.
 	Removed map[string]uint64
 }
 
-// Export returns the content.
-func (d *Directory) Export() Export {
+// Export returns the content beyond a revision, and all removals.
+func (d *Directory) Export(after uint64) Export {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	export := Export{Revision: d.revision, Removed: maps.Clone(d.removed)}
+	export := Export{Revision: d.revision, Fingerprint: d.Snapshot().Fingerprint, Removed: maps.Clone(d.removed)}
 	for _, server := range d.servers {
-		export.Servers = append(export.Servers, server)
+		if server.Revision > after {
+			export.Servers = append(export.Servers, server)
+		}
 	}
 	return export
 }
--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -3,8 +3,10 @@
 // Snapshot is the directory at one moment. It is not changed.
 type Snapshot struct {
 	// All holds every server in the order of the ids.
-	All      []*Server
-	services map[string][]*Server
+	All []*Server
+	// Fingerprint is equal where the servers and their entries are.
+	Fingerprint uint64
+	services    map[string][]*Server
 }
 
 // Of returns the servers of a service.
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -23,10 +23,13 @@
 	retryLimit = 1200 * time.Millisecond
 	// serverPause is the time between two watches of the backend servers:
 	// changes that come together cost one call.
-	serverPause = 300 * time.Millisecond
+	serverPause = 400 * time.Millisecond
 	// configurationPause does the same for the configuration, which changes
 	// rarely.
 	configurationPause = 100 * time.Millisecond
+	// relayCheck is the time between two looks whether this instance has to
+	// follow the store.
+	relayCheck = 200 * time.Millisecond
 	// lapseGrace is how long an entry may be missing after the store was away:
 	// living servers write theirs again within two seconds.
 	lapseGrace = 2300 * time.Millisecond
@@ -38,9 +41,14 @@
 	state     *State
 	directory *directory.Directory
 	logger    zerolog.Logger
-	mu        sync.Mutex
-	// failing counts the watches that fail now.
+	// relay reports whether this instance has to follow the store; others tell
+	// it of changes otherwise. changed is called after each change.
+	relay   func() bool
+	changed func()
+	mu      sync.Mutex
+	// failing holds the watches that fail now, and following those under way.
 	failing    map[string]bool
+	following  map[string]bool
 	regainedAt time.Time
 	// missing holds the servers whose entry lapsed and may come back, with the
 	// time of their removal and the revision of it.
@@ -53,16 +61,21 @@
 	revision uint64
 }
 
-// NewFollower returns a follower that fills a state and a directory.
-func NewFollower(feed Feed, state *State, servers *directory.Directory, logger zerolog.Logger) *Follower {
+// NewFollower returns a follower that fills a state and a directory. It follows
+// the store while relay says so, and calls changed after each change.
+func NewFollower(feed Feed, state *State, servers *directory.Directory, relay func() bool, changed func(), logger zerolog.Logger) *Follower {
 	return &Follower{
-		feed: feed, state: state, directory: servers, logger: logger,
-		failing: make(map[string]bool), missing: make(map[string]lapse),
+		feed: feed, state: state, directory: servers, relay: relay, changed: changed, logger: logger,
+		failing: make(map[string]bool), following: make(map[string]bool), missing: make(map[string]lapse),
 	}
 }
 
-// Reachable reports whether no call to the store fails now.
-func (f *Follower) Reachable() bool {
+// watches is the number of things that a follower watches.
+const watches = 2
+
+// Following reports whether this instance follows the store and no call to it
+// fails.
+func (f *Follower) Following() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, failing := range f.failing {
@@ -70,7 +83,7 @@
 			return false
 		}
 	}
-	return true
+	return len(f.following) == watches
 }
 
 // RunConfiguration keeps the configuration up to date until the context ends.
@@ -121,10 +134,20 @@
 	var revision uint64
 	listed, wait := false, retryWait
 	for ctx.Err() == nil {
+		if !f.relay() {
+			// What changes meanwhile is not seen: the next turn begins with a
+			// list.
+			listed = false
+			f.noteFollowing(what, false)
+			pause.For(ctx, relayCheck)
+			continue
+		}
 		next, err := read(ctx, revision, listed)
 		switch {
 		case err == nil:
 			f.note(what, nil)
+			f.noteFollowing(what, true)
+			f.changed()
 			revision, listed, wait = next, true, retryWait
 			pause.For(ctx, spacing)
 		case fault.HasCode(err, fault.PlatformHistoryGone):
@@ -139,6 +162,17 @@
 	}
 }
 
+func (f *Follower) noteFollowing(what string, following bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if following {
+		f.following[what] = true
+	} else {
+		delete(f.following, what)
+		delete(f.failing, what)
+	}
+}
+
 // note logs the first failed call and the first that works again.
 func (f *Follower) note(what string, err error) {
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,8 @@
 		state:     discovery.NewState(),
 		directory: directory.New(),
 	}
-	g.follower = discovery.NewFollower(parts.Feed, g.state, g.directory, logger)
+	g.follower = discovery.NewFollower(parts.Feed, g.state, g.directory,
+		func() bool { return g.peers.IsRelay() }, func() { g.peers.Announce() }, logger)
 	own := s.Gateway
 	g.forwarder = forward.New(forward.Options{
 		Protocol:  parts.Protocol,
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -23,6 +23,7 @@
 	tagLoad
 	tagLost
 	tagMember
+	tagServers
 )
 
 // Flags of a digest.
@@ -30,6 +31,7 @@
 	flagLeaving = 1 << iota
 	flagGreeting
 	flagHasLoads
+	flagRelay
 )
 
 // Numbers of the fields of a load and of a lost server.
@@ -52,6 +54,7 @@
 	b = appendNumber(b, tagSequence, digest.Sequence)
 	b = appendNumber(b, tagVersion, digest.Version)
 	b = appendNumber(b, tagRevision, digest.Revision)
+	b = appendNumber(b, tagServers, digest.Servers)
 	b = appendNumber(b, tagFlags, digest.flags())
 	for i := range digest.Lost {
 		b = appendIfFits(b, tagLost, encodeLost(&digest.Lost[i]))
@@ -76,6 +79,9 @@
 	if d.HasLoads {
 		flags |= flagHasLoads
 	}
+	if d.Relay {
+		flags |= flagRelay
+	}
 	return flags
 }
 
@@ -139,6 +145,9 @@
 			digest.Leaving = number&flagLeaving != 0
 			digest.Greeting = number&flagGreeting != 0
 			digest.HasLoads = number&flagHasLoads != 0
+			digest.Relay = number&flagRelay != 0
+		case tagServers:
+			digest.Servers = number
 		case tagLoad:
 			return digest.decodeLoad(text)
 		case tagLost:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -20,6 +20,11 @@
 	// entry of a backend server.
 	Version  uint64
 	Revision uint64
+	// Servers is the fingerprint of the known backend servers.
+	Servers uint64
+	// Relay is set while the instance follows the object store and the store
+	// answers.
+	Relay bool
 	// Leaving is set while the instance stops.
 	Leaving bool
 	// Greeting asks for a digest in return.
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 )
 
 // Paths of the interface between instances.
@@ -22,14 +23,17 @@
 
 const (
 	// fetchPeriod is the time between two looks whether another instance knows
-	// more.
+	// more, when no digest says so.
 	fetchPeriod = 250 * time.Millisecond
+	// fetchSpacing gathers changes that come together.
+	fetchSpacing = 60 * time.Millisecond
 	// fetchTimeout bounds one call to another instance.
 	fetchTimeout = time.Second
 )
 
 // RunFetch reads what other instances know beyond this one, until the context
-// ends. While the store answers it has the first try.
+// ends. While this instance follows the store itself, the store has the first
+// try.
 func (s *Service) RunFetch(ctx context.Context) {
 	ticker := time.NewTicker(fetchPeriod)
 	defer ticker.Stop()
@@ -38,36 +42,40 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			s.mu.Lock()
-			address, version, servers := s.table.Ahead(now, s.options.State.Version(), s.options.Directory.Revision())
-			s.mu.Unlock()
-			if !version && !servers {
-				behind = time.Time{}
-				continue
-			}
-			if behind.IsZero() {
-				behind = now
-			}
-			if s.options.Follower.Reachable() && now.Sub(behind) < storeHead {
-				continue
-			}
-			s.fetch(address, version, servers)
+		case <-s.wake:
+			pause.For(ctx, fetchSpacing)
+		case <-ticker.C:
+		}
+		now, own := time.Now(), s.own()
+		s.mu.Lock()
+		configuration, servers := s.table.Ahead(now, own)
+		s.mu.Unlock()
+		if configuration == nil && servers == nil {
+			behind = time.Time{}
+			continue
+		}
+		if behind.IsZero() {
+			behind = now
+		}
+		if !own.Relay || now.Sub(behind) >= storeHead {
+			s.fetch(configuration, servers)
 		}
 	}
 }
 
-// fetch asks one instance; what fails is tried again in the next round.
-func (s *Service) fetch(address netip.Addr, version, servers bool) {
-	var err error
-	if version {
-		err = s.fetchConfiguration(address)
+// fetch asks other instances; what fails is tried again in the next round.
+func (s *Service) fetch(configuration, servers *member) {
+	if configuration != nil {
+		s.note(configuration, s.fetchConfiguration(configuration.address))
 	}
-	if err == nil && servers && !s.options.Follower.Reachable() {
-		err = s.fetchServers(address)
+	if servers != nil {
+		s.note(servers, s.fetchServers(servers))
 	}
+}
+
+func (s *Service) note(asked *member, err error) {
 	if err != nil {
-		event.Log(s.options.Logger, event.PeerFetchFailed).Stringer("peer", address).Err(err).Send()
+		event.Log(s.options.Logger, event.PeerFetchFailed).Str("peer", asked.instance).Stringer("address", asked.address).Err(err).Send()
 	}
 }
 
@@ -87,8 +95,8 @@
 	return nil
 }
 
-func (s *Service) fetchServers(address netip.Addr) error {
-	body, err := s.get(address, serversPath)
+func (s *Service) fetchServers(asked *member) error {
+	body, err := s.get(asked.address, serversPath+"?after="+strconv.FormatUint(s.options.Directory.Revision(), 10))
 	if err != nil {
 		return err
 	}
@@ -97,8 +105,11 @@
 		return fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
 	}
 	changed := s.options.Directory.Import(export)
-	event.Log(s.options.Logger, event.PeerServersGot).Stringer("peer", address).Int("changed", changed).
-		Uint64("revision", export.Revision).Send()
+	s.mu.Lock()
+	asked.fetched = export.Fingerprint
+	s.mu.Unlock()
+	event.Log(s.options.Logger, event.PeerServersGot).Str("peer", asked.instance).Int("changed", changed).
+		Int("servers", len(s.options.Directory.Snapshot().All)).Uint64("revision", export.Revision).Send()
 	return nil
 }
 
@@ -128,21 +139,21 @@
 
 // Handle answers other instances over HTTP.
 func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
 	switch string(ctx.Path()) {
 	case configurationPath:
 		current := s.options.State.Current()
-		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
-		if err != nil {
-			ctx.SetStatusCode(fasthttp.StatusBadRequest)
-			return
-		}
 		if current == nil || current.Table.Version <= after {
 			ctx.SetStatusCode(fasthttp.StatusNoContent)
 			return
 		}
 		ctx.SetBody(current.Document)
 	case serversPath:
-		body, err := json.Marshal(s.options.Directory.Export())
+		body, err := json.Marshal(s.options.Directory.Export(after))
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 			return
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -14,10 +14,14 @@
 	sequence    uint64
 	version     uint64
 	revision    uint64
+	servers     uint64
+	relay       bool
 	leaving     bool
 	heard       time.Time
 	// sent is when the last digest was sent to it, fingerprint that of its
 	// loads.
 	sent        time.Time
 	fingerprint uint64
+	// fetched is the fingerprint of the servers that were last read from it.
+	fetched uint64
 }
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -36,8 +36,11 @@
 	// farMembers bounds the members of other data centres that get a digest
 	// without loads in a round.
 	farMembers = 4
-	// storeHead is how long the store has the first try at telling of a change
-	// that another instance knows.
+	// relayRefresh is nearRefresh of a relay, whose silence has to be noticed
+	// soon.
+	relayRefresh = 400 * time.Millisecond
+	// storeHead is how long the store has the first try at telling a relay of a
+	// change that another instance knows.
 	storeHead = 400 * time.Millisecond
 	// lostCapacity bounds the lost servers that wait for a digest.
 	lostCapacity = 128
@@ -81,6 +84,10 @@
 	table       *Table
 	sequence    uint64
 	leaving     bool
+	// wake is signalled when another instance knows more.
+	wake chan struct{}
+	// announced is what the last digests of a relay said.
+	announced Own
 }
 
 // New returns a service that does not run yet.
@@ -89,6 +96,7 @@
 		options:     options,
 		incarnation: uint64(time.Now().UnixMilli()),
 		lost:        make(chan LostServer, lostCapacity),
+		wake:        make(chan struct{}, 1),
 		table:       NewTable(options.Instance, options.Address.Addr(), options.Seeds),
 	}
 }
@@ -166,14 +174,50 @@
 // digest returns a digest without loads; mu is held.
 func (s *Service) digest() Digest {
 	s.sequence++
+	own := s.own()
 	return Digest{
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
-		Version: s.options.State.Version(), Revision: s.options.Directory.Revision(),
+		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
 		Leaving: s.leaving,
 	}
 }
 
+// own returns what this instance knows.
+func (s *Service) own() Own {
+	return Own{
+		Version: s.options.State.Version(), Revision: s.options.Directory.Revision(),
+		Servers: s.options.Directory.Snapshot().Fingerprint, Relay: s.options.Follower.Following(),
+	}
+}
+
+// Announce tells all instances at once when this one learned something from the
+// store. Relays of other data centres do so too, so that no instance depends on
+// those of its own.
+func (s *Service) Announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.own()
+	if !own.Relay || own == s.announced {
+		return
+	}
+	s.announced = own
+	digest := s.digest()
+	payload := Encode(&digest)
+	for _, known := range s.table.Members() {
+		if known.version < own.Version || known.servers != own.Servers {
+			s.send(known.address, payload)
+		}
+	}
+}
+
+// IsRelay reports whether this instance has to follow the object store.
+func (s *Service) IsRelay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving || s.table.IsRelay(time.Now(), s.options.DataCentre)
+}
+
 // round sends what is due.
 func (s *Service) round(now time.Time) {
 	s.options.Ledger.Expire()
@@ -201,7 +245,7 @@
 			needed = slices.DeleteFunc(slices.Clone(loads), func(load ServerLoad) bool { return centres[load.Server] != known.dataCentre })
 		}
 		mark := fingerprint(needed)
-		if !due(now, known, near, mark) {
+		if !due(now, known, near, s.options.Follower.Following(), mark) {
 			continue
 		}
 		if !near && len(needed) == 0 && mark == known.fingerprint {
@@ -218,8 +262,11 @@
 }
 
 // due reports whether a member gets a digest now.
-func due(now time.Time, known *member, near bool, mark uint64) bool {
+func due(now time.Time, known *member, near, relay bool, mark uint64) bool {
 	since := now.Sub(known.sent)
+	if near && relay && since >= relayRefresh {
+		return true
+	}
 	if near {
 		return mark != known.fingerprint || since >= nearRefresh
 	}
@@ -266,7 +313,15 @@
 		reply.Members = someAddresses(s.table.Members())
 		answer = Encode(&reply)
 	}
+	configuration, servers := s.table.Ahead(now, s.own())
 	s.mu.Unlock()
+	if configuration != nil || servers != nil {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+			// It was signalled already.
+		}
+	}
 	if answer != nil {
 		s.send(address, answer)
 	}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -61,7 +63,8 @@
 	}
 	known.dataCentre, known.leaving, known.heard = digest.DataCentre, digest.Leaving, now
 	known.incarnation, known.sequence = digest.Incarnation, digest.Sequence
-	known.version, known.revision = digest.Version, digest.Revision
+	known.version, known.revision, known.servers = digest.Version, digest.Revision, digest.Servers
+	known.relay = digest.Relay && !digest.Leaving
 	return true
 }
 
@@ -113,23 +116,65 @@
 	return all
 }
 
-// Ahead returns the address of an instance that lately said to know more than
-// the given version or revision.
-func (t *Table) Ahead(now time.Time, version, revision uint64) (address netip.Addr, newVersion, newServers bool) {
+// Own is what this instance knows.
+type Own struct {
+	// Version is the configuration in force, Revision that of the newest known
+	// entry of a backend server, Servers the fingerprint of all.
+	Version  uint64
+	Revision uint64
+	Servers  uint64
+	// Relay is set when this instance follows the object store itself.
+	Relay bool
+}
+
+// Ahead returns an instance that has a newer configuration, and one whose list
+// of backend servers is needed; nil for none. An instance that follows the
+// store itself needs no list.
+func (t *Table) Ahead(now time.Time, own Own) (configuration, servers *member) {
 	for _, known := range t.Members() {
 		if now.Sub(known.heard) > aheadLifetime {
 			continue
 		}
-		if known.version > version {
-			return known.address, true, known.revision > revision
+		if known.version > own.Version && (configuration == nil || known.version > configuration.version) {
+			configuration = known
 		}
-		if known.revision > revision {
-			address, newServers = known.address, true
+		if own.Relay || known.servers == own.Servers || known.servers == known.fetched || known.revision < own.Revision {
+			continue
+		}
+		// A relay is never behind; others help while there is none.
+		if servers == nil || (known.relay && !servers.relay) || (known.relay == servers.relay && known.revision > servers.revision) {
+			servers = known
 		}
 	}
-	return address, false, newServers
+	return configuration, servers
 }
 
 // aheadLifetime is how long a digest counts as a sign that its sender can be
 // asked.
-const aheadLifetime = 5 * time.Second
+const aheadLifetime = 3 * time.Second
+
+const (
+	// relaysPerCentre is the number of instances of a data centre that follow
+	// the object store for the others: calls to it have a price, and one that
+	// is cut off may not notice at once.
+	relaysPerCentre = 2
+	// relaySilence is the silence after which a relay is replaced: three
+	// digests of a relay.
+	relaySilence = 1300 * time.Millisecond
+)
+
+// IsRelay reports whether this instance has to follow the object store: whether
+// fewer than relaysPerCentre relays of its data centre come before it in an
+// order that all agree on.
+func (t *Table) IsRelay(now time.Time, dataCentre string) bool {
+	own, before := relayRank(t.own), 0
+	for _, known := range t.members {
+		if known.dataCentre == dataCentre && known.relay && now.Sub(known.heard) <= relaySilence && relayRank(known.instance) < own {
+			before++
+		}
+	}
+	return before < relaysPerCentre
+}
+
+// relayRank orders instances.
+func relayRank(instance string) uint64 { return xxhash.Sum64String(instance) }
