--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -10,6 +10,7 @@
 	ClientLeft          = Definition{7003, "client_left", zerolog.InfoLevel, "a client left before its answer; its attempts were cut", "none"}
 	AttemptFailed       = Definition{7004, "attempt_failed", zerolog.InfoLevel, "one backend server failed a request; code and the following lines say what happened then", "look at the backend server when it is often the same"}
 	StreamContinued     = Definition{7005, "stream_continued", zerolog.InfoLevel, "a broken stream goes on at another backend server; copy says whether from a copy of its KV cache", "none"}
+	RequestSent         = Definition{7006, "request_sent", zerolog.InfoLevel, "a request was sent to a backend server; the fields say what decided the choice", "none"}
 	ServerSuspected     = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server when it repeats"}
 	ServersChanged      = Definition{7011, "server_changed", zerolog.InfoLevel, "a backend server was added, changed or removed", "none"}
 	StoreLost           = Definition{7020, "store_lost", zerolog.WarnLevel, "the object store does not answer; the instance goes on with what it knows", "check the platform"}
@@ -28,7 +29,7 @@
 )
 
 var forwardingEvents = []Definition{
-	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued,
+	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued, RequestSent,
 	ServerSuspected, ServersChanged, StoreLost, StoreRegained, StoreObjectInvalid, StoreHistoryGone,
 	ReadinessChanged, LogLinesDropped, PeerServersGot, PeerDigestInvalid, PeerFetchFailed, ServerLostElsewhere, ProcessResumed, SettingsReloaded, AcceptFailed,
 }
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -75,6 +75,9 @@
 	r.j.sends++
 	r.pending++
 	started := time.Now()
+	event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", server.ID).
+		Str("data_centre", server.DataCentre).Int("sends", r.j.sends).
+		Uint64("version", r.j.table.Version).Uint64("server_revision", server.Revision).Send()
 	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.CallStarted(started, server.ID) })
 	go func() {
 		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -41,20 +41,20 @@
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
 	a := &streamAttempt{run: r, waiting: true}
 	fromCopy := r.copyAt != nil
+	var choice placement.Choice
 	if fromCopy {
 		a.server, r.copyAt = r.copyAt, nil
 	} else {
-		var choice placement.Choice
 		a.server, choice = r.f.selector.forGeneration(r.service, r.size, r.j.hasFailed)
 		if a.server == nil {
 			return streamResult{code: fault.NoServer}, false
 		}
-		r.logChoice(a.server, choice)
 	}
 	if r.service.Engine != nil && r.service.Engine.Copies && r.j.route.Resumable {
 		a.copyTo = r.f.selector.forCopy(r.service, r.size, a.server)
 	}
 	r.j.sends++
+	a.logSent(choice, fromCopy)
 	a.charge(fromCopy)
 	defer a.discharge()
 	result = a.exchange(ctx, fromCopy)
@@ -249,8 +249,18 @@
 	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.Add(a.server.ID, change) })
 }
 
-// logChoice notes why a server was chosen.
-func (r *streamRun) logChoice(server *directory.Server, choice placement.Choice) {
-	r.f.logger.Debug().Str("request", r.j.request.ID).Str("server", server.ID).Dur("wait_ms", choice.Wait).
-		Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory).Msg("")
+// logSent notes where an attempt goes and why.
+func (a *streamAttempt) logSent(choice placement.Choice, fromCopy bool) {
+	r := a.run
+	line := event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", a.server.ID).
+		Str("data_centre", a.server.DataCentre).Int("sends", r.j.sends).Bool("from_copy", fromCopy).
+		Uint64("version", r.j.table.Version).Uint64("server_revision", a.server.Revision)
+	if !fromCopy {
+		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
+			Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory)
+	}
+	if a.copyTo != nil {
+		line = line.Str("copy_to", a.copyTo.ID)
+	}
+	line.Send()
 }
