--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -44,6 +44,9 @@
 	}
 	cost := wait + time.Duration(load.Requests)*l.policy.NeighbourCost +
 		l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost)
+	if candidate.Foreign {
+		cost += l.policy.ForeignCost
+	}
 	return Choice{ID: candidate.ID, Wait: wait, Load: load}, l.spread(cost)
 }
 
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -18,6 +18,10 @@
 	// expected sooner: the round trip, twice with a new connection.
 	CallNearCost time.Duration
 	CallFarCost  time.Duration
+	// ForeignCost is added for a server that another instance prefers: what one
+	// instance just sent there is not known to the others, so that many would
+	// choose the same idle server when a data centre is lost.
+	ForeignCost time.Duration
 	// FullCost is added for a server without room in its memory: about the time
 	// until one of its generations ends.
 	FullCost time.Duration
@@ -59,6 +63,7 @@
 		FarCost:               350 * time.Millisecond,
 		CallNearCost:          3 * time.Millisecond,
 		CallFarCost:           120 * time.Millisecond,
+		ForeignCost:           150 * time.Millisecond,
 		FullCost:              2 * time.Second,
 		UsualCall:             30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -14,6 +14,8 @@
 	Slots int
 	// MemoryTokens is the engine's memory; 0 for servers that are no engines.
 	MemoryTokens int
+	// Foreign is set for servers that another instance prefers.
+	Foreign bool
 }
 
 // Generation is the size of a generation in tokens.
--- a/decision/secondsends/budget.go
+++ b/decision/secondsends/budget.go
@@ -39,23 +39,56 @@
 	b.requests[b.bucket%buckets]++
 }
 
-// Take takes one second send and reports whether it is allowed with the given
-// number of instances.
-func (b *Budget) Take(now time.Duration, instances int) bool {
+// Usage is the number of requests and second sends within the window.
+type Usage struct {
+	Requests int
+	Seconds  int
+}
+
+// Plus returns the sum of two usages.
+func (u Usage) Plus(other Usage) Usage {
+	return Usage{Requests: u.Requests + other.Requests, Seconds: u.Seconds + other.Seconds}
+}
+
+// Usage returns the own usage.
+func (b *Budget) Usage(now time.Duration) Usage {
 	b.advance(now)
-	requests, seconds := 0, 0
+	var usage Usage
 	for i := range buckets {
-		requests += b.requests[i]
-		seconds += b.seconds[i]
+		usage.Requests += b.requests[i]
+		usage.Seconds += b.seconds[i]
 	}
-	allowed := reserve * (b.limits.Ratio*float64(requests) + b.limits.Extra/float64(max(1, instances)))
-	if float64(seconds+1) > allowed {
+	return usage
+}
+
+// Group is the part of the instances that share what one of them does not need.
+type Group struct {
+	// Others is what the other instances of the group stated last.
+	Others Usage
+	// Part is the group's part of all instances.
+	Part float64
+	// Own is this instance's part of all instances.
+	Own float64
+}
+
+// Take takes one second send and reports whether it is allowed: while the own
+// part lasts, and beyond while the group's does. The failure of a data centre
+// strikes the instances of a group unevenly, and different groups at different
+// times.
+func (b *Budget) Take(now time.Duration, group Group) bool {
+	usage := b.Usage(now)
+	if !b.allows(usage, group.Own) && !b.allows(usage.Plus(group.Others), group.Part) {
 		return false
 	}
 	b.seconds[b.bucket%buckets]++
 	return true
 }
 
+// allows reports whether one more second send is within a part of the bound.
+func (b *Budget) allows(usage Usage, part float64) bool {
+	return float64(usage.Seconds+1) <= reserve*(b.limits.Ratio*float64(usage.Requests)+b.limits.Extra*part)
+}
+
 // advance clears the buckets that left the window.
 func (b *Budget) advance(now time.Duration) {
 	current := int64(now / (b.limits.Window / buckets))
--- a/gateway/forward/exchange.go
+++ b/gateway/forward/exchange.go
@@ -32,6 +32,29 @@
 	s.ledger.Report(time.Now(), instance, stated)
 }
 
+// Usages implements peers.Ledger.
+func (s *selector) Usages() []peers.ServiceUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usages := make([]peers.ServiceUsage, 0, len(s.budgets))
+	for service, budget := range s.budgets {
+		usages = append(usages, peers.ServiceUsage{Service: service, Usage: budget.Usage(time.Since(s.started))})
+	}
+	return usages
+}
+
+// UsagesElsewhere implements peers.Ledger.
+func (s *selector) UsagesElsewhere(instance string, usages []peers.ServiceUsage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, stated := range usages {
+		if s.usages[stated.Service] == nil {
+			s.usages[stated.Service] = make(map[string]statedUsage)
+		}
+		s.usages[stated.Service][instance] = statedUsage{usage: stated.Usage, at: time.Now()}
+	}
+}
+
 // LostElsewhere implements peers.Ledger.
 func (s *selector) LostElsewhere(lost peers.LostServer) {
 	s.mu.Lock()
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 )
 
 // Options are the parts of a forwarder.
@@ -24,8 +25,9 @@
 	Policy  placement.Policy
 	// SecondSends bounds the sends to second servers over all instances.
 	SecondSends secondsends.Limits
-	// Instances returns the number of instances that share that bound.
-	Instances func() int
+	// Group returns the place of this instance among those that share that
+	// bound.
+	Group func() peers.Group
 	// Lost is called with each server that could not be reached.
 	Lost    func(server *directory.Server, down bool)
 	Logger  zerolog.Logger
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
 
@@ -21,7 +22,7 @@
 type selector struct {
 	directory *directory.Directory
 	regions   map[string]string
-	instances func() int
+	group     func() peers.Group
 	lost      func(server *directory.Server, down bool)
 	limits    secondsends.Limits
 	logger    zerolog.Logger
@@ -29,6 +30,9 @@
 	mu        sync.Mutex
 	ledger    *placement.Ledger
 	budgets   map[string]*secondsends.Budget
+	// usages holds what other instances of the data centre stated, by service
+	// and instance.
+	usages map[string]map[string]statedUsage
 	// known holds the incarnation behind each record of the ledger.
 	known map[string]*directory.Server
 }
@@ -38,13 +42,14 @@
 	return &selector{
 		directory: options.Directory,
 		regions:   options.Regions,
-		instances: options.Instances,
+		group:     options.Group,
 		lost:      options.Lost,
 		limits:    options.SecondSends,
 		logger:    options.Logger,
 		started:   time.Now(),
 		ledger:    placement.NewLedger(options.Policy, options.Place, random),
 		budgets:   make(map[string]*secondsends.Budget),
+		usages:    make(map[string]map[string]statedUsage),
 		known:     make(map[string]*directory.Server),
 	}
 }
@@ -123,9 +128,12 @@
 
 // forGeneration chooses the server of a generation.
 func (s *selector) forGeneration(service *route.Service, size placement.Generation, skip func(string) bool) (*directory.Server, placement.Choice) {
+	place := s.group()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, found := s.ledger.ChooseGeneration(time.Now(), size, s.candidates(service, skip))
+	candidates := s.candidates(service, skip)
+	placement.Preference{Rank: place.Rank, Instances: place.Members}.Foreign(candidates)
+	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
 		return nil, choice
 	}
@@ -170,13 +178,27 @@
 	s.budget(service).Request(time.Since(s.started))
 }
 
+// statedUsage is what another instance stated.
+type statedUsage struct {
+	usage secondsends.Usage
+	at    time.Time
+}
+
 // secondSend takes one second send to a service and reports whether it is
 // allowed.
 func (s *selector) secondSend(service string) bool {
-	instances := s.instances()
+	place := s.group()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget(service).Take(time.Since(s.started), instances)
+	group := secondsends.Group{Own: 1 / float64(place.Instances), Part: float64(place.Members) / float64(place.Instances)}
+	for instance, stated := range s.usages[service] {
+		if time.Since(stated.at) > s.limits.Window {
+			delete(s.usages[service], instance)
+			continue
+		}
+		group.Others = group.Others.Plus(stated.usage)
+	}
+	return s.budget(service).Take(time.Since(s.started), group)
 }
 
 func (s *selector) budget(service string) *secondsends.Budget {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,10 +78,10 @@
 			Extra:  own.SecondSends.Extra,
 			Window: time.Duration(own.SecondSends.WindowSeconds * float64(time.Second)),
 		},
-		Instances: func() int { return g.peers.Instances() },
-		Lost:      func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
-		Logger:    logger,
-		Metrics:   g.metrics,
+		Group:   func() peers.Group { return g.peers.Group() },
+		Lost:    func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
+		Logger:  logger,
+		Metrics: g.metrics,
 	})
 	g.ingress = ingress.NewServer(g.forwarder, max(1, (own.Descriptors-reservedDescriptors)/2), logger)
 	g.peers = peers.New(g.peerOptions())
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -24,6 +24,7 @@
 	tagLost
 	tagMember
 	tagServers
+	tagUsage
 )
 
 // Flags of a digest.
@@ -34,7 +35,7 @@
 	flagRelay
 )
 
-// Numbers of the fields of a load and of a lost server.
+// Numbers of the fields of a load, a usage and a lost server.
 const (
 	tagServer protowire.Number = iota + 1
 	tagRequests
@@ -59,6 +60,9 @@
 	for i := range digest.Lost {
 		b = appendIfFits(b, tagLost, encodeLost(&digest.Lost[i]))
 	}
+	for i := range digest.Usages {
+		b = appendIfFits(b, tagUsage, encodeUsage(&digest.Usages[i]))
+	}
 	for i := range digest.Loads {
 		b = appendIfFits(b, tagLoad, encodeLoad(&digest.Loads[i]))
 	}
@@ -92,6 +96,12 @@
 	return appendNumber(b, tagMemory, uint64(max(0, load.Load.Memory)))
 }
 
+func encodeUsage(usage *ServiceUsage) []byte {
+	b := appendText(nil, tagServer, usage.Service)
+	b = appendNumber(b, tagRequests, uint64(max(0, usage.Usage.Requests)))
+	return appendNumber(b, tagWaiting, uint64(max(0, usage.Usage.Seconds)))
+}
+
 func encodeLost(lost *LostServer) []byte {
 	b := appendText(nil, tagServer, lost.Server)
 	b = appendText(b, tagPlace, lost.DataCentre)
@@ -150,6 +160,8 @@
 			digest.Servers = number
 		case tagLoad:
 			return digest.decodeLoad(text)
+		case tagUsage:
+			return digest.decodeUsage(text)
 		case tagLost:
 			return digest.decodeLost(text)
 		case tagMember:
@@ -187,6 +199,26 @@
 	return err
 }
 
+func (d *Digest) decodeUsage(part []byte) error {
+	var usage ServiceUsage
+	err := eachField(part, func(tag protowire.Number, number uint64, text []byte) error {
+		value := int(min(number, maxNumber))
+		switch tag {
+		case tagServer:
+			usage.Service = string(text)
+		case tagRequests:
+			usage.Usage.Requests = value
+		case tagWaiting:
+			usage.Usage.Seconds = value
+		}
+		return nil
+	})
+	if err == nil && usage.Service != "" {
+		d.Usages = append(d.Usages, usage)
+	}
+	return err
+}
+
 func (d *Digest) decodeLost(part []byte) error {
 	var lost LostServer
 	err := eachField(part, func(tag protowire.Number, number uint64, text []byte) error {
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 )
 
 // Digest is what one instance tells another.
@@ -34,6 +35,9 @@
 	HasLoads bool
 	Loads    []ServerLoad
 	Lost     []LostServer
+	// Usages are the sends to each service lately, for instances of the same
+	// data centre.
+	Usages []ServiceUsage
 	// Members are addresses of other instances.
 	Members []netip.Addr
 }
@@ -44,6 +48,13 @@
 	Load   placement.Load
 }
 
+// ServiceUsage is how often an instance sent requests of a service to second
+// servers lately.
+type ServiceUsage struct {
+	Service string
+	Usage   secondsends.Usage
+}
+
 // LostServer is a server that an instance could not reach.
 type LostServer struct {
 	Server     string
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -52,6 +52,10 @@
 	Loads() []ServerLoad
 	// Report takes over the loads of another instance.
 	Report(instance string, loads []ServerLoad)
+	// Usages returns the own sends to each service lately.
+	Usages() []ServiceUsage
+	// UsagesElsewhere takes over those of another instance of the data centre.
+	UsagesElsewhere(instance string, usages []ServiceUsage)
 	// LostElsewhere takes over that another instance lost a server.
 	LostElsewhere(lost LostServer)
 	// Expire drops reports that are too old.
@@ -121,6 +125,13 @@
 	return len(s.table.members) + 1
 }
 
+// Group returns the place of this instance among those of its data centre.
+func (s *Service) Group() Group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Group(s.options.DataCentre)
+}
+
 // Leave tells the others that this instance stops.
 func (s *Service) Leave() {
 	s.mu.Lock()
@@ -223,6 +234,7 @@
 	s.options.Ledger.Expire()
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
+	usages := s.options.Ledger.Usages()
 	centres := make(map[string]string)
 	for _, server := range s.options.Directory.Snapshot().All {
 		centres[server.ID] = server.DataCentre
@@ -255,6 +267,9 @@
 		}
 		digest := s.digest()
 		digest.HasLoads, digest.Loads = true, needed
+		if near {
+			digest.Usages = usages
+		}
 		digest.Members = someAddresses(members)
 		known.sent, known.fingerprint = now, mark
 		s.send(known.address, Encode(&digest))
@@ -331,6 +346,9 @@
 	if digest.HasLoads {
 		s.options.Ledger.Report(digest.Instance, digest.Loads)
 	}
+	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
+		s.options.Ledger.UsagesElsewhere(digest.Instance, digest.Usages)
+	}
 	for _, lost := range digest.Lost {
 		s.options.Ledger.LostElsewhere(lost)
 	}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -176,5 +176,30 @@
 	return before < relaysPerCentre
 }
 
+// Group is the place of an instance among those of its data centre.
+type Group struct {
+	// Rank is its position in an order that all agree on, from 0, and Members
+	// the number of instances of the data centre.
+	Rank    int
+	Members int
+	// Instances is the number of all instances.
+	Instances int
+}
+
+// Group returns the own place.
+func (t *Table) Group(dataCentre string) Group {
+	group := Group{Members: 1, Instances: len(t.members) + 1}
+	for _, known := range t.members {
+		if known.dataCentre != dataCentre {
+			continue
+		}
+		group.Members++
+		if known.instance < t.own {
+			group.Rank++
+		}
+	}
+	return group
+}
+
 // relayRank orders instances.
 func relayRank(instance string) uint64 { return xxhash.Sum64String(instance) }
