--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -11,30 +11,52 @@
 // probe asks a server for its load and reports whether it answers.
 func (f *Forwarder) probe(ctx context.Context, server *directory.Server) bool {
 	f.meters.count("probes")
-	conn, err := f.pool.Open(ctx, server.ID, server.Address, probeTimeout, true)
-	if err != nil {
+	if _, _, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout); err != nil {
 		return false
 	}
+	f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, server.ID) })
+	return true
+}
+
+// ask sends a request of this system's own to a server and returns its answer.
+// A kept connection that its server closed meanwhile is replaced once.
+func (f *Forwarder) ask(ctx context.Context, server *directory.Server, request []byte, timeout time.Duration) (status int, body []byte, err error) {
+	deadline := time.Now().Add(timeout)
+	for _, reuse := range []bool{true, false} {
+		var reused bool
+		status, body, reused, err = f.askOnce(ctx, server, request, deadline, reuse)
+		if err == nil || !reused || time.Now().After(deadline) {
+			break
+		}
+	}
+	return status, body, err
+}
+
+func (f *Forwarder) askOnce(ctx context.Context, server *directory.Server, request []byte, deadline time.Time, reuse bool) (status int, body []byte, reused bool, err error) {
+	conn, err := f.pool.Open(ctx, server.ID, server.Address, min(connectTimeout, time.Until(deadline)), reuse)
+	if err != nil {
+		return 0, nil, false, err
+	}
 	cut := context.AfterFunc(ctx, conn.Close)
 	defer cut()
-	if _, err := conn.Send(f.protocol.LoadRequest(server.Address), nil); err != nil {
+	fail := func(err error) (int, []byte, bool, error) {
 		conn.Close()
-		return false
+		return 0, nil, conn.Reused, err
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(probeTimeout)); err != nil {
-		conn.Close()
-		return false
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		return fail(err)
+	}
+	if _, err := conn.Send(request, nil); err != nil {
+		return fail(err)
 	}
 	response, err := conn.ReadHead("GET")
 	if err != nil {
-		conn.Close()
-		return false
+		return fail(err)
 	}
-	if _, err := conn.Body(response).ReadAll(answerLimit); err != nil {
-		conn.Close()
-		return false
+	body, err = conn.Body(response).ReadAll(answerLimit)
+	if err != nil {
+		return fail(err)
 	}
 	f.pool.Put(server.ID, conn, response)
-	f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, server.ID) })
-	return true
+	return response.Status, body, conn.Reused, nil
 }
