--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -93,7 +93,7 @@
 		f.answer(exchange, request.ID, ownAnswer{status: 400, code: fault.MessageMalformed, cause: err})
 		return
 	}
-	current := f.state.Current()
+	current := f.awaitConfiguration(ctx, request.Patience)
 	if current == nil {
 		f.answer(exchange, request.ID, ownAnswer{status: 503, code: fault.NoConfiguration, retryAfter: unknownConfigurationRetry})
 		return
