Let streams that are late already yield to requests that can be in time

Cause: after a restart of all instances the streams that their clients resume (read again, late whatever happens) delayed the first events of new requests; they even asked for admission first.

--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -124,7 +124,10 @@
 	defer cut()
 	dispatch := message.Dispatch{
 		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
-		Position: r.events.position, Resume: r.j.sends > 1, Urgent: r.delivered > 0,
+		Position: r.events.position, Resume: r.j.sends > 1,
+		// Without a copy the prompt is read again and the pause is too long
+		// already.
+		Yield: r.events.checked && !fromCopy,
 	}
 	if a.copyTo != nil {
 		dispatch.CopyTo = a.copyTo.Address
--- a/gateway/message/dispatch.go
+++ b/gateway/message/dispatch.go
@@ -20,6 +20,6 @@
 	// CopyAt is the address of the backend server that holds such a copy, and
 	// goes on from it; empty for none.
 	CopyAt string
-	// Urgent asks for admission before other requests.
-	Urgent bool
+	// Yield lets requests that can still be answered in time go first.
+	Yield bool
 }
