Let few instances ask a store that is away

The first two of a data centre in an order that all agree on follow it whatever happens; the next ones stand in one after the other, with a call every three seconds.

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -27,6 +27,8 @@
 	// configurationPause does the same for the configuration, which changes
 	// rarely.
 	configurationPause = 100 * time.Millisecond
+	// standInWait is retryLimit of an instance that stands in for others.
+	standInWait = 3 * time.Second
 	// relayCheck is the time between two looks whether this instance has to
 	// follow the store.
 	relayCheck = 200 * time.Millisecond
@@ -41,9 +43,10 @@
 	state     *State
 	directory *directory.Directory
 	logger    zerolog.Logger
-	// relay reports whether this instance has to follow the store; others tell
-	// it of changes otherwise. changed is called after each change.
-	relay   func() bool
+	// follow reports whether this instance has to follow the store, because
+	// others do not tell it of changes, and whether it only stands in for them.
+	// changed is called after each change.
+	follow  func() (follows, standsIn bool)
 	changed func()
 	mu      sync.Mutex
 	// failing holds the watches that fail now, and following those under way.
@@ -62,10 +65,10 @@
 }
 
 // NewFollower returns a follower that fills a state and a directory. It follows
-// the store while relay says so, and calls changed after each change.
-func NewFollower(feed Feed, state *State, servers *directory.Directory, relay func() bool, changed func(), logger zerolog.Logger) *Follower {
+// the store while follow says so, and calls changed after each change.
+func NewFollower(feed Feed, state *State, servers *directory.Directory, follow func() (follows, standsIn bool), changed func(), logger zerolog.Logger) *Follower {
 	return &Follower{
-		feed: feed, state: state, directory: servers, relay: relay, changed: changed, logger: logger,
+		feed: feed, state: state, directory: servers, follow: follow, changed: changed, logger: logger,
 		failing: make(map[string]bool), following: make(map[string]bool), missing: make(map[string]lapse),
 	}
 }
@@ -134,7 +137,8 @@
 	var revision uint64
 	listed, wait := false, retryWait
 	for ctx.Err() == nil {
-		if !f.relay() {
+		follows, standsIn := f.follow()
+		if !follows {
 			// What changes meanwhile is not seen: the next turn begins with a
 			// list.
 			listed = false
@@ -156,6 +160,9 @@
 			pause.For(ctx, spacing)
 		default:
 			f.note(what, err)
+			if standsIn {
+				wait = standInWait
+			}
 			pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait/2))))
 			wait = min(2*wait, retryLimit)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,10 @@
 		directory: directory.New(),
 	}
 	g.follower = discovery.NewFollower(parts.Feed, g.state, g.directory,
-		func() bool { return g.peers.IsRelay() }, func() { g.peers.Announce() }, logger)
+		func() (follows, standsIn bool) {
+			duty := g.peers.Duty()
+			return duty != peers.Listen, duty == peers.StandIn
+		}, func() { g.peers.Announce() }, logger)
 	own := s.Gateway
 	g.forwarder = forward.New(forward.Options{
 		Protocol:  parts.Protocol,
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -222,11 +222,14 @@
 	}
 }
 
-// IsRelay reports whether this instance has to follow the object store.
-func (s *Service) IsRelay() bool {
+// Duty returns whether this instance has to follow the object store.
+func (s *Service) Duty() Duty {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving || s.table.IsRelay(time.Now(), s.options.DataCentre)
+	if s.leaving {
+		return Follow
+	}
+	return s.table.Duty(time.Now(), s.options.DataCentre)
 }
 
 // round sends what is due.
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -27,6 +27,8 @@
 	members map[netip.Addr]*member
 	// greeted holds addresses that were named and have not answered.
 	greeted map[netip.Addr]*greeting
+	// reached is when a relay of the own data centre last reached the store.
+	reached time.Time
 }
 
 // greeting counts the greetings to an address.
@@ -163,17 +165,47 @@
 	relaySilence = 1300 * time.Millisecond
 )
 
-// IsRelay reports whether this instance has to follow the object store: whether
-// fewer than relaysPerCentre relays of its data centre come before it in an
-// order that all agree on.
-func (t *Table) IsRelay(now time.Time, dataCentre string) bool {
-	own, before := relayRank(t.own), 0
+// Duty says whether an instance follows the object store.
+type Duty uint8
+
+// The duties.
+const (
+	// Listen leaves it to others.
+	Listen Duty = iota
+	// Stand in for relays that can't reach the store, with few calls.
+	StandIn
+	// Follow the store.
+	Follow
+)
+
+// standInDelay is the time between the turns of two instances that stand in.
+const standInDelay = 400 * time.Millisecond
+
+// Duty returns the duty of this instance. All instances of a data centre agree
+// on an order: the first relaysPerCentre follow the store. While none of them
+// says that the store answers, the next ones stand in, one after the other.
+func (t *Table) Duty(now time.Time, dataCentre string) Duty {
+	own, before, reached := relayRank(t.own), 0, false
 	for _, known := range t.members {
-		if known.dataCentre == dataCentre && known.relay && now.Sub(known.heard) <= relaySilence && relayRank(known.instance) < own {
+		if known.dataCentre != dataCentre || known.leaving || now.Sub(known.heard) > relaySilence {
+			continue
+		}
+		reached = reached || known.relay
+		if relayRank(known.instance) < own {
 			before++
 		}
 	}
-	return before < relaysPerCentre
+	if reached || t.reached.IsZero() {
+		t.reached = now
+	}
+	switch {
+	case before < relaysPerCentre:
+		return Follow
+	case now.Sub(t.reached) >= time.Duration(before-relaysPerCentre+1)*standInDelay:
+		return StandIn
+	default:
+		return Listen
+	}
 }
 
 // Group is the place of an instance among those of its data centre.
