--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -20,12 +20,19 @@
 	var best Choice
 	var bestCost time.Duration
 	found, bestAvoided := false, false
+	foreign := l.policy.ForeignCost
+	if l.loss(now) {
+		foreign = l.policy.LossForeignCost
+	}
 	for i := range candidates {
 		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
 		if found && avoided && !bestAvoided {
 			continue
 		}
 		choice, cost := l.generationCost(generation, &candidates[i])
+		if candidates[i].Foreign {
+			cost += foreign
+		}
 		if !found || (bestAvoided && !avoided) || cost < bestCost {
 			best, bestCost, bestAvoided, found = choice, cost, avoided, true
 		}
@@ -44,9 +51,6 @@
 	}
 	cost := wait + time.Duration(load.Requests)*l.policy.NeighbourCost +
 		l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost)
-	if candidate.Foreign {
-		cost += l.policy.ForeignCost
-	}
 	return Choice{ID: candidate.ID, Wait: wait, Load: load}, l.spread(cost)
 }
 
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -143,6 +143,16 @@
 	return suspected && (known == nil || known.heard.Before(since))
 }
 
+// loss reports whether a data centre was lost a moment ago.
+func (l *Ledger) loss(now time.Time) bool {
+	for _, known := range l.centres {
+		if _, suspected := known.suspected(now, l.policy); suspected {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) centre(name string) *centre {
 	known := l.centres[name]
 	if known == nil {
--- /dev/null
+++ b/decision/placement/ledger_test.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var (
+	begin = time.Unix(1_700_000_000, 0)
+	here  = Place{DataCentre: "a-1", Region: "a"}
+	near  = Place{DataCentre: "a-2", Region: "a"}
+	far   = Place{DataCentre: "b-1", Region: "b"}
+)
+
+func newLedger() *Ledger { return NewLedger(DefaultPolicy(), here, rand.New(rand.NewPCG(1, 2))) }
+
+// engine returns a candidate with the users' memory.
+func engine(id string, place Place) Candidate {
+	return Candidate{ID: id, Place: place, Slots: 64, MemoryTokens: 88000}
+}
+
+var usual = Generation{Prompt: 8200, Memory: 8800}
+
+func TestGenerationGoesWhereItBeginsFirst(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	candidates := []Candidate{engine("here", here), engine("near", near), engine("far", far)}
+	choice, found := l.ChooseGeneration(begin, usual, candidates)
+	is.True(found)
+	is.Equal(choice.ID, "here")
+	l.Add("here", Load{Requests: 1, Waiting: 8200, Memory: 8800})
+	choice, _ = l.ChooseGeneration(begin, usual, candidates)
+	is.Equal(choice.ID, "near") // a prompt that waits costs more than the way
+	l.Report(begin, "other instance", map[string]Load{"near": {Requests: 2, Waiting: 16400, Memory: 17600}})
+	choice, _ = l.ChooseGeneration(begin, usual, candidates)
+	is.Equal(choice.ID, "far")
+	l.Report(begin, "other instance", nil)
+	choice, _ = l.ChooseGeneration(begin, usual, candidates)
+	is.Equal(choice.ID, "near")
+}
+
+func TestReportsExpire(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Report(begin, "other instance", map[string]Load{"here": {Waiting: 50000}})
+	l.Expire(begin.Add(DefaultPolicy().ReportLifetime + time.Millisecond))
+	choice, _ := l.ChooseGeneration(begin, usual, []Candidate{engine("here", here), engine("near", near)})
+	is.Equal(choice.ID, "here")
+}
+
+func TestFullMemoryIsAvoided(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Add("here", Load{Requests: 9, Memory: 87000})
+	choice, _ := l.ChooseGeneration(begin, usual, []Candidate{engine("here", here), engine("far", far)})
+	is.Equal(choice.ID, "far")
+	_, found := l.ChooseCopy(begin, usual, engine("far", far), []Candidate{engine("here", here)})
+	is.True(!found) // a copy without room would push generations out
+}
+
+func TestCopyGoesToAnotherDataCentre(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	candidates := []Candidate{engine("here", here), engine("here too", here), engine("near", near), engine("far", far)}
+	id, found := l.ChooseCopy(begin, usual, candidates[0], candidates)
+	is.True(found)
+	is.Equal(id, "near")
+	id, _ = l.ChooseCopy(begin, usual, candidates[0], candidates[:2])
+	is.Equal(id, "here too") // better than none
+}
+
+func TestLostServersAreAvoidedUntilHeard(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Unreachable(begin, "here", here.DataCentre, false)
+	is.True(l.Avoided(begin, "here", here.DataCentre))
+	is.True(!l.Avoided(begin, "here too", here.DataCentre)) // one alone says nothing of the others
+	l.Heard(begin, "here")
+	is.True(!l.Avoided(begin, "here", here.DataCentre))
+	policy := DefaultPolicy()
+	until := l.Unreachable(begin, "here", here.DataCentre, true)
+	is.Equal(until, begin.Add(policy.AvoidDown))
+}
+
+func TestDataCentreIsSuspectedWhenSeveralFail(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Heard(begin, "survivor")
+	at := begin.Add(time.Second)
+	l.Unreachable(at, "one", here.DataCentre, true)
+	l.LostElsewhere(at, "two", here.DataCentre, true)
+	is.True(l.Avoided(at, "never tried", here.DataCentre))
+	is.True(l.Avoided(at, "survivor", here.DataCentre))
+	is.True(!l.Avoided(at, "elsewhere", far.DataCentre))
+	l.Heard(at.Add(time.Millisecond), "survivor")
+	is.True(!l.Avoided(at.Add(time.Millisecond), "survivor", here.DataCentre))
+	choice, _ := l.ChooseGeneration(at, usual, []Candidate{engine("never tried", here), engine("elsewhere", far)})
+	is.Equal(choice.ID, "elsewhere")
+	choice, _ = l.ChooseGeneration(at.Add(2*time.Second), usual, []Candidate{engine("never tried", here), engine("elsewhere", far)})
+	is.Equal(choice.ID, "never tried")
+}
+
+func TestNewsOfOthersDoesNotBeatOwnHearing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Heard(begin.Add(time.Second), "s")
+	l.LostElsewhere(begin, "s", here.DataCentre, true)
+	is.True(!l.Avoided(begin.Add(time.Second), "s", here.DataCentre))
+}
+
+func TestCallsLeaveSlowFailingAndSilentServers(t *testing.T) {
+	candidates := []Candidate{{ID: "here", Place: here, Slots: 6}, {ID: "far", Place: far, Slots: 6}}
+	for name, harm := range map[string]func(l *Ledger){
+		"slow": func(l *Ledger) {
+			for range 8 {
+				l.CallStarted(begin, "here")
+				l.CallEnded(begin.Add(250*time.Millisecond), begin, "here", false)
+			}
+		},
+		"failing": func(l *Ledger) {
+			for range 8 {
+				l.CallStarted(begin, "here")
+				l.CallEnded(begin.Add(30*time.Millisecond), begin, "here", true)
+			}
+		},
+		"silent": func(l *Ledger) { l.CallStarted(begin.Add(-time.Second), "here") },
+		"full": func(l *Ledger) {
+			for range 60 {
+				l.CallStarted(begin, "here")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLedger()
+			id, found := l.ChooseCall(begin, candidates)
+			is.True(found)
+			is.Equal(id, "here")
+			harm(l)
+			id, _ = l.ChooseCall(begin.Add(300*time.Millisecond), candidates)
+			is.Equal(id, "far")
+		})
+	}
+}
+
+func TestPastCallsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	for range 8 {
+		l.CallStarted(begin, "here")
+		l.CallEnded(begin.Add(30*time.Millisecond), begin, "here", true)
+	}
+	id, _ := l.ChooseCall(begin.Add(30*time.Second), []Candidate{{ID: "here", Place: here, Slots: 6}, {ID: "far", Place: far, Slots: 6}})
+	is.Equal(id, "here")
+}
+
+// TestLoadsAddUpToNothing ends everything that was begun, in any order.
+func TestLoadsAddUpToNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLedger()
+		var open []func()
+		for i := range rapid.IntRange(0, 40).Draw(t, "events") {
+			id := strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "server"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				load := Load{Requests: 1, Waiting: i, Memory: 2 * i}
+				l.Add(id, load)
+				open = append(open, func() { l.Add(id, load.Negative()) })
+			case 1:
+				at := begin.Add(time.Duration(i))
+				l.CallStarted(at, id)
+				open = append(open, func() { l.CallEnded(begin.Add(time.Second), at, id, i%2 == 0) })
+			case 2:
+				instance := "other-" + strconv.Itoa(i%2)
+				l.Report(begin, instance, map[string]Load{id: {Requests: i + 1}})
+				open = append(open, func() { l.Report(begin, instance, nil) })
+			case 3:
+				if len(open) > 0 {
+					open[0]()
+					open = open[1:]
+				}
+			}
+		}
+		for _, end := range open {
+			end()
+		}
+		for id, known := range l.servers {
+			if known.own != (Load{}) || known.others != (Load{}) || len(known.pending) > 0 {
+				t.Fatalf("server %s keeps %+v", id, *known)
+			}
+		}
+	})
+}
+
+func TestPreferenceDividesTheServers(t *testing.T) {
+	is := is.New(t)
+	const instances, servers = 5, 23
+	owners := make(map[string]int)
+	for rank := range instances {
+		var candidates []Candidate
+		for n := range servers {
+			candidates = append(candidates, engine(strconv.Itoa(n), []Place{here, far}[n%2]))
+		}
+		Preference{Rank: rank, Instances: instances}.Foreign(candidates)
+		for _, candidate := range candidates {
+			if !candidate.Foreign {
+				owners[candidate.ID]++
+			}
+		}
+	}
+	is.Equal(len(owners), servers)
+	for id, count := range owners {
+		is.Equal(count, 1) // id
+		_ = id
+	}
+}
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -22,6 +22,9 @@
 	// instance just sent there is not known to the others, so that many would
 	// choose the same idle server when a data centre is lost.
 	ForeignCost time.Duration
+	// LossForeignCost replaces it after the loss of a data centre, when all
+	// instances send at once: more than the way to another region.
+	LossForeignCost time.Duration
 	// FullCost is added for a server without room in its memory: about the time
 	// until one of its generations ends.
 	FullCost time.Duration
@@ -64,6 +67,7 @@
 		CallNearCost:          3 * time.Millisecond,
 		CallFarCost:           120 * time.Millisecond,
 		ForeignCost:           150 * time.Millisecond,
+		LossForeignCost:       800 * time.Millisecond,
 		FullCost:              2 * time.Second,
 		UsualCall:             30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
