Find lost answers by the engine's report; reject streams that a stopping instance can't end

Now a report that counts events which did not arrive ends the attempt, and a stopping instance admits a stream only while the usual duration of streams is left.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -11,6 +11,7 @@
 	AttemptFailed       = Definition{7004, "attempt_failed", zerolog.InfoLevel, "one backend server failed a request; code and the following lines say what happened then", "look at the backend server when it is often the same"}
 	StreamContinued     = Definition{7005, "stream_continued", zerolog.InfoLevel, "a broken stream goes on at another backend server; copy says whether from a copy of its KV cache", "none"}
 	RequestSent         = Definition{7006, "request_sent", zerolog.InfoLevel, "a request was sent to a backend server; the fields say what decided the choice", "none"}
+	ReportInvalid       = Definition{7009, "report_invalid", zerolog.WarnLevel, "a backend server's report about its work could not be read", "check the server"}
 	ServerSuspected     = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server when it repeats"}
 	ServersChanged      = Definition{7011, "server_changed", zerolog.InfoLevel, "a backend server was added, changed or removed", "none"}
 	StoreLost           = Definition{7020, "store_lost", zerolog.WarnLevel, "the object store does not answer; the instance goes on with what it knows", "check the platform"}
@@ -29,7 +30,7 @@
 )
 
 var forwardingEvents = []Definition{
-	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued, RequestSent,
+	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued, RequestSent, ReportInvalid,
 	ServerSuspected, ServersChanged, StoreLost, StoreRegained, StoreObjectInvalid, StoreHistoryGone,
 	ReadinessChanged, LogLinesDropped, PeerServersGot, PeerDigestInvalid, PeerFetchFailed, ServerLostElsewhere, ProcessResumed, SettingsReloaded, AcceptFailed,
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -27,6 +27,7 @@
 	pool      *upstream.Pool
 	logger    zerolog.Logger
 	meters    *meters
+	streams   streamDuration
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
 }
@@ -129,7 +130,7 @@
 		f.reject(j, ownAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetry})
 		return
 	}
-	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j) {
+	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j, f.streams.most()) {
 		f.reject(j, ownAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetry})
 		return
 	}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -5,17 +5,27 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 )
 
-// probe asks a server for its load and reports whether it answers.
-func (f *Forwarder) probe(ctx context.Context, server *directory.Server) bool {
+// probe asks a server for its load and reports whether it answers, and what.
+func (f *Forwarder) probe(ctx context.Context, server *directory.Server) (message.Report, bool) {
 	f.meters.count("probes")
-	if _, _, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout); err != nil {
-		return false
+	status, body, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
+	if err != nil {
+		return message.Report{}, false
 	}
 	f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, server.ID) })
-	return true
+	if status != 200 {
+		return message.Report{}, true
+	}
+	report, err := f.protocol.Report(body)
+	if err != nil {
+		event.Log(f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
+	}
+	return report, true
 }
 
 // ask sends a request of this system's own to a server and returns its answer.
--- a/gateway/forward/protocol.go
+++ b/gateway/forward/protocol.go
@@ -20,4 +20,6 @@
 	AppendIdentity(dst []byte, id string) []byte
 	// LoadRequest returns a request for the load of a backend server.
 	LoadRequest(address string) []byte
+	// Report reads the answer of a model engine to it.
+	Report(body []byte) (message.Report, error)
 }
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/suspicion"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
 
@@ -63,15 +64,38 @@
 	var heard time.Time
 	f := a.run.f
 	f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(a.server.ID) })
+	if a.waiting {
+		if now.Sub(heard) < budget/2 && now.Sub(a.sent) < silentStart {
+			return true
+		}
+		report, answers := f.probe(ctx, a.server)
+		return answers && !a.answerLost(&report)
+	}
+	if now.Sub(a.heard) >= longestSilence {
+		return false
+	}
 	if now.Sub(heard) < budget/2 {
-		return now.Sub(a.heard) < longestSilence || a.waiting
+		return true
 	}
-	if !a.waiting && a.copyTo != nil {
+	if a.copyTo != nil {
 		return false
 	}
-	return (now.Sub(a.heard) < longestSilence || a.waiting) && f.probe(ctx, a.server)
+	_, answers := f.probe(ctx, a.server)
+	return answers
 }
 
-// longestSilence is the silence of a running stream that ends its attempt even
-// though the server runs.
-const longestSilence = 1500 * time.Millisecond
+// answerLost reports whether a server that sent nothing yet shows that the
+// answer will not come: it made events that did not arrive. A request that it
+// still reads is in none of its lists.
+func (a *streamAttempt) answerLost(report *message.Report) bool {
+	return time.Since(a.sent) >= silentStart && report.Runs[a.run.j.request.ID] > 0
+}
+
+const (
+	// longestSilence is the silence of a running stream that ends its attempt
+	// even though the server runs.
+	longestSilence = 1500 * time.Millisecond
+	// silentStart is the time after which a server is asked about a request that
+	// it has not begun to answer; its reports are some 200 ms old.
+	silentStart = 900 * time.Millisecond
+)
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -96,6 +96,7 @@
 	switch {
 	case result.complete:
 		err := r.j.exchange.End()
+		r.f.streams.observe(time.Since(r.j.exchange.Received))
 		r.f.meters.count("requests.served." + r.j.route.Kind.String())
 		event.Log(r.f.logger, event.RequestServed).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
 			Str("server", result.server.ID).Int("sends", r.j.sends).Int("resumes", r.resumes).Int("events", r.delivered).
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -13,7 +13,7 @@
 	noticed = 2600 * time.Millisecond
 	// closing is how long before the end the remaining answers are cut, so
 	// that the clients learn of it from a closed connection.
-	closing = 500 * time.Millisecond
+	closing = 300 * time.Millisecond
 	// stopStep is the time between two looks at the remaining requests.
 	stopStep = 50 * time.Millisecond
 )
@@ -26,7 +26,7 @@
 	end := begun.Add(g.settings.Gateway.Stop() - closing)
 	g.leaving.Store(true)
 	g.ingress.Leave()
-	g.forwarder.Stop(begun.Add(noticed), end)
+	g.forwarder.Stop(end)
 	g.peers.Leave()
 	event.Log(g.logger, event.ProcessStopping).Int("in_flight", g.ingress.Active()).Int("connections", g.ingress.Connections()).Send()
 	for time.Now().Before(end) {
