Serve calls to the end of a planned stop

Cause: calls that came in the last 1.5 s of a stop were rejected though a call takes 40 ms; while a zone's instances stop one after the other the balancer uses stopping ones, so that the second try was rejected too. Their time is cut to the end of the process instead, when they are answered in any case.

--- a/gateway/forward/own_answer.go
+++ b/gateway/forward/own_answer.go
@@ -17,8 +17,9 @@
 	unknownConfigurationRetry = 500 * time.Millisecond
 	// noServerRetry is about the time until a restarted server is known.
 	noServerRetry = 400 * time.Millisecond
-	// stoppingRetry lets the client come to another instance at once.
-	stoppingRetry = 10 * time.Millisecond
+	// stoppingRetry leaves the balancer time to notice other instances that stop
+	// now, and the client enough time for its answer.
+	stoppingRetry = 600 * time.Millisecond
 	// busyRetry is about the time of one queued call.
 	busyRetry = 60 * time.Millisecond
 )
--- /dev/null
+++ b/gateway/forward/planned_stop_test.go
@@ -0,0 +1,31 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+)
+
+// TestPlannedStopAdmitsWhatItCanAnswer plays a stop of eight seconds.
+func TestPlannedStopAdmitsWhatItCanAnswer(t *testing.T) {
+	is := is.New(t)
+	begun := time.Unix(1_700_000_000, 0)
+	at := func(seconds float64) time.Time { return begun.Add(time.Duration(seconds * float64(time.Second))) }
+	stop := &plannedStop{streams: at(2.6), end: at(7.7)}
+	const usual = 4 * time.Second
+	stream := &job{route: &route.Route{Kind: route.Stream}, deadline: at(30)}
+	is.True(stop.admits(at(0.1), stream, usual))
+	is.True(!stop.admits(at(0.1), stream, 8*time.Second)) // it would be cut
+	is.True(!stop.admits(at(2.7), stream, usual))         // the balancer has noticed
+	call := &job{route: &route.Route{Kind: route.AtMostOnce}, deadline: at(6.5)}
+	is.True(stop.admits(at(5), call, usual))
+	is.Equal(call.deadline, at(6.5))
+	call.deadline = at(9)
+	is.True(stop.admits(at(7), call, usual))
+	is.Equal(call.deadline, at(7.6)) // answered before the process ends
+	call.deadline = at(9)
+	is.True(!stop.admits(at(7.3), call, usual))
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,7 +26,7 @@
 	end := begun.Add(g.settings.Gateway.Stop() - closing)
 	g.leaving.Store(true)
 	g.ingress.Leave()
-	g.forwarder.Stop(end)
+	g.forwarder.Stop(begun.Add(noticed), end)
 	g.peers.Leave()
 	event.Log(g.logger, event.ProcessStopping).Int("in_flight", g.ingress.Active()).Int("connections", g.ingress.Connections()).Send()
 	for time.Now().Before(end) {
