--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -29,7 +29,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{servers: make(map[string]*Server), removed: make(map[string]uint64)}
-	d.snapshot.Store(&Snapshot{})
+	d.publish()
 	return d
 }
 
@@ -87,6 +87,22 @@
 	return old
 }
 
+// Adopt replaces a server by another process at its address, whose own entry is
+// not known. It returns nil when the old one is not listed any more.
+func (d *Directory) Adopt(old *Server, id string) *Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if listed := d.servers[old.ID]; listed == nil || !listed.SameProcess(old) || d.servers[id] != nil {
+		return nil
+	}
+	adopted := *old
+	adopted.ID, adopted.Incarnation, adopted.Draining, adopted.Adopted = id, 0, false, true
+	d.remove(old.ID, old.Revision)
+	d.servers[id] = &adopted
+	d.publish()
+	return &adopted
+}
+
 // Revision returns the highest revision seen.
 func (d *Directory) Revision() uint64 {
 	d.mu.Lock()
--- /dev/null
+++ b/gateway/directory/directory_test.go
@@ -0,0 +1,95 @@
+package directory
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func server(id string, revision uint64) *Server {
+	return &Server{ID: id, Service: "s", Address: "address of " + id, Revision: revision}
+}
+
+// TestOrderOfNewsDoesNotMatter gives the same entries and removals to two
+// directories in any order, one of them partly by way of the other.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type news struct {
+			id       string
+			revision uint64
+			removed  bool
+		}
+		var all []news
+		for revision := range rapid.IntRange(1, 20).Draw(t, "news") {
+			all = append(all, news{
+				id:       strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "server")),
+				revision: uint64(revision + 1),
+				removed:  rapid.Bool().Draw(t, "removed"),
+			})
+		}
+		tell := func(d *Directory, n news) {
+			if n.removed {
+				d.Remove(n.id, n.revision)
+			} else {
+				d.Put(server(n.id, n.revision))
+			}
+		}
+		inOrder, mixed := New(), New()
+		for _, n := range all {
+			tell(inOrder, n)
+		}
+		for _, n := range rapid.Permutation(all).Draw(t, "order") {
+			if rapid.Bool().Draw(t, "by way of another") {
+				other := New()
+				tell(other, n)
+				passed, err := json.Marshal(other.Export(0))
+				if err != nil {
+					t.Fatal(err)
+				}
+				var export Export
+				if err := json.Unmarshal(passed, &export); err != nil {
+					t.Fatal(err)
+				}
+				mixed.Import(export)
+				continue
+			}
+			tell(mixed, n)
+		}
+		if inOrder.Snapshot().Fingerprint != mixed.Snapshot().Fingerprint {
+			t.Fatalf("%d and %d servers", len(inOrder.Snapshot().All), len(mixed.Snapshot().All))
+		}
+	})
+}
+
+func TestAddressBelongsToTheLastThatRegistered(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	old, young := server("old", 1), server("new", 2)
+	young.Address = old.Address
+	d.Put(young)
+	d.Put(old)
+	is.Equal(len(d.Snapshot().All), 1)
+	is.Equal(d.Snapshot().At(old.Address).ID, "new")
+	is.True(d.Snapshot().Find("old") == nil)
+}
+
+func TestAdoptedServerIsReplacedByItsEntry(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	old := server("old", 5)
+	d.Put(old)
+	is.True(d.Adopt(old, "new") != nil)
+	is.True(d.Adopt(old, "new") == nil) // it is not listed any more
+	is.True(!d.Put(old))                // older news does not bring it back
+	is.Equal(d.Snapshot().Find("new").Address, old.Address)
+	entry := server("new", 9)
+	is.True(d.Put(entry))
+	is.True(!d.Snapshot().Find("new").Adopted)
+	other := New()
+	other.Put(server("else", 20))
+	export := d.Export(20)
+	is.Equal(len(export.Servers), 0)
+}
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -19,7 +19,7 @@
 	defer d.mu.Unlock()
 	export := Export{Revision: d.revision, Fingerprint: d.Snapshot().Fingerprint, Removed: maps.Clone(d.removed)}
 	for _, server := range d.servers {
-		if server.Revision > after {
+		if server.Revision > after || server.Adopted {
 			export.Servers = append(export.Servers, server)
 		}
 	}
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -20,6 +20,9 @@
 	ColdFor time.Duration
 	// Revision is the store's revision of the entry that says so.
 	Revision uint64
+	// Adopted servers were found at the address of an earlier one; an entry in
+	// the store replaces them.
+	Adopted bool
 }
 
 // SameProcess reports whether two entries mean the same running process.
--- /dev/null
+++ b/gateway/forward/adopter.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/internal/pause"
+)
+
+const (
+	// adoptStep is the time between two questions to the address of a lost
+	// server, adoptFirst the time after it was last heard of the first one:
+	// restarts take about a second.
+	adoptStep  = 180 * time.Millisecond
+	adoptFirst = time.Second
+	// adoptMargin is how long before its address may belong to another service
+	// the last answer counts.
+	adoptMargin = 100 * time.Millisecond
+	// adoptTimeout bounds one question.
+	adoptTimeout = 150 * time.Millisecond
+)
+
+// adopter finds restarted servers before the store tells of them. A server that
+// restarts gets another id and registers it in the store, which takes a second,
+// or longer while the store is away. Its address stays the service's for a
+// while: whoever answers there in that time is the restarted server.
+type adopter struct {
+	f *Forwarder
+	// reuse is the time in which the address of an ended server belongs to
+	// nobody else; without it nothing is adopted.
+	reuse time.Duration
+	mu    sync.Mutex
+	busy  map[string]bool
+}
+
+// lost begins to ask at the address of a server that can't be reached.
+func (a *adopter) lost(server *directory.Server) {
+	if a.reuse <= 0 {
+		return
+	}
+	service := a.f.service(server.Service)
+	var heard time.Time
+	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
+	if service == nil || service.HealthPath == "" || heard.IsZero() || time.Since(heard) > a.reuse-adoptMargin {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.busy[server.ID] {
+		return
+	}
+	a.busy[server.ID] = true
+	go a.ask(server, service.HealthPath, heard)
+}
+
+// ask asks until somebody answers or the address may be another service's.
+func (a *adopter) ask(server *directory.Server, path string, heard time.Time) {
+	defer func() {
+		a.mu.Lock()
+		delete(a.busy, server.ID)
+		a.mu.Unlock()
+	}()
+	ctx, cancel := context.WithDeadline(context.Background(), heard.Add(a.reuse-adoptMargin))
+	defer cancel()
+	if !pause.For(ctx, time.Until(heard.Add(adoptFirst))) {
+		return
+	}
+	request := a.f.protocol.IdentityRequest(server.Address, path)
+	for pause.For(ctx, adoptStep) {
+		a.f.meters.count("probes")
+		response, _, err := a.f.ask(ctx, server, request, adoptTimeout)
+		if err != nil || ctx.Err() != nil {
+			continue // Nobody answers yet; it is asked again until the time is over.
+		}
+		id := a.f.protocol.Answer(response).Server
+		if response.Status != 200 || id == "" || id == server.ID {
+			continue
+		}
+		if adopted := a.f.directory.Adopt(server, id); adopted != nil {
+			event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
+				Str("address", server.Address).Dur("after_ms", time.Since(heard)).Send()
+		}
+		return
+	}
+}
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -134,7 +134,7 @@
 // noteCall tells the ledger how an attempt ended.
 func (f *Forwarder) noteCall(result *callResult) {
 	if result.code == fault.UpstreamUnreachable {
-		f.selector.unreachable(result.server, result.err)
+		f.unreachable(result.server, result.err)
 	}
 	f.selector.update(func(ledger *placement.Ledger, now time.Time) {
 		ledger.CallEnded(now, result.started, result.server.ID, !result.usable() || result.failedAnswer())
--- /dev/null
+++ b/gateway/forward/event_reader_test.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
+
+// TestEventsAreTakenOnceAndWhole cuts several attempts of one stream anywhere:
+// each goes on from what was taken, with some events repeated, and ends within
+// an event.
+func TestEventsAreTakenOnceAndWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const last = 12
+		var reader eventReader
+		var got strings.Builder
+		for attempt := 0; reader.position < last; attempt++ {
+			reader.restart()
+			from := int(reader.position) + 1
+			if attempt > 0 {
+				from = max(1, from-rapid.IntRange(0, 3).Draw(t, "repeated"))
+			}
+			var text strings.Builder
+			for id := from; id <= last; id++ {
+				text.WriteString(eventText(id))
+			}
+			sent := text.String()
+			if attempt < 5 {
+				sent = sent[:rapid.IntRange(0, len(sent)).Draw(t, "kept")]
+			}
+			for len(sent) > 0 {
+				size := rapid.IntRange(1, len(sent)).Draw(t, "piece")
+				events, _, err := reader.take([]byte(sent[:size]), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got.Write(events)
+				sent = sent[size:]
+			}
+		}
+		var want strings.Builder
+		for id := 1; id <= last; id++ {
+			want.WriteString(eventText(id))
+		}
+		if got.String() != want.String() {
+			t.Fatalf("got %q", got.String())
+		}
+	})
+}
+
+func TestMissingEventIsNoticed(t *testing.T) {
+	is := is.New(t)
+	var reader eventReader
+	_, count, err := reader.take([]byte(eventText(1)+eventText(2)+eventText(4)), nil)
+	is.Equal(count, 2)
+	is.True(errors.Is(err, errEventMissing))
+	is.Equal(reader.position, uint64(2))
+}
+
+func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	var reader eventReader
+	_, _, err := reader.take([]byte(eventText(1)+"id: 2\ndata"), nil)
+	is.NoErr(err)
+	is.True(errors.Is(reader.complete(), errPartialEvent))
+	reader.restart()
+	is.NoErr(reader.complete())
+}
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -25,6 +25,7 @@
 	directory *directory.Directory
 	selector  *selector
 	pool      *upstream.Pool
+	adopter   *adopter
 	logger    zerolog.Logger
 	meters    *meters
 	streams   streamDuration
@@ -34,7 +35,7 @@
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		protocol:  options.Protocol,
 		state:     options.State,
 		directory: options.Directory,
@@ -43,6 +44,22 @@
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
 	}
+	f.adopter = &adopter{f: f, reuse: options.AddressReuse, busy: make(map[string]bool)}
+	return f
+}
+
+// service returns a service of the configuration in force, or nil.
+func (f *Forwarder) service(name string) *route.Service {
+	if current := f.state.Current(); current != nil {
+		return current.Table.Service(name)
+	}
+	return nil
+}
+
+// unreachable notes that a server could not be reached or fell silent.
+func (f *Forwarder) unreachable(server *directory.Server, cause error) {
+	f.selector.unreachable(server, cause)
+	f.adopter.lost(server)
 }
 
 // defaultLimits hold until a configuration is known.
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -29,9 +29,12 @@
 	// bound.
 	Group func() peers.Group
 	// Lost is called with each server that could not be reached.
-	Lost    func(server *directory.Server, down bool)
-	Logger  zerolog.Logger
-	Metrics metrics.Registry
+	Lost func(server *directory.Server, down bool)
+	// AddressReuse is the time in which the address of an ended server belongs
+	// to nobody else; 0 when not known.
+	AddressReuse time.Duration
+	Logger       zerolog.Logger
+	Metrics      metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -8,17 +8,19 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // probe asks a server for its load and reports whether it answers, and what.
 func (f *Forwarder) probe(ctx context.Context, server *directory.Server) (message.Report, bool) {
 	f.meters.count("probes")
-	status, body, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
+	response, body, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
 	if err != nil {
 		return message.Report{}, false
 	}
 	f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, server.ID) })
-	if status != 200 {
+	if response.Status != 200 {
 		return message.Report{}, true
 	}
 	report, err := f.protocol.Report(body)
@@ -30,43 +32,43 @@
 
 // ask sends a request of this system's own to a server and returns its answer.
 // A kept connection that its server closed meanwhile is replaced once.
-func (f *Forwarder) ask(ctx context.Context, server *directory.Server, request []byte, timeout time.Duration) (status int, body []byte, err error) {
+func (f *Forwarder) ask(ctx context.Context, server *directory.Server, request []byte, timeout time.Duration) (*http1.Response, []byte, error) {
 	deadline := time.Now().Add(timeout)
-	for _, reuse := range []bool{true, false} {
-		var reused bool
-		status, body, reused, err = f.askOnce(ctx, server, request, deadline, reuse)
-		if err == nil || !reused || time.Now().After(deadline) {
-			break
-		}
+	response, body, reused, err := f.askOnce(ctx, server, request, deadline, true)
+	if err != nil && reused && time.Now().Before(deadline) {
+		response, body, _, err = f.askOnce(ctx, server, request, deadline, false)
 	}
-	return status, body, err
+	return response, body, err
 }
 
-func (f *Forwarder) askOnce(ctx context.Context, server *directory.Server, request []byte, deadline time.Time, reuse bool) (status int, body []byte, reused bool, err error) {
+func (f *Forwarder) askOnce(ctx context.Context, server *directory.Server, request []byte, deadline time.Time, reuse bool) (response *http1.Response, body []byte, reused bool, err error) {
 	conn, err := f.pool.Open(ctx, server.ID, server.Address, min(connectTimeout, time.Until(deadline)), reuse)
 	if err != nil {
-		return 0, nil, false, err
+		return nil, nil, false, err
 	}
 	cut := context.AfterFunc(ctx, conn.Close)
 	defer cut()
-	fail := func(err error) (int, []byte, bool, error) {
+	response, body, err = converse(conn, request, deadline)
+	if err != nil {
 		conn.Close()
-		return 0, nil, conn.Reused, err
+		return nil, nil, conn.Reused, err
 	}
+	f.pool.Put(server.ID, conn, response)
+	return response, body, conn.Reused, nil
+}
+
+// converse sends one request and reads its answer whole.
+func converse(conn *upstream.Conn, request []byte, deadline time.Time) (*http1.Response, []byte, error) {
 	if err := conn.SetReadDeadline(deadline); err != nil {
-		return fail(err)
+		return nil, nil, err
 	}
 	if _, err := conn.Send(request, nil); err != nil {
-		return fail(err)
+		return nil, nil, err
 	}
 	response, err := conn.ReadHead("GET")
 	if err != nil {
-		return fail(err)
+		return nil, nil, err
 	}
-	body, err = conn.Body(response).ReadAll(answerLimit)
-	if err != nil {
-		return fail(err)
-	}
-	f.pool.Put(server.ID, conn, response)
-	return response.Status, body, conn.Reused, nil
+	body, err := conn.Body(response).ReadAll(answerLimit)
+	return response, body, err
 }
--- a/gateway/forward/protocol.go
+++ b/gateway/forward/protocol.go
@@ -20,6 +20,8 @@
 	AppendIdentity(dst []byte, id string) []byte
 	// LoadRequest returns a request for the load of a backend server.
 	LoadRequest(address string) []byte
+	// IdentityRequest returns a request for the id of the server at an address.
+	IdentityRequest(address, healthPath string) []byte
 	// Report reads the answer of a model engine to it.
 	Report(body []byte) (message.Report, error)
 }
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -101,7 +101,7 @@
 	if result.wrongServer {
 		r.f.directory.Remove(a.server.ID, a.server.Revision)
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
-		r.f.selector.unreachable(a.server, result.err)
+		r.f.unreachable(a.server, result.err)
 	}
 	r.f.meters.attemptFailed(result.code)
 	event.Log(r.f.logger, event.AttemptFailed).Str("request", r.j.request.ID).Str("server", a.server.ID).
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,10 +81,11 @@
 			Extra:  own.SecondSends.Extra,
 			Window: time.Duration(own.SecondSends.WindowSeconds * float64(time.Second)),
 		},
-		Group:   func() peers.Group { return g.peers.Group() },
-		Lost:    func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
-		Logger:  logger,
-		Metrics: g.metrics,
+		Group:        func() peers.Group { return g.peers.Group() },
+		AddressReuse: time.Duration(own.AddressReuseSeconds * float64(time.Second)),
+		Lost:         func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
+		Logger:       logger,
+		Metrics:      g.metrics,
 	})
 	g.ingress = ingress.NewServer(g.forwarder, max(1, (own.Descriptors-reservedDescriptors)/2), logger)
 	g.peers = peers.New(g.peerOptions())
--- a/gateway/message/answer.go
+++ b/gateway/message/answer.go
@@ -11,6 +11,8 @@
 	NotRun bool
 	// WrongServer reports whether another server has the address.
 	WrongServer bool
+	// Server is the id of the server that answers; empty when not given.
+	Server string
 	// Encoded reports a coded body, which is not the server's own.
 	Encoded bool
 	// Load is the server's load, valid when HasLoad is set.
--- /dev/null
+++ b/gateway/peers/peers_test.go
@@ -0,0 +1,180 @@
+package peers
+
+import (
+	"net/netip"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+func addressOf(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+func TestDigestsArriveAsTheyWereSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.Uint64Range(0, maxNumber)
+		sent := Digest{
+			Instance: rapid.StringMatching(`[a-z-]{1,30}`).Draw(t, "instance"), DataCentre: rapid.StringMatching(`[a-z-]{0,20}`).Draw(t, "centre"),
+			Incarnation: number.Draw(t, "incarnation"), Sequence: number.Draw(t, "sequence"),
+			Version: number.Draw(t, "version"), Revision: number.Draw(t, "revision"), Servers: rapid.Uint64().Draw(t, "servers"),
+			Relay: rapid.Bool().Draw(t, "relay"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Greeting: rapid.Bool().Draw(t, "greeting"), HasLoads: rapid.Bool().Draw(t, "has loads"),
+		}
+		for i := range rapid.IntRange(0, 5).Draw(t, "parts") {
+			id := "i-" + strconv.Itoa(i)
+			sent.Loads = append(sent.Loads, ServerLoad{Server: id, Load: placement.Load{Requests: i + 1, Waiting: 100 * i, Memory: 1000 * i}})
+			sent.Lost = append(sent.Lost, LostServer{Server: id, DataCentre: "a", Age: time.Duration(i) * time.Millisecond, Down: i%2 == 0})
+			sent.Usages = append(sent.Usages, ServiceUsage{Service: id, Usage: secondsends.Usage{Requests: i, Seconds: 2 * i}})
+			sent.Members = append(sent.Members, addressOf(i))
+		}
+		payload := Encode(&sent)
+		received, err := Decode(payload)
+		if err != nil || !reflect.DeepEqual(&sent, received) {
+			t.Fatalf("sent %+v, received %+v, %v", sent, received, err)
+		}
+	})
+}
+
+func TestDigestFitsIntoADatagram(t *testing.T) {
+	is := is.New(t)
+	digest := Digest{Instance: "i", HasLoads: true, Lost: []LostServer{{Server: "lost"}}}
+	for i := range 500 {
+		digest.Loads = append(digest.Loads, ServerLoad{Server: "i-" + strconv.Itoa(i), Load: placement.Load{Requests: 1}})
+	}
+	payload := Encode(&digest)
+	is.True(len(payload) <= datagram.MaxBytes)
+	received, err := Decode(payload)
+	is.NoErr(err)
+	is.Equal(len(received.Lost), 1) // what is urgent is not left out
+	is.True(len(received.Loads) > 20)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(&Digest{Instance: "i", Loads: []ServerLoad{{Server: "s", Load: placement.Load{Requests: 1}}}}))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		digest, err := Decode(payload)
+		if err != nil {
+			return
+		}
+		for _, load := range digest.Loads {
+			if load.Load.Requests < 0 || load.Load.Waiting < 0 || load.Load.Memory < 0 {
+				t.Fatalf("negative load %+v", load)
+			}
+		}
+	})
+}
+
+// hear lets a table hear of other instances of a data centre.
+func hear(t *Table, now time.Time, instance int, change func(*Digest)) {
+	digest := Digest{Instance: "instance-" + strconv.Itoa(instance), DataCentre: "a", Incarnation: 1, Sequence: uint64(now.UnixNano())}
+	if change != nil {
+		change(&digest)
+	}
+	t.Hear(now, addressOf(instance), &digest)
+}
+
+func TestOlderDigestsAreNoNews(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	digest := &Digest{Instance: "other", Incarnation: 5, Sequence: 7, Version: 3}
+	is.True(table.Hear(begin, addressOf(1), digest))
+	is.True(!table.Hear(begin, addressOf(1), digest))
+	is.True(!table.Hear(begin, addressOf(1), &Digest{Instance: "other", Incarnation: 4, Sequence: 9}))
+	is.True(table.Hear(begin, addressOf(1), &Digest{Instance: "other", Incarnation: 6, Sequence: 1}))
+	is.True(!table.Hear(begin, addressOf(2), &Digest{Instance: "own"})) // its own
+}
+
+// TestTwoInstancesFollowTheStore asks the tables of all instances of a data
+// centre that know each other.
+func TestTwoInstancesFollowTheStore(t *testing.T) {
+	is := is.New(t)
+	const count = 9
+	following, standingIn := 0, 0
+	at := begin.Add(time.Second)
+	for own := range count {
+		table := NewTable("instance-"+strconv.Itoa(own), addressOf(own), nil)
+		for other := range count {
+			if other != own {
+				hear(table, at, other, func(d *Digest) { d.Relay = other == 0 })
+			}
+		}
+		switch table.Duty(at, "a") {
+		case Follow:
+			following++
+		case StandIn:
+			standingIn++
+		}
+	}
+	is.Equal(following, relaysPerCentre)
+	is.Equal(standingIn, 0)
+}
+
+// TestOthersStandInOneAfterTheOther lets no relay reach the store.
+func TestOthersStandInOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	const count = 6
+	tables := make([]*Table, count)
+	for own := range count {
+		tables[own] = NewTable("instance-"+strconv.Itoa(own), addressOf(own), nil)
+	}
+	active := func(now time.Time) (active int) {
+		for own, table := range tables {
+			for other := range count {
+				if other != own {
+					hear(table, now, other, nil)
+				}
+			}
+			if table.Duty(now, "a") != Listen {
+				active++
+			}
+		}
+		return active
+	}
+	is.Equal(active(begin), relaysPerCentre)
+	for extra := 1; extra <= count-relaysPerCentre; extra++ {
+		is.Equal(active(begin.Add(time.Duration(extra)*standInDelay)), relaysPerCentre+extra)
+	}
+}
+
+func TestSilentRelayIsReplaced(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("instance-0", addressOf(0), nil)
+	now := begin
+	for other := 1; other < 8; other++ {
+		hear(table, now, other, func(d *Digest) { d.Relay = true })
+	}
+	before := 0
+	for other := 1; other < 8; other++ {
+		if relayRank("instance-"+strconv.Itoa(other)) < relayRank("instance-0") {
+			before++
+		}
+	}
+	is.True(before >= relaysPerCentre) // the test needs instances that come first
+	is.Equal(table.Duty(now, "a"), Listen)
+	is.Equal(table.Duty(now.Add(relaySilence+time.Millisecond), "a"), Follow)
+}
+
+func TestGreetingsEnd(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), []netip.Addr{addressOf(1), addressOf(100)})
+	greeted := 0
+	for second := range 100 {
+		greeted += len(table.Greet(begin.Add(time.Duration(second) * greetPeriod)))
+	}
+	is.Equal(greeted, greetLimit)
+	table.Named(addressOf(100), []netip.Addr{addressOf(2), addressOf(100)})
+	is.Equal(len(table.Greet(begin)), 1)
+	hear(table, begin, 2, nil)
+	is.Equal(len(table.Greet(begin.Add(time.Hour))), 0)
+	table.Expire(begin.Add(forgetAfter + time.Second))
+	is.Equal(len(table.Members()), 0)
+}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -27,6 +27,9 @@
 	members map[netip.Addr]*member
 	// greeted holds addresses that were named and have not answered.
 	greeted map[netip.Addr]*greeting
+	// helped is when another instance without the store was last found to know
+	// other servers.
+	helped time.Time
 	// reached is when a relay of the own data centre last reached the store.
 	reached time.Time
 }
@@ -143,14 +146,25 @@
 		if own.Relay || known.servers == own.Servers || known.servers == known.fetched || known.revision < own.Revision {
 			continue
 		}
-		// A relay is never behind; others help while there is none.
+		// A relay is never behind; others help while there is none, now and then
+		// because their lists differ for other reasons too.
+		if !known.relay && now.Sub(t.helped) < helpSpacing {
+			continue
+		}
 		if servers == nil || (known.relay && !servers.relay) || (known.relay == servers.relay && known.revision > servers.revision) {
 			servers = known
 		}
 	}
+	if servers != nil && !servers.relay {
+		t.helped = now
+	}
 	return configuration, servers
 }
 
+// helpSpacing is the time between two reads of the servers from an instance
+// that does not reach the store either.
+const helpSpacing = 700 * time.Millisecond
+
 // aheadLifetime is how long a digest counts as a sign that its sender can be
 // asked.
 const aheadLifetime = 3 * time.Second
--- a/gateway/route/service.go
+++ b/gateway/route/service.go
@@ -5,6 +5,8 @@
 // Service is a group of interchangeable backend servers.
 type Service struct {
 	Name string
+	// HealthPath is the path at which a backend server says who it is.
+	HealthPath string
 	// ConnectionLimit bounds the connections that one backend server accepts
 	// from all instances together.
 	ConnectionLimit int
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -21,6 +21,9 @@
 	DataCentres []DataCentre `json:"data_centres"`
 	// StopSeconds is the time from a stop signal to the end of the process.
 	StopSeconds float64 `json:"stop_seconds,omitempty"`
+	// AddressReuseSeconds is the time after the end of a backend server in which
+	// its address belongs to nobody else; 0 when that is not known.
+	AddressReuseSeconds float64 `json:"address_reuse_seconds,omitempty"`
 	// SecondSends bounds the sends to second backend servers over all
 	// instances.
 	SecondSends SecondSends `json:"second_sends,omitzero"`
@@ -103,7 +106,7 @@
 		v.required(at("gateway.data_centres", i)+".region", centre.Region)
 	}
 	v.notNegative("gateway.descriptors", g.Descriptors)
-	if g.StopSeconds < 0 || g.SecondSends.Ratio < 0 || g.SecondSends.Extra < 0 || g.SecondSends.WindowSeconds < 0 || g.MemoryMB < 0 {
-		v.problems.Add("gateway", "stop_seconds, second_sends and memory_mb must not be negative")
+	if g.StopSeconds < 0 || g.AddressReuseSeconds < 0 || g.SecondSends.Ratio < 0 || g.SecondSends.Extra < 0 || g.SecondSends.WindowSeconds < 0 || g.MemoryMB < 0 {
+		v.problems.Add("gateway", "stop_seconds, address_reuse_seconds, second_sends and memory_mb must not be negative")
 	}
 }
