Give lapsed entries their time to come back after the first list

Cause, found by a test in virtual time: the first list after the store's return was judged before its return was noted, so that the entries missing from it were removed at once instead of after the time in which living servers register again. The test itself had hung in its first form (it waited for a watch that the failing feed never answered).

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -73,8 +73,12 @@
 	}
 }
 
-// watches is the number of things that a follower watches.
-const watches = 2
+// What a follower watches.
+const (
+	watchConfiguration = "configuration"
+	watchServers       = "servers"
+	watches            = 2
+)
 
 // Following reports whether this instance follows the store and no call to it
 // fails.
@@ -91,7 +95,7 @@
 
 // RunConfiguration keeps the configuration up to date until the context ends.
 func (f *Follower) RunConfiguration(ctx context.Context) {
-	f.run(ctx, "configuration", configurationPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+	f.run(ctx, watchConfiguration, configurationPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
 		var newest *Configuration
 		var revision uint64
 		var err error
@@ -113,7 +117,7 @@
 
 // RunServers keeps the directory up to date until the context ends.
 func (f *Follower) RunServers(ctx context.Context) {
-	f.run(ctx, "servers", serverPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+	f.run(ctx, watchServers, serverPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
 		if listed {
 			changes, revision, err := f.feed.WatchServers(ctx, after)
 			if err != nil {
@@ -237,10 +241,14 @@
 // the store was away a moment ago.
 func (f *Follower) lapse(id string, revision uint64) {
 	f.mu.Lock()
-	recent := !f.regainedAt.IsZero() && time.Since(f.regainedAt) < lapseGrace
+	regained := f.regainedAt
+	if f.failing[watchServers] {
+		regained = time.Now() // this call is the first that works again
+	}
+	recent := !regained.IsZero() && time.Since(regained) < lapseGrace
 	if recent {
 		if _, waiting := f.missing[id]; !waiting {
-			f.missing[id] = lapse{due: f.regainedAt.Add(lapseGrace), revision: revision}
+			f.missing[id] = lapse{due: regained.Add(lapseGrace), revision: revision}
 		}
 	}
 	f.mu.Unlock()
--- a/gateway/discovery/follower_test.go
+++ b/gateway/discovery/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 	Feed
 	listed  chan []ServerChange
 	watched chan []ServerChange
-	failing bool
+	failing atomic.Bool
 }
 
 func (f *scriptedFeed) Servers(ctx context.Context) ([]ServerChange, uint64, error) {
@@ -30,7 +31,7 @@
 }
 
 func (f *scriptedFeed) next(ctx context.Context, from chan []ServerChange) ([]ServerChange, uint64, error) {
-	if f.failing {
+	if f.failing.Load() {
 		return nil, 0, fault.New(fault.PlatformUnavailable, "away")
 	}
 	select {
@@ -93,11 +94,11 @@
 	is := is.New(t)
 	follow(t, func(feed *scriptedFeed, servers *directory.Directory) {
 		feed.listed <- []ServerChange{put("back", 1), put("gone", 2)}
-		feed.failing = true
 		feed.watched <- nil
+		feed.failing.Store(true)
 		time.Sleep(5 * time.Second)
 		is.Equal(known(servers), 2) // nothing is removed while the store is away
-		feed.failing = false
+		feed.failing.Store(false)
 		feed.listed <- []ServerChange{put("other", 10)}
 		synctest.Wait()
 		is.Equal(known(servers), 3)
