--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -77,7 +77,8 @@
 	started := time.Now()
 	event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", server.ID).
 		Str("data_centre", server.DataCentre).Int("sends", r.j.sends).
-		Uint64("version", r.j.table.Version).Uint64("server_revision", server.Revision).Send()
+		Uint64("version", r.j.table.Version).Uint64("server_revision", server.Revision).
+		Dur("left_ms", r.j.remaining()).Send()
 	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.CallStarted(started, server.ID) })
 	go func() {
 		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
@@ -102,7 +103,8 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if result.usable() && !(result.failedAnswer() && r.j.route.Kind == route.Idempotent) {
+	again := result.failedAnswer() && r.j.route.Kind == route.Idempotent
+	if result.usable() && !again {
 		r.f.pass(r.j, &result)
 		return true
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -33,8 +33,6 @@
 	// unreached counts the servers that could not be reached.
 	unreached int
 	last      streamResult
-	// passed is an answer of a server that is no stream.
-	answer *callResult
 }
 
 // unreachedLimit bounds the servers that are tried in vain: more than a data
@@ -93,6 +91,7 @@
 
 // finished ends the exchange when the attempt brought its end.
 func (r *streamRun) finished(result *streamResult) bool {
+	again := result.answered != nil && result.answered.failedAnswer() && r.j.route.Resumable && r.j.sends < r.j.route.Attempts
 	switch {
 	case result.complete:
 		err := r.j.exchange.End()
@@ -103,7 +102,7 @@
 			Uint64("version", r.j.table.Version).Dur("first_event_ms", r.firstEvent.Sub(r.j.exchange.Received)).
 			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("write", err).Send()
 		return true
-	case result.answered != nil && !(result.answered.failedAnswer() && r.j.route.Resumable && r.j.sends < r.j.route.Attempts):
+	case result.answered != nil && !again:
 		r.f.pass(r.j, result.answered)
 		return true
 	}
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -257,7 +257,8 @@
 	r := a.run
 	line := event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", a.server.ID).
 		Str("data_centre", a.server.DataCentre).Int("sends", r.j.sends).Bool("from_copy", fromCopy).
-		Uint64("version", r.j.table.Version).Uint64("server_revision", a.server.Revision)
+		Uint64("version", r.j.table.Version).Uint64("server_revision", a.server.Revision).
+		Dur("left_ms", r.j.remaining())
 	if !fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory)
