--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -14,6 +14,7 @@
 	ReportInvalid       = Definition{7009, "report_invalid", zerolog.WarnLevel, "a backend server's report about its work could not be read", "check the server"}
 	ServerSuspected     = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server when it repeats"}
 	ServerAdopted       = Definition{7012, "server_adopted", zerolog.InfoLevel, "a restarted backend server was found at its address before the store told of it", "none"}
+	SecondSendDenied    = Definition{7013, "second_send_denied", zerolog.InfoLevel, "a request was not sent to another backend server because the bound on second sends is reached; the fields say how often this instance and its data centre used it", "look for the servers that fail"}
 	ServersChanged      = Definition{7011, "server_changed", zerolog.InfoLevel, "a backend server was added, changed or removed", "none"}
 	StoreLost           = Definition{7020, "store_lost", zerolog.WarnLevel, "the object store does not answer; the instance goes on with what it knows", "check the platform"}
 	StoreRegained       = Definition{7021, "store_regained", zerolog.InfoLevel, "the object store answers again", "none"}
@@ -32,6 +33,6 @@
 
 var forwardingEvents = []Definition{
 	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued, RequestSent, ReportInvalid,
-	ServerSuspected, ServersChanged, ServerAdopted, StoreLost, StoreRegained, StoreObjectInvalid, StoreHistoryGone,
+	ServerSuspected, SecondSendDenied, ServersChanged, ServerAdopted, StoreLost, StoreRegained, StoreObjectInvalid, StoreHistoryGone,
 	ReadinessChanged, LogLinesDropped, PeerServersGot, PeerDigestInvalid, PeerFetchFailed, ServerLostElsewhere, ProcessResumed, SettingsReloaded, AcceptFailed,
 }
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -54,7 +54,7 @@
 			run.cancelled(ctx)
 			return
 		case <-second.C:
-			if j.route.Kind == route.Idempotent && j.sends < j.route.Attempts && f.selector.secondSend(j.service) {
+			if j.route.Kind == route.Idempotent && j.sends < j.route.Attempts && f.selector.secondSend(j.request.ID, j.service) {
 				run.start(ctx)
 			}
 		case result := <-run.results:
@@ -118,7 +118,7 @@
 	} else {
 		r.mayHaveRun = true
 	}
-	if r.another(&result) && r.f.selector.secondSend(r.j.service) && r.start(ctx) {
+	if r.another(&result) && r.f.selector.secondSend(r.j.request.ID, r.j.service) && r.start(ctx) {
 		return false
 	}
 	if r.pending > 0 {
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -184,9 +184,9 @@
 	at    time.Time
 }
 
-// secondSend takes one second send to a service and reports whether it is
-// allowed.
-func (s *selector) secondSend(service string) bool {
+// secondSend takes one second send of a request to a service and reports
+// whether it is allowed.
+func (s *selector) secondSend(request, service string) bool {
 	place := s.group()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,7 +198,15 @@
 		}
 		group.Others = group.Others.Plus(stated.usage)
 	}
-	return s.budget(service).Take(time.Since(s.started), group)
+	budget, now := s.budget(service), time.Since(s.started)
+	if budget.Take(now, group) {
+		return true
+	}
+	own := budget.Usage(now)
+	event.Log(s.logger, event.SecondSendDenied).Str("request", request).Str("service", service).
+		Int("own_requests", own.Requests).Int("own_seconds", own.Seconds).Int("others_requests", group.Others.Requests).
+		Int("others_seconds", group.Others.Seconds).Int("instances", place.Instances).Int("members", place.Members).Send()
+	return false
 }
 
 func (s *selector) budget(service string) *secondsends.Budget {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -124,7 +124,7 @@
 		if r.unreached > unreachedLimit {
 			return false
 		}
-	} else if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.service) {
+	} else if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.request.ID, r.j.service) {
 		return false
 	}
 	if r.delivered > 0 || r.events.checked {
