Add the fault soak

Entry instances as processes between stand-ins of the platform, with links that delay, cut and silence, servers and a store that misbehave, and signals; promises are checked from what clients and backend servers see.

--- a/cmd/wisteriahaven-bench/main.go
+++ b/cmd/wisteriahaven-bench/main.go
@@ -24,6 +24,7 @@
 	Standins   *standinsCommand   `arg:"subcommand:standins" help:"run the stand-ins of an example estate on its declared addresses"`
 	Load       *loadCommand       `arg:"subcommand:load" help:"send a bounded load of generations and calls to loopback addresses"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"run an experiment and print its figures and targets"`
+	Soak       *soakCommand       `arg:"subcommand:soak" help:"run entry instances as processes, injure them and their links, and check what callers and backend servers see"`
 	Slopes     *slopesCommand     `arg:"subcommand:slopes" help:"measure what control costs a node against the sizes of the estate"`
 }
 
@@ -50,6 +51,8 @@
 		os.Exit(parsed.Load.run(ctx))
 	case parsed.Experiment != nil:
 		os.Exit(parsed.Experiment.run(ctx))
+	case parsed.Soak != nil:
+		os.Exit(parsed.Soak.run(ctx))
 	case parsed.Slopes != nil:
 		os.Exit(parsed.Slopes.run(ctx))
 	default:
--- /dev/null
+++ b/cmd/wisteriahaven-bench/soak.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/platform/soak"
+)
+
+// soakCommand runs the fault soak.
+type soakCommand struct {
+	Binary    string        `arg:"--binary" default:"target/wisteriahaven" help:"the program under test"`
+	Folder    string        `arg:"--folder" help:"folder for settings and logs; a temporary one when not given, kept when a promise was broken"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Faults    time.Duration `arg:"--faults" default:"12s" help:"time in which faults are injected"`
+	Instances int           `arg:"--instances" default:"4" help:"number of entry instances"`
+	Clients   int           `arg:"--clients" default:"16" help:"number of clients"`
+	Verbose   bool          `arg:"--verbose" help:"print the faults of every seed"`
+}
+
+func (c *soakCommand) run(ctx context.Context) int {
+	code := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		broken, err := c.runSeed(ctx, seed)
+		if err != nil {
+			return fail(err)
+		}
+		if broken {
+			code = exitMissed
+		}
+	}
+	return code
+}
+
+func (c *soakCommand) runSeed(ctx context.Context, seed uint64) (broken bool, err error) {
+	folder := c.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "wisteriahaven-soak-"); err != nil {
+			return false, err
+		}
+	} else {
+		folder = filepath.Join(folder, strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return false, err
+		}
+	}
+	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, Faults: c.Faults, Instances: c.Instances, Clients: c.Clients})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d of %d requests served, %d of %d after %d faults, %d promises broken\n",
+		seed, report.Served, report.Requests, report.ServedAfter, report.AskedAfter, len(report.Faults), len(report.Broken))
+	if c.Verbose || len(report.Broken) > 0 {
+		for _, line := range report.Faults {
+			fmt.Println("  fault", line)
+		}
+	}
+	for _, line := range report.Broken {
+		fmt.Println("  BROKEN", line)
+	}
+	if len(report.Broken) > 0 {
+		fmt.Println("  logs in", folder)
+		return true, nil
+	}
+	if c.Folder == "" {
+		return false, os.RemoveAll(folder)
+	}
+	return false, nil
+}
