--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,9 +94,14 @@
 	return g
 }
 
+// heapPart is the part of the process's memory that the heap may use before the
+// collector works harder: buffers of the kernel and stacks need the rest.
+const heapPart = 0.6
+
 // Start listens on the instance's addresses and starts its duties.
 func (g *Gateway) Start() error {
 	own := g.settings.Gateway
+	debug.SetMemoryLimit(int64(heapPart * own.MemoryMB * (1 << 20)))
 	clients, err := g.listen("clients", own.Clients)
 	if err != nil {
 		return err
