--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -94,8 +94,12 @@
 	l.centre(dataCentre).failed(at, id, l.policy.CentreWindow)
 }
 
-// Add changes the own load of a server.
-func (l *Ledger) Add(id string, change Load) { l.record(id).own = l.record(id).own.plus(change) }
+// Add changes the own load of a server. What was begun before a server was
+// forgotten ends after it: the load never becomes negative.
+func (l *Ledger) Add(id string, change Load) {
+	known := l.record(id)
+	known.own = known.own.plus(change).atLeastNone()
+}
 
 // Heard notes that a server sent something.
 func (l *Ledger) Heard(now time.Time, id string) {
--- a/decision/placement/ledger_test.go
+++ b/decision/placement/ledger_test.go
@@ -44,6 +44,15 @@
 	is.Equal(choice.ID, "near")
 }
 
+func TestForgottenServerOwesNothing(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Add("here", Load{Requests: 1, Waiting: 8200, Memory: 8800})
+	l.Forget("here") // it started again under the same id
+	l.Add("here", Load{Requests: 1, Waiting: 8200, Memory: 8800}.Negative())
+	is.Equal(l.Load("here"), Load{})
+}
+
 func TestReportsExpire(t *testing.T) {
 	is := is.New(t)
 	l := newLedger()
--- a/decision/placement/load.go
+++ b/decision/placement/load.go
@@ -18,6 +18,11 @@
 	}
 }
 
+// atLeastNone returns the load without negative parts.
+func (l Load) atLeastNone() Load {
+	return Load{Requests: max(0, l.Requests), Waiting: max(0, l.Waiting), Memory: max(0, l.Memory)}
+}
+
 // Negative returns the change that takes a load away.
 func (l Load) Negative() Load {
 	return Load{Requests: -l.Requests, Waiting: -l.Waiting, Memory: -l.Memory}
