Tell an instance's processes apart by a drawn number, not by the time of day

Cause, seen while reading: the incarnation was the time of the start. An instance that restarts after its clock stepped back was taken for an older process, and its digests were ignored for 30 s. The order test changes with it: a new number is a new process, that of the one before is late.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -22,8 +22,8 @@
 	buffer  []byte
 	// size is the generation's size in tokens.
 	size placement.Generation
-	// copyAt holds a copy of the generation's KV cache, when the attempt that
-	// makes it has begun to run.
+	// copyAt holds the copy of the generation's KV cache that the next attempt
+	// goes on from; nil for none.
 	copyAt *directory.Server
 	// mayHaveRun is set when an attempt may have run the request.
 	mayHaveRun bool
@@ -147,8 +147,6 @@
 			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", r.last.err).Send()
 	case r.last.answered != nil:
 		r.f.pass(r.j, r.last.answered)
-	case r.mayHaveRun && !r.j.route.Resumable:
-		r.f.reject(r.j, ownAnswer{status: 502, code: fault.UpstreamBroken, cause: r.last.err})
 	case r.mayHaveRun:
 		r.f.reject(r.j, ownAnswer{status: 502, code: r.last.code, cause: r.last.err})
 	default:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -12,8 +12,8 @@
 type Digest struct {
 	Instance   string
 	DataCentre string
-	// Incarnation is the start of the instance's process; a higher one
-	// replaces a lower one.
+	// Incarnation is a number that each process draws: the time of day, which
+	// may step back, does not order processes.
 	Incarnation uint64
 	// Sequence orders the digests of one process.
 	Sequence uint64
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -11,13 +11,15 @@
 	dataCentre  string
 	address     netip.Addr
 	incarnation uint64
-	sequence    uint64
-	version     uint64
-	revision    uint64
-	servers     uint64
-	relay       bool
-	leaving     bool
-	heard       time.Time
+	// earlier is the incarnation of the process before.
+	earlier  uint64
+	sequence uint64
+	version  uint64
+	revision uint64
+	servers  uint64
+	relay    bool
+	leaving  bool
+	heard    time.Time
 	// sent is when the last digest was sent to it, fingerprint that of its
 	// loads.
 	sent        time.Time
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -98,7 +98,7 @@
 func New(options Options) *Service {
 	return &Service{
 		options:     options,
-		incarnation: uint64(time.Now().UnixMilli()),
+		incarnation: rand.Uint64(),
 		lost:        make(chan LostServer, lostCapacity),
 		wake:        make(chan struct{}, 1),
 		table:       NewTable(options.Instance, options.Address.Addr(), options.Seeds),
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -63,8 +63,15 @@
 		t.members[from] = known
 	}
 	delete(t.greeted, from)
-	if digest.Incarnation < known.incarnation || (digest.Incarnation == known.incarnation && digest.Sequence <= known.sequence) {
-		return false
+	switch {
+	case digest.Incarnation == known.incarnation:
+		if digest.Sequence <= known.sequence {
+			return false
+		}
+	case digest.Incarnation == known.earlier:
+		return false // a late digest of the process before
+	default:
+		known.earlier = known.incarnation
 	}
 	known.dataCentre, known.leaving, known.heard = digest.DataCentre, digest.Leaving, now
 	known.incarnation, known.sequence = digest.Incarnation, digest.Sequence
