--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -164,6 +164,26 @@
 	is.Equal(table.Duty(now.Add(relaySilence+time.Millisecond), "a"), Follow)
 }
 
+// TestServersAreReadFromANearRelay offers the list in several places.
+func TestServersAreReadFromANearRelay(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	own := Own{DataCentre: "a", Revision: 5, Servers: 1}
+	source := func() string {
+		_, servers := table.Ahead(begin, own)
+		return servers.instance
+	}
+	hear(table, begin, 1, func(d *Digest) { d.Revision, d.Servers = 9, 2 })
+	is.Equal(source(), "instance-1")
+	hear(table, begin, 2, func(d *Digest) { d.DataCentre, d.Relay, d.Revision, d.Servers = "b", true, 9, 2 })
+	is.Equal(source(), "instance-2")
+	hear(table, begin, 3, func(d *Digest) { d.Relay, d.Revision, d.Servers = true, 8, 2 })
+	is.Equal(source(), "instance-3")
+	own.Relay = true
+	_, servers := table.Ahead(begin, own)
+	is.True(servers == nil) // it follows the store itself
+}
+
 func TestGreetingsEnd(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("own", addressOf(100), []netip.Addr{addressOf(1), addressOf(100)})
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -197,7 +197,8 @@
 // own returns what this instance knows.
 func (s *Service) own() Own {
 	return Own{
-		Version: s.options.State.Version(), Revision: s.options.Directory.Revision(),
+		DataCentre: s.options.DataCentre,
+		Version:    s.options.State.Version(), Revision: s.options.Directory.Revision(),
 		Servers: s.options.Directory.Snapshot().Fingerprint, Relay: s.options.Follower.Following(),
 	}
 }
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -63,12 +63,12 @@
 		t.members[from] = known
 	}
 	delete(t.greeted, from)
-	switch {
-	case digest.Incarnation == known.incarnation:
+	switch digest.Incarnation {
+	case known.incarnation:
 		if digest.Sequence <= known.sequence {
 			return false
 		}
-	case digest.Incarnation == known.earlier:
+	case known.earlier:
 		return false // a late digest of the process before
 	default:
 		known.earlier = known.incarnation
@@ -130,6 +130,7 @@
 
 // Own is what this instance knows.
 type Own struct {
+	DataCentre string
 	// Version is the configuration in force, Revision that of the newest known
 	// entry of a backend server, Servers the fingerprint of all.
 	Version  uint64
@@ -158,7 +159,7 @@
 		if !known.relay && now.Sub(t.helped) < helpSpacing {
 			continue
 		}
-		if servers == nil || (known.relay && !servers.relay) || (known.relay == servers.relay && known.revision > servers.revision) {
+		if servers == nil || t.better(known, servers, own.DataCentre) {
 			servers = known
 		}
 	}
@@ -168,6 +169,19 @@
 	return configuration, servers
 }
 
+// better reports whether the servers are rather read from one instance than from
+// another: from a relay, then from one of the own data centre, because the list
+// is long, then from the one that knows most.
+func (t *Table) better(one, other *member, dataCentre string) bool {
+	if one.relay != other.relay {
+		return one.relay
+	}
+	if near := one.dataCentre == dataCentre; near != (other.dataCentre == dataCentre) {
+		return near
+	}
+	return one.revision > other.revision
+}
+
 // helpSpacing is the time between two reads of the servers from an instance
 // that does not reach the store either.
 const helpSpacing = 700 * time.Millisecond
