--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"strings"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
@@ -14,7 +12,6 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
-	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // streamAttempt is one attempt of a stream at one server.
@@ -164,94 +161,6 @@
 	return fault.UpstreamBroken
 }
 
-// receive passes the answer on.
-func (a *streamAttempt) receive(ctx context.Context, response *http1.Response) streamResult {
-	r := a.run
-	answer := r.f.protocol.Answer(response)
-	judged := callResult{server: a.server, response: response}
-	r.f.judge(&judged, r.j, answer)
-	if !judged.usable() {
-		return streamResult{notRun: judged.notRun, wrongServer: answer.WrongServer, code: judged.code, err: judged.err}
-	}
-	if response.Status != 200 {
-		return a.receiveWhole(response, judged)
-	}
-	if !strings.HasPrefix(response.Fields.Get("Content-Type"), "text/event-stream") {
-		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
-	}
-	if err := r.begin(response); err != nil {
-		return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
-	}
-	if r.resumes > 0 {
-		event.Log(r.f.logger, event.StreamContinued).Str("request", r.j.request.ID).Str("server", a.server.ID).
-			Uint64("position", r.events.position).Int("sends", r.j.sends).Dur("after_ms", time.Since(a.sent)).Send()
-	}
-	return a.relay(ctx, a.conn.Body(response))
-}
-
-var errNoStream = errors.New("the answer is no event stream")
-
-// receiveWhole reads an answer that is no stream.
-func (a *streamAttempt) receiveWhole(response *http1.Response, judged callResult) streamResult {
-	body, err := a.conn.Body(response).ReadAll(answerLimit)
-	if err != nil {
-		return streamResult{code: failureCode(err), err: err}
-	}
-	judged.body = body
-	if a.run.j.exchange.Started() {
-		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
-	}
-	return streamResult{answered: &judged, code: fault.UpstreamBroken, err: errNoStream}
-}
-
-// relay passes events on until the stream ends.
-func (a *streamAttempt) relay(ctx context.Context, body *http1.Body) streamResult {
-	r := a.run
-	r.events.restart()
-	for {
-		var data []byte
-		err := a.wait(ctx, func() (err error) {
-			data, err = body.Next()
-			return err
-		})
-		if errors.Is(err, io.EOF) && body.Ended() {
-			err := r.events.complete()
-			return streamResult{complete: err == nil, code: fault.UpstreamBroken, err: err}
-		}
-		if err != nil {
-			return streamResult{code: failureCode(err), err: err}
-		}
-		events, count, err := r.events.take(data, r.buffer)
-		r.buffer = events
-		if count > 0 {
-			a.noteEvents(count)
-			if err := r.j.exchange.Write(events); err != nil {
-				return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
-			}
-		}
-		if err != nil {
-			return streamResult{code: fault.UpstreamBroken, err: err}
-		}
-	}
-}
-
-// noteEvents notes that events came.
-func (a *streamAttempt) noteEvents(count int) {
-	r := a.run
-	r.delivered += count
-	if r.firstEvent.IsZero() {
-		r.firstEvent = time.Now()
-		r.f.meters.served(r.j.route.Kind, r.firstEvent.Sub(r.j.exchange.Received))
-	}
-	if !a.waiting {
-		return
-	}
-	a.waiting = false
-	change := placement.Load{Waiting: -a.load.Waiting}
-	a.load.Waiting = 0
-	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.Add(a.server.ID, change) })
-}
-
 // logSent notes where an attempt goes and why.
 func (a *streamAttempt) logSent(choice placement.Choice, fromCopy bool) {
 	r := a.run
--- /dev/null
+++ b/gateway/peers/receive.go
@@ -0,0 +1,51 @@
+package peers
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+)
+
+// receive takes one datagram.
+func (s *Service) receive(payload []byte, from netip.AddrPort) {
+	digest, err := Decode(payload)
+	if err != nil {
+		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
+		return
+	}
+	now, address := time.Now(), from.Addr().Unmap()
+	s.mu.Lock()
+	fresh := s.table.Hear(now, address, digest)
+	s.table.Named(s.options.Address.Addr(), digest.Members)
+	var answer []byte
+	if digest.Greeting && digest.Instance != s.options.Instance {
+		reply := s.digest()
+		reply.Members = someAddresses(s.table.Members())
+		answer = Encode(&reply)
+	}
+	configuration, servers := s.table.Ahead(now, s.own())
+	s.mu.Unlock()
+	if configuration != nil || servers != nil {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+			// It was signalled already.
+		}
+	}
+	if answer != nil {
+		s.send(address, answer)
+	}
+	if !fresh {
+		return
+	}
+	if digest.HasLoads {
+		s.options.Ledger.Report(digest.Instance, digest.Loads)
+	}
+	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
+		s.options.Ledger.UsagesElsewhere(digest.Instance, digest.Usages)
+	}
+	for _, lost := range digest.Lost {
+		s.options.Ledger.LostElsewhere(lost)
+	}
+}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -1,20 +1,13 @@
 package peers
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
-
-	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
-	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
@@ -46,38 +39,6 @@
 	lostCapacity = 128
 )
 
-// Ledger is what the service tells of and is told about.
-type Ledger interface {
-	// Loads returns the own load at each server.
-	Loads() []ServerLoad
-	// Report takes over the loads of another instance.
-	Report(instance string, loads []ServerLoad)
-	// Usages returns the own sends to each service lately.
-	Usages() []ServiceUsage
-	// UsagesElsewhere takes over those of another instance of the data centre.
-	UsagesElsewhere(instance string, usages []ServiceUsage)
-	// LostElsewhere takes over that another instance lost a server.
-	LostElsewhere(lost LostServer)
-	// Expire drops reports that are too old.
-	Expire()
-}
-
-// Options are the parts of a service.
-type Options struct {
-	Instance   string
-	DataCentre string
-	// Address is that of the UDP and the TCP listener.
-	Address   netip.AddrPort
-	Seeds     []netip.Addr
-	State     *discovery.State
-	Directory *directory.Directory
-	Follower  *discovery.Follower
-	Ledger    Ledger
-	// Decode reads a configuration document.
-	Decode func(document []byte) (*discovery.Configuration, error)
-	Logger zerolog.Logger
-}
-
 // Service exchanges digests.
 type Service struct {
 	options     Options
@@ -233,127 +194,6 @@
 	return s.table.Duty(time.Now(), s.options.DataCentre)
 }
 
-// round sends what is due.
-func (s *Service) round(now time.Time) {
-	s.options.Ledger.Expire()
-	loads := s.options.Ledger.Loads()
-	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
-	usages := s.options.Ledger.Usages()
-	centres := make(map[string]string)
-	for _, server := range s.options.Directory.Snapshot().All {
-		centres[server.ID] = server.DataCentre
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Expire(now)
-	for _, address := range s.table.Greet(now) {
-		digest := s.digest()
-		digest.Greeting = true
-		s.send(address, Encode(&digest))
-	}
-	members := s.table.Members()
-	idleFar := 0
-	for _, i := range rand.Perm(len(members)) {
-		known := members[i]
-		near := known.dataCentre == s.options.DataCentre
-		needed := loads
-		if !near {
-			needed = slices.DeleteFunc(slices.Clone(loads), func(load ServerLoad) bool { return centres[load.Server] != known.dataCentre })
-		}
-		mark := fingerprint(needed)
-		if !due(now, known, near, s.options.Follower.Following(), mark) {
-			continue
-		}
-		if !near && len(needed) == 0 && mark == known.fingerprint {
-			if idleFar++; idleFar > farMembers {
-				continue
-			}
-		}
-		digest := s.digest()
-		digest.HasLoads, digest.Loads = true, needed
-		if near {
-			digest.Usages = usages
-		}
-		digest.Members = someAddresses(members)
-		known.sent, known.fingerprint = now, mark
-		s.send(known.address, Encode(&digest))
-	}
-}
-
-// due reports whether a member gets a digest now.
-func due(now time.Time, known *member, near, relay bool, mark uint64) bool {
-	since := now.Sub(known.sent)
-	if near && relay && since >= relayRefresh {
-		return true
-	}
-	if near {
-		return mark != known.fingerprint || since >= nearRefresh
-	}
-	return since >= farRefresh || (mark != known.fingerprint && since >= farSpacing)
-}
-
-// someAddresses returns addresses of members drawn at random.
-func someAddresses(members []*member) []netip.Addr {
-	var addresses []netip.Addr
-	for range min(namedMembers, len(members)) {
-		addresses = append(addresses, members[rand.IntN(len(members))].address)
-	}
-	return addresses
-}
-
-// fingerprint returns a hash of loads.
-func fingerprint(loads []ServerLoad) uint64 {
-	hash := xxhash.New()
-	for i := range loads {
-		// Writes to a hash never fail.
-		_, _ = hash.Write(encodeLoad(&loads[i]))
-	}
-	return hash.Sum64()
-}
-
 func (s *Service) send(address netip.Addr, payload []byte) {
 	s.transport.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
 }
-
-// receive takes one datagram.
-func (s *Service) receive(payload []byte, from netip.AddrPort) {
-	digest, err := Decode(payload)
-	if err != nil {
-		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
-		return
-	}
-	now, address := time.Now(), from.Addr().Unmap()
-	s.mu.Lock()
-	fresh := s.table.Hear(now, address, digest)
-	s.table.Named(s.options.Address.Addr(), digest.Members)
-	var answer []byte
-	if digest.Greeting && digest.Instance != s.options.Instance {
-		reply := s.digest()
-		reply.Members = someAddresses(s.table.Members())
-		answer = Encode(&reply)
-	}
-	configuration, servers := s.table.Ahead(now, s.own())
-	s.mu.Unlock()
-	if configuration != nil || servers != nil {
-		select {
-		case s.wake <- struct{}{}:
-		default:
-			// It was signalled already.
-		}
-	}
-	if answer != nil {
-		s.send(address, answer)
-	}
-	if !fresh {
-		return
-	}
-	if digest.HasLoads {
-		s.options.Ledger.Report(digest.Instance, digest.Loads)
-	}
-	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
-		s.options.Ledger.UsagesElsewhere(digest.Instance, digest.Usages)
-	}
-	for _, lost := range digest.Lost {
-		s.options.Ledger.LostElsewhere(lost)
-	}
-}
