Accept the settings of a gateway in check

Cause, found by trying the command: the listeners of the completions interface, which a gateway does not have, were compared as empty addresses, so that valid settings were refused.

--- a/ctl/check.go
+++ b/ctl/check.go
@@ -96,13 +96,7 @@
 	owners := make(map[string]string)
 	for _, instance := range c.instances {
 		var problems document.Problems
-		for _, use := range []struct{ path, key string }{
-			{"instance", "instance " + instance.Instance},
-			{"listen.callers", "tcp " + instance.Listen.Callers},
-			{"listen.operators", "tcp " + instance.Listen.Operators},
-			{"listen.peers", "tcp " + instance.Listen.Peers},
-			{"listen.gossip", "udp " + instance.Listen.Gossip},
-		} {
+		for _, use := range uniqueUses(instance.Settings) {
 			if owner, taken := owners[use.key]; taken && !strings.HasSuffix(use.key, ":0") {
 				problems.Add(use.path, "instance \""+owner+"\" has the same")
 			}
@@ -112,6 +106,29 @@
 	}
 }
 
+// use is a name or an address that one instance only may have.
+type use struct{ path, key string }
+
+// uniqueUses returns what no other instance may have. A gateway has listeners of
+// its own.
+func uniqueUses(s settings.Settings) []use {
+	uses := []use{{"instance", "instance " + s.Instance}}
+	if own := s.Gateway; own != nil {
+		return append(uses,
+			use{"gateway.clients", "tcp " + own.Clients},
+			use{"gateway.readiness", "tcp " + own.Readiness},
+			use{"gateway.metrics", "tcp " + own.Metrics},
+			use{"gateway.peers", "tcp " + own.Peers},
+		)
+	}
+	return append(uses,
+		use{"listen.callers", "tcp " + s.Listen.Callers},
+		use{"listen.operators", "tcp " + s.Listen.Operators},
+		use{"listen.peers", "tcp " + s.Listen.Peers},
+		use{"listen.gossip", "udp " + s.Listen.Gossip},
+	)
+}
+
 // instancesInEstates demands that the data centre and region of each instance
 // are declared.
 func (c *checker) instancesInEstates() {
