Remove what nothing uses from the gateway

No behaviour changes; the tests are as they were, one reads a record where it called a removed accessor.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -62,11 +62,3 @@
 		known.avoidUntil = time.Time{}
 	}
 }
-
-// CallCancelled notes a call that was cut before it said anything about its
-// server.
-func (l *Ledger) CallCancelled(started time.Time, id string) {
-	known := l.record(id)
-	known.own.Requests = max(0, known.own.Requests-1)
-	known.endPending(started)
-}
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -29,17 +29,6 @@
 	}
 }
 
-// Servers returns the number of servers with a record.
-func (l *Ledger) Servers() int { return len(l.servers) }
-
-// Load returns the instance's own load of a server, for other instances.
-func (l *Ledger) Load(id string) Load {
-	if known := l.servers[id]; known != nil {
-		return known.own
-	}
-	return Load{}
-}
-
 // Loads calls a function with the own load of each server that has any.
 func (l *Ledger) Loads(visit func(id string, load Load)) {
 	for id, known := range l.servers {
--- a/decision/placement/ledger_test.go
+++ b/decision/placement/ledger_test.go
@@ -50,7 +50,7 @@
 	l.Add("here", Load{Requests: 1, Waiting: 8200, Memory: 8800})
 	l.Forget("here") // it started again under the same id
 	l.Add("here", Load{Requests: 1, Waiting: 8200, Memory: 8800}.Negative())
-	is.Equal(l.Load("here"), Load{})
+	is.Equal(l.servers["here"].own, Load{})
 }
 
 func TestReportsExpire(t *testing.T) {
--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -9,13 +9,11 @@
 	NoConfiguration         Code = "no_configuration"
 	NoServer                Code = "no_server"
 	InstanceStopping        Code = "instance_stopping"
-	ServersBusy             Code = "servers_busy"
 	UpstreamUnreachable     Code = "upstream_unreachable"
 	UpstreamRejected        Code = "upstream_rejected"
 	UpstreamBroken          Code = "upstream_broken"
 	UpstreamTimeout         Code = "upstream_timeout"
 	MessageMalformed        Code = "message_malformed"
-	RequestCrashes          Code = "request_crashes_servers"
 	ConfigurationUnreadable Code = "configuration_unreadable"
 )
 
@@ -25,12 +23,10 @@
 	NoConfiguration:         {http.StatusServiceUnavailable, "the instance knows no configuration yet", "retry later; check the platform"},
 	NoServer:                {http.StatusServiceUnavailable, "no backend server of the service is usable: the request was not sent", "retry later; check the service's backend servers"},
 	InstanceStopping:        {http.StatusServiceUnavailable, "the instance stops before it could answer: the request was not sent", "retry at once; another instance serves it"},
-	ServersBusy:             {http.StatusServiceUnavailable, "the backend servers can't answer in time: the request was not sent", "retry after the time given"},
 	UpstreamUnreachable:     {http.StatusServiceUnavailable, "no backend server could be reached: the request was not sent", "retry later; check the link and the servers"},
 	UpstreamRejected:        {http.StatusServiceUnavailable, "the backend servers rejected the request without running it", "retry after the time given"},
 	UpstreamBroken:          {http.StatusBadGateway, "the backend server broke off: the request may have run", "check the backend server for the request's id"},
 	UpstreamTimeout:         {http.StatusGatewayTimeout, "no answer within the route's or the client's time: the request may have run", "check the backend server for the request's id"},
 	MessageMalformed:        {http.StatusBadRequest, "the request breaks the protocol", "correct the client"},
-	RequestCrashes:          {http.StatusServiceUnavailable, "the request ended several backend servers: it is not sent again", "look at the request"},
 	ConfigurationUnreadable: {http.StatusUnprocessableEntity, "a version of the configuration can't be read and is ignored", "look at who wrote it"},
 }
--- a/gateway/discovery/state.go
+++ b/gateway/discovery/state.go
@@ -9,7 +9,6 @@
 type State struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Configuration]
-	changed []func(*Configuration)
 }
 
 // NewState returns a state without a configuration.
@@ -26,13 +25,6 @@
 	return 0
 }
 
-// OnChange adds a function that is called with each new version.
-func (s *State) OnChange(call func(*Configuration)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.changed = append(s.changed, call)
-}
-
 // Offer puts a configuration into force unless an equal or newer one is, and
 // reports whether it did.
 func (s *State) Offer(configuration *Configuration) bool {
@@ -42,8 +34,5 @@
 		return false
 	}
 	s.current.Store(configuration)
-	for _, call := range s.changed {
-		call(configuration)
-	}
 	return true
 }
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -22,8 +22,6 @@
 type callResult struct {
 	server  *directory.Server
 	started time.Time
-	// sent is set when bytes may have reached the server.
-	sent bool
 	// notRun is set when the request certainly has not run there.
 	notRun   bool
 	response *http1.Response
@@ -71,7 +69,7 @@
 		Server: server.ID, Account: j.account, Remaining: j.remaining(),
 	})
 	sent, err := conn.Send(head, j.exchange.Body)
-	result.sent, result.notRun = sent, !sent
+	result.notRun = !sent
 	if err != nil {
 		return f.broken(conn, result, err)
 	}
@@ -125,7 +123,7 @@
 	if upstream.IsTimeout(err) {
 		result.code = fault.UpstreamTimeout
 	}
-	if !result.sent {
+	if result.notRun {
 		result.code = fault.UpstreamUnreachable
 	}
 	return result
--- a/gateway/message/answer.go
+++ b/gateway/message/answer.go
@@ -15,14 +15,4 @@
 	Server string
 	// Encoded reports a coded body, which is not the server's own.
 	Encoded bool
-	// Load is the server's load, valid when HasLoad is set.
-	Load    Load
-	HasLoad bool
-}
-
-// Load is the load of a backend server as it states it.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
 }
--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -43,16 +43,13 @@
 		return err
 	}
 	others := &fasthttp.Server{Handler: m.gateway.peers.Handle, NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
-	for _, listener := range []struct {
-		name   string
-		listen func() error
-	}{
-		{"readiness", func() error { return m.server.Serve(readiness) }},
-		{"peers", func() error { return others.Serve(exchange) }},
-		{"metrics", func() error { return m.server.Serve(served) }},
+	for _, serve := range []func() error{
+		func() error { return m.server.Serve(readiness) },
+		func() error { return m.server.Serve(served) },
+		func() error { return others.Serve(exchange) },
 	} {
 		// Serve ends with its listener, when the process stops.
-		go func() { _ = listener.listen() }()
+		go func() { _ = serve() }()
 	}
 	return nil
 }
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -76,9 +76,6 @@
 	return nil
 }
 
-// Counters returns what the transport counted.
-func (s *Service) Counters() datagram.Counters { return s.transport.Counters() }
-
 // Instances returns the number of known instances with this one.
 func (s *Service) Instances() int {
 	s.mu.Lock()
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -15,10 +15,6 @@
 	// TargetLatency is the time to the answer, or to the first event of a
 	// stream, that callers expect.
 	TargetLatency time.Duration
-	// TargetPause is the longest pause between two events that callers expect.
-	TargetPause time.Duration
-	// Priority is the rank of the route's requests; 0 is the most urgent.
-	Priority int
 	// Split divides the requests among services.
 	Split []Share
 	// Attempts bounds the backend servers that one request is sent to.
--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -68,15 +68,5 @@
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services returns the names of all services in order.
-func (t *Table) Services() []string {
-	names := make([]string, 0, len(t.services))
-	for name := range t.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -113,13 +113,3 @@
 		}
 	}
 }
-
-// Drop closes the idle connections to a server.
-func (p *Pool) Drop(server string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.idle[server] {
-		conn.Close()
-	}
-	delete(p.idle, server)
-}
