Look for help without using it up; count a stream once

Table.Ahead both answered who knows more and noted that help was taken: it runs for each datagram, so that the round that reads the servers found the turn taken and let it pass. It only answers now, the reader notes what it reads, and it no longer sorts all members for each datagram. A stream was counted as served with its first event and again with its end; the first event notes the latency alone.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -174,7 +174,8 @@
 // pass sends a backend server's answer to the client.
 func (f *Forwarder) pass(j *job, result *callResult) {
 	err := j.exchange.Answer(f.protocol.AppendAnswer(make([]byte, 0, 512), result.response), result.body)
-	f.meters.served(j.route.Kind, time.Since(j.exchange.Received))
+	f.meters.served(j.route.Kind)
+	f.meters.latency(j.route.Kind, time.Since(j.exchange.Received))
 	event.Log(f.logger, event.RequestServed).Str("request", j.request.ID).Str("route", j.route.Name).Str("server", result.server.ID).
 		Int("status", result.response.Status).Int("sends", j.sends).Uint64("version", j.table.Version).
 		Dur("after_ms", time.Since(j.exchange.Received)).AnErr("write", err).Send()
--- a/gateway/forward/meters.go
+++ b/gateway/forward/meters.go
@@ -25,10 +25,12 @@
 
 func (m *meters) rejected(code fault.Code) { m.count("requests.rejected." + string(code)) }
 
-// served counts an answer of a backend server and its latency in milliseconds;
-// of a stream, that of its first event.
-func (m *meters) served(kind route.Kind, latency time.Duration) {
-	m.count("requests.served." + kind.String())
+// served counts an answer of a backend server.
+func (m *meters) served(kind route.Kind) { m.count("requests.served." + kind.String()) }
+
+// latency notes the time to an answer, or to the first event of a stream, in
+// milliseconds.
+func (m *meters) latency(kind route.Kind, latency time.Duration) {
 	name := "requests.latency_ms." + kind.String()
 	histogram := m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -96,7 +96,7 @@
 	case result.complete:
 		err := r.j.exchange.End()
 		r.f.streams.observe(time.Since(r.j.exchange.Received))
-		r.f.meters.count("requests.served." + r.j.route.Kind.String())
+		r.f.meters.served(r.j.route.Kind)
 		event.Log(r.f.logger, event.RequestServed).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
 			Str("server", result.server.ID).Int("sends", r.j.sends).Int("resumes", r.resumes).Int("events", r.delivered).
 			Uint64("version", r.j.table.Version).Dur("first_event_ms", r.firstEvent.Sub(r.j.exchange.Received)).
--- a/gateway/forward/stream_relay.go
+++ b/gateway/forward/stream_relay.go
@@ -90,7 +90,7 @@
 	r.delivered += count
 	if r.firstEvent.IsZero() {
 		r.firstEvent = time.Now()
-		r.f.meters.served(r.j.route.Kind, r.firstEvent.Sub(r.j.exchange.Received))
+		r.f.meters.latency(r.j.route.Kind, r.firstEvent.Sub(r.j.exchange.Received))
 	}
 	if !a.waiting {
 		return
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -49,6 +49,9 @@
 		now, own := time.Now(), s.own()
 		s.mu.Lock()
 		configuration, servers := s.table.Ahead(now, own)
+		if servers != nil && !servers.relay {
+			s.table.Helped(now)
+		}
 		s.mu.Unlock()
 		if configuration == nil && servers == nil {
 			behind = time.Time{}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -184,6 +184,24 @@
 	is.True(servers == nil) // it follows the store itself
 }
 
+// TestLookingForHelpUsesNoneUp looks at each digest, as instances do, before the
+// servers are read.
+func TestLookingForHelpUsesNoneUp(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	hear(table, begin, 1, func(d *Digest) { d.Revision, d.Servers = 9, 2 })
+	own := Own{DataCentre: "a", Revision: 5, Servers: 1}
+	for range 3 {
+		_, servers := table.Ahead(begin, own)
+		is.True(servers != nil)
+	}
+	table.Helped(begin)
+	_, servers := table.Ahead(begin, own)
+	is.True(servers == nil) // now and then only
+	_, servers = table.Ahead(begin.Add(helpSpacing), own)
+	is.True(servers != nil)
+}
+
 func TestGreetingsEnd(t *testing.T) {
 	is := is.New(t)
 	table := NewTable("own", addressOf(100), []netip.Addr{addressOf(1), addressOf(100)})
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -27,8 +27,8 @@
 	members map[netip.Addr]*member
 	// greeted holds addresses that were named and have not answered.
 	greeted map[netip.Addr]*greeting
-	// helped is when another instance without the store was last found to know
-	// other servers.
+	// helped is when the servers were last read from an instance that does not
+	// reach the store.
 	helped time.Time
 	// reached is when a relay of the own data centre last reached the store.
 	reached time.Time
@@ -144,11 +144,11 @@
 // of backend servers is needed; nil for none. An instance that follows the
 // store itself needs no list.
 func (t *Table) Ahead(now time.Time, own Own) (configuration, servers *member) {
-	for _, known := range t.Members() {
+	for _, known := range t.members {
 		if now.Sub(known.heard) > aheadLifetime {
 			continue
 		}
-		if known.version > own.Version && (configuration == nil || known.version > configuration.version) {
+		if known.version > own.Version && (configuration == nil || newer(known, configuration)) {
 			configuration = known
 		}
 		if own.Relay || known.servers == own.Servers || known.servers == known.fetched || known.revision < own.Revision {
@@ -159,27 +159,40 @@
 		if !known.relay && now.Sub(t.helped) < helpSpacing {
 			continue
 		}
-		if servers == nil || t.better(known, servers, own.DataCentre) {
+		if servers == nil || better(known, servers, own.DataCentre) {
 			servers = known
 		}
 	}
-	if servers != nil && !servers.relay {
-		t.helped = now
-	}
 	return configuration, servers
 }
 
+// Helped notes that the servers are read from an instance that does not reach
+// the store.
+func (t *Table) Helped(now time.Time) { t.helped = now }
+
+// newer reports whether one instance has a newer configuration than another, or
+// an equal one and the lower address.
+func newer(one, other *member) bool {
+	if one.version != other.version {
+		return one.version > other.version
+	}
+	return one.address.Less(other.address)
+}
+
 // better reports whether the servers are rather read from one instance than from
 // another: from a relay, then from one of the own data centre, because the list
-// is long, then from the one that knows most.
-func (t *Table) better(one, other *member, dataCentre string) bool {
+// is long, then from the one that knows most, then from the lower address.
+func better(one, other *member, dataCentre string) bool {
 	if one.relay != other.relay {
 		return one.relay
 	}
 	if near := one.dataCentre == dataCentre; near != (other.dataCentre == dataCentre) {
 		return near
 	}
-	return one.revision > other.revision
+	if one.revision != other.revision {
+		return one.revision > other.revision
+	}
+	return one.address.Less(other.address)
 }
 
 // helpSpacing is the time between two reads of the servers from an instance
