Reuse the ring, one client between instances, and one choice of the cheapest server

The gateway had written again what stands elsewhere: a bounded queue that drops (the project's ring), the search for the cheapest candidate that is not avoided (twice), the note that a server was heard (twice), the known load of a server (twice). No behaviour changes.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -8,18 +8,11 @@
 // false when there is no candidate. Avoided servers are only chosen when all
 // are avoided.
 func (l *Ledger) ChooseCall(now time.Time, candidates []Candidate) (string, bool) {
-	best, bestCost, found, bestAvoided := "", time.Duration(0), false, false
-	for i := range candidates {
-		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
-		if found && avoided && !bestAvoided {
-			continue
-		}
-		cost := l.callCost(now, &candidates[i])
-		if !found || (bestAvoided && !avoided) || cost < bestCost {
-			best, bestCost, bestAvoided, found = candidates[i].ID, cost, avoided, true
-		}
+	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration { return l.callCost(now, candidate) })
+	if !found {
+		return "", false
 	}
-	return best, found
+	return candidates[best].ID, true
 }
 
 func (l *Ledger) callCost(now time.Time, candidate *Candidate) time.Duration {
@@ -57,8 +50,6 @@
 	known.endPending(started)
 	known.answered(now, l.policy.Forget, now.Sub(started), failed)
 	if !failed {
-		known.heard = now
-		known.failures = 0
-		known.avoidUntil = time.Time{}
+		known.heardAt(now)
 	}
 }
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -17,41 +17,37 @@
 // first, and false when there is no candidate. Avoided servers are only chosen
 // when all are avoided.
 func (l *Ledger) ChooseGeneration(now time.Time, generation Generation, candidates []Candidate) (Choice, bool) {
-	var best Choice
-	var bestCost time.Duration
-	found, bestAvoided := false, false
 	foreign := l.policy.ForeignCost
 	if l.loss(now) {
 		foreign = l.policy.LossForeignCost
 	}
-	for i := range candidates {
-		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
-		if found && avoided && !bestAvoided {
-			continue
-		}
-		choice, cost := l.generationCost(generation, &candidates[i])
-		if candidates[i].Foreign {
+	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration {
+		cost := l.generationCost(generation, candidate)
+		if candidate.Foreign {
 			cost += foreign
 		}
-		if !found || (bestAvoided && !avoided) || cost < bestCost {
-			best, bestCost, bestAvoided, found = choice, cost, avoided, true
-		}
+		return cost
+	})
+	if !found {
+		return Choice{}, false
 	}
-	return best, found
+	return l.expect(generation, &candidates[best]), true
 }
 
-func (l *Ledger) generationCost(generation Generation, candidate *Candidate) (Choice, time.Duration) {
-	var load Load
-	if known := l.servers[candidate.ID]; known != nil {
-		load = known.load()
-	}
+// expect returns what a generation meets at a candidate.
+func (l *Ledger) expect(generation Generation, candidate *Candidate) Choice {
+	load := l.load(candidate.ID)
 	wait := l.prefill(load.Waiting + generation.Prompt)
 	if candidate.MemoryTokens > 0 && load.Memory+generation.Memory > candidate.MemoryTokens {
 		wait += l.policy.FullCost
 	}
-	cost := wait + time.Duration(load.Requests)*l.policy.NeighbourCost +
-		l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost)
-	return Choice{ID: candidate.ID, Wait: wait, Load: load}, l.spread(cost)
+	return Choice{ID: candidate.ID, Wait: wait, Load: load}
+}
+
+func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
+	expected := l.expect(generation, candidate)
+	return l.spread(expected.Wait + time.Duration(expected.Load.Requests)*l.policy.NeighbourCost +
+		l.distance(candidate.Place, l.policy.NearCost, l.policy.FarCost))
 }
 
 // prefill returns the time that an engine needs for prompt tokens.
@@ -69,10 +65,7 @@
 		if candidate.ID == running.ID || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
 			continue
 		}
-		var load Load
-		if known := l.servers[candidate.ID]; known != nil {
-			load = known.load()
-		}
+		load := l.load(candidate.ID)
 		if load.Memory+generation.Memory > candidate.MemoryTokens {
 			continue
 		}
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -92,10 +92,7 @@
 
 // Heard notes that a server sent something.
 func (l *Ledger) Heard(now time.Time, id string) {
-	known := l.record(id)
-	known.heard = now
-	known.failures = 0
-	known.avoidUntil = time.Time{}
+	l.record(id).heardAt(now)
 }
 
 // LastHeard returns when a server last sent something; zero when it never did.
@@ -164,6 +161,32 @@
 	return known
 }
 
+// load returns the known load of a server.
+func (l *Ledger) load(id string) Load {
+	if known := l.servers[id]; known != nil {
+		return known.load()
+	}
+	return Load{}
+}
+
+// cheapest returns the position of the candidate with the lowest cost, and false
+// when there is no candidate. Avoided servers are only chosen when all are
+// avoided.
+func (l *Ledger) cheapest(now time.Time, candidates []Candidate, cost func(*Candidate) time.Duration) (best int, found bool) {
+	bestCost, bestAvoided := time.Duration(0), false
+	for i := range candidates {
+		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
+		if found && avoided && !bestAvoided {
+			continue
+		}
+		price := cost(&candidates[i])
+		if !found || (bestAvoided && !avoided) || price < bestCost {
+			best, bestCost, bestAvoided, found = i, price, avoided, true
+		}
+	}
+	return best, found
+}
+
 // distance returns the cost of a place's distance.
 func (l *Ledger) distance(place Place, near, far time.Duration) time.Duration {
 	switch {
--- a/decision/placement/record.go
+++ b/decision/placement/record.go
@@ -34,6 +34,11 @@
 // load returns the own load and that of other instances.
 func (r *record) load() Load { return r.own.plus(r.others) }
 
+// heardAt notes that the server sent something.
+func (r *record) heardAt(now time.Time) {
+	r.heard, r.failures, r.avoidUntil = now, 0, time.Time{}
+}
+
 // meanWeight is the number of calls over which the means reach.
 const meanWeight = 8
 
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -120,11 +120,12 @@
 		}
 	}
 	all := slices.SortedFunc(maps.Values(owners), func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
-	services := make(map[string][]*Server)
+	snapshot := &Snapshot{All: all, Fingerprint: fingerprint(all), services: make(map[string][]*Server), ids: make(map[string]*Server, len(all))}
 	for _, server := range all {
-		services[server.Service] = append(services[server.Service], server)
+		snapshot.services[server.Service] = append(snapshot.services[server.Service], server)
+		snapshot.ids[server.ID] = server
 	}
-	d.snapshot.Store(&Snapshot{All: all, Fingerprint: fingerprint(all), services: services})
+	d.snapshot.Store(snapshot)
 }
 
 // fingerprint returns a hash of servers in the order of their ids.
--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -7,20 +7,14 @@
 	// Fingerprint is equal where the servers and their entries are.
 	Fingerprint uint64
 	services    map[string][]*Server
+	ids         map[string]*Server
 }
 
 // Of returns the servers of a service.
 func (s *Snapshot) Of(service string) []*Server { return s.services[service] }
 
 // Find returns the server with an id, or nil.
-func (s *Snapshot) Find(id string) *Server {
-	for _, server := range s.All {
-		if server.ID == id {
-			return server
-		}
-	}
-	return nil
-}
+func (s *Snapshot) Find(id string) *Server { return s.ids[id] }
 
 // At returns the server that owns an address, or nil.
 func (s *Snapshot) At(address string) *Server {
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -103,12 +103,8 @@
 	if len(s.known) <= len(snapshot.All) {
 		return
 	}
-	present := make(map[string]bool, len(snapshot.All))
-	for _, server := range snapshot.All {
-		present[server.ID] = true
-	}
 	for id := range s.known {
-		if !present[id] {
+		if snapshot.Find(id) == nil {
 			delete(s.known, id)
 			s.ledger.Forget(id)
 		}
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -123,11 +123,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + netip.AddrPortFrom(address, s.options.Address.Port()).String() + target)
 	request.SetConnectionClose()
-	client := fasthttp.Client{
-		ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout,
-		Dial: dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-	}
-	if err := client.Do(request, response); err != nil {
+	if err := s.client.Do(request, response); err != nil {
 		return nil, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
 	}
 	switch response.StatusCode() {
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -16,10 +16,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages := s.options.Ledger.Usages()
-	centres := make(map[string]string)
-	for _, server := range s.options.Directory.Snapshot().All {
-		centres[server.ID] = server.DataCentre
-	}
+	servers := s.options.Directory.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(now)
@@ -35,7 +32,10 @@
 		near := known.dataCentre == s.options.DataCentre
 		needed := loads
 		if !near {
-			needed = slices.DeleteFunc(slices.Clone(loads), func(load ServerLoad) bool { return centres[load.Server] != known.dataCentre })
+			needed = slices.DeleteFunc(slices.Clone(loads), func(load ServerLoad) bool {
+				server := servers.Find(load.Server)
+				return server == nil || server.DataCentre != known.dataCentre
+			})
 		}
 		mark := fingerprint(needed)
 		if !due(now, known, near, s.options.Follower.Following(), mark) {
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/ring"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
@@ -44,7 +47,8 @@
 	options     Options
 	transport   *datagram.Transport
 	incarnation uint64
-	lost        chan LostServer
+	lost        *ring.Ring[LostServer]
+	client      *fasthttp.Client
 	mu          sync.Mutex
 	table       *Table
 	sequence    uint64
@@ -60,9 +64,13 @@
 	return &Service{
 		options:     options,
 		incarnation: rand.Uint64(),
-		lost:        make(chan LostServer, lostCapacity),
-		wake:        make(chan struct{}, 1),
-		table:       NewTable(options.Instance, options.Address.Addr(), options.Seeds),
+		lost:        ring.New[LostServer]("lost servers", lostCapacity),
+		client: &fasthttp.Client{
+			ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout,
+			Dial: dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		},
+		wake:  make(chan struct{}, 1),
+		table: NewTable(options.Instance, options.Address.Addr(), options.Seeds),
 	}
 }
 
@@ -97,13 +105,10 @@
 	s.mu.Unlock()
 }
 
-// Lost tells the others of a server that can't be reached. It never blocks.
+// Lost tells the others of a server that can't be reached. It never blocks: when
+// the ring is full, the others hear of enough lost servers already.
 func (s *Service) Lost(server *directory.Server, down bool) {
-	select {
-	case s.lost <- LostServer{Server: server.ID, DataCentre: server.DataCentre, Down: down}:
-	default:
-		// The ring is full: the others hear of enough lost servers already.
-	}
+	s.lost.Offer(LostServer{Server: server.ID, DataCentre: server.DataCentre, Down: down})
 }
 
 // Run sends digests until the context ends.
@@ -114,7 +119,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-s.lost:
+		case first := <-s.lost.Items():
 			time.Sleep(lostSpacing)
 			s.sendLost(first)
 		case now := <-ticker.C:
@@ -126,8 +131,8 @@
 // sendLost tells all members at once.
 func (s *Service) sendLost(first LostServer) {
 	gathered := []LostServer{first}
-	for len(s.lost) > 0 {
-		gathered = append(gathered, <-s.lost)
+	for len(s.lost.Items()) > 0 {
+		gathered = append(gathered, <-s.lost.Items())
 	}
 	s.mu.Lock()
 	members := s.table.Members()
