Type the forwarder's failures and write each kind of log line in one place

The lines of sends and of failed attempts were built twice, for calls and for streams; seconds of the settings were turned into durations in three places; sentinel errors had no code. The cause in a line begins with its code now; fields and tests are as they were.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -75,10 +75,7 @@
 	r.j.sends++
 	r.pending++
 	started := time.Now()
-	event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", server.ID).
-		Str("data_centre", server.DataCentre).Int("sends", r.j.sends).
-		Uint64("version", r.j.table.Version).Uint64("server_revision", server.Revision).
-		Dur("left_ms", r.j.remaining()).Send()
+	r.f.sentLine(r.j, server).Send()
 	r.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { ledger.CallStarted(started, server.ID) })
 	go func() {
 		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
@@ -108,7 +105,7 @@
 		r.f.pass(r.j, &result)
 		return true
 	}
-	r.logFailed(&result)
+	r.f.failedLine(r.j, result.server, result.code, result.notRun, result.err).Dur("took_ms", time.Since(result.started)).Send()
 	r.last = result
 	if result.usable() {
 		r.failure = &result
@@ -157,12 +154,6 @@
 	r.f.clientLeft(r.j)
 }
 
-func (r *callRun) logFailed(result *callResult) {
-	event.Log(r.f.logger, event.AttemptFailed).Str("request", r.j.request.ID).Str("server", result.server.ID).
-		Str("code", string(result.code)).Bool("not_run", result.notRun).Int("sends", r.j.sends).
-		Dur("took_ms", time.Since(result.started)).AnErr("cause", result.err).Send()
-}
-
 // clientLeft ends the exchange of a client that is gone.
 func (f *Forwarder) clientLeft(j *job) {
 	j.exchange.Abort()
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -38,10 +38,10 @@
 func (r *callResult) failedAnswer() bool { return r.usable() && r.response.Status >= 500 }
 
 var (
-	errForeignAnswer = errors.New("the answer belongs to another request")
-	errUnsigned      = errors.New("the answer is not vouched for by the server")
-	errEncoded       = errors.New("the answer is encoded")
-	errFalsePromise  = errors.New("the answer promises what only a server that did not run the request may")
+	errForeignAnswer = fault.New(fault.UpstreamBroken, "the answer belongs to another request")
+	errUnsigned      = fault.New(fault.UpstreamBroken, "the answer is not vouched for by the server")
+	errEncoded       = fault.New(fault.UpstreamBroken, "the answer is encoded")
+	errFalsePromise  = fault.New(fault.UpstreamBroken, "the answer promises what only a server that did not run the request may")
 )
 
 // attemptCall sends a call to a server and reads its answer.
@@ -105,7 +105,7 @@
 	case answer.ID != "" && answer.ID != j.request.ID:
 		result.code, result.err = fault.UpstreamBroken, errForeignAnswer
 	case answer.NotRun:
-		result.notRun, result.code, result.err = true, fault.UpstreamRejected, errors.New("status "+strconv.Itoa(result.response.Status))
+		result.notRun, result.code, result.err = true, fault.UpstreamRejected, fault.New(fault.UpstreamRejected, "status "+strconv.Itoa(result.response.Status))
 	case promise:
 		result.code, result.err = fault.UpstreamBroken, errFalsePromise
 	case !answer.Signed || answer.ID == "":
--- a/gateway/forward/event_reader.go
+++ b/gateway/forward/event_reader.go
@@ -2,15 +2,16 @@
 
 import (
 	"bytes"
-	"errors"
 	"strconv"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
 // Errors of event streams.
 var (
-	errEventMissing = errors.New("an event of the stream is missing")
-	errPartialEvent = errors.New("the stream ends within an event")
-	errEventTooLong = errors.New("an event is too long")
+	errEventMissing = fault.New(fault.UpstreamBroken, "an event of the stream is missing")
+	errPartialEvent = fault.New(fault.UpstreamBroken, "the stream ends within an event")
+	errEventTooLong = fault.New(fault.UpstreamBroken, "an event is too long")
 )
 
 // maxEvent bounds one event in bytes.
--- /dev/null
+++ b/gateway/forward/lines.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+)
+
+// sentLine begins the line of a request that goes to a server.
+func (f *Forwarder) sentLine(j *job, server *directory.Server) *zerolog.Event {
+	return event.Log(f.logger, event.RequestSent).Str("request", j.request.ID).Str("server", server.ID).
+		Str("data_centre", server.DataCentre).Int("sends", j.sends).
+		Uint64("version", j.table.Version).Uint64("server_revision", server.Revision).
+		Dur("left_ms", j.remaining())
+}
+
+// failedLine begins the line of an attempt that failed.
+func (f *Forwarder) failedLine(j *job, server *directory.Server, code fault.Code, notRun bool, cause error) *zerolog.Event {
+	return event.Log(f.logger, event.AttemptFailed).Str("request", j.request.ID).Str("server", server.ID).
+		Str("code", string(code)).Bool("not_run", notRun).Int("sends", j.sends).AnErr("cause", cause)
+}
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/suspicion"
-	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
@@ -31,7 +30,7 @@
 	load    placement.Load
 }
 
-var errClientWrite = errors.New("the client does not take the answer")
+var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not take the answer")
 
 // attempt sends the request to one server and passes its events on. found is
 // false when there is no server.
@@ -101,10 +100,9 @@
 		r.f.unreachable(a.server, result.err)
 	}
 	r.f.meters.attemptFailed(result.code)
-	event.Log(r.f.logger, event.AttemptFailed).Str("request", r.j.request.ID).Str("server", a.server.ID).
-		Str("code", string(result.code)).Bool("not_run", result.notRun).Int("sends", r.j.sends).Bool("from_copy", fromCopy).
+	r.f.failedLine(r.j, a.server, result.code, result.notRun, result.err).Bool("from_copy", fromCopy).
 		Uint64("position", r.events.position).Bool("has_copy", r.copyAt != nil).
-		Dur("silent_ms", time.Since(a.heard)).Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", result.err).Send()
+		Dur("silent_ms", time.Since(a.heard)).Dur("after_ms", time.Since(r.j.exchange.Received)).Send()
 }
 
 // exchange sends the request and reads the answer.
@@ -164,10 +162,7 @@
 // logSent notes where an attempt goes and why.
 func (a *streamAttempt) logSent(choice placement.Choice, fromCopy bool) {
 	r := a.run
-	line := event.Log(r.f.logger, event.RequestSent).Str("request", r.j.request.ID).Str("server", a.server.ID).
-		Str("data_centre", a.server.DataCentre).Int("sends", r.j.sends).Bool("from_copy", fromCopy).
-		Uint64("version", r.j.table.Version).Uint64("server_revision", a.server.Revision).
-		Dur("left_ms", r.j.remaining())
+	line := r.f.sentLine(r.j, a.server).Bool("from_copy", fromCopy)
 	if !fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory)
--- a/gateway/forward/stream_relay.go
+++ b/gateway/forward/stream_relay.go
@@ -38,7 +38,7 @@
 	return a.relay(ctx, a.conn.Body(response))
 }
 
-var errNoStream = errors.New("the answer is no event stream")
+var errNoStream = fault.New(fault.UpstreamBroken, "the answer is no event stream")
 
 // receiveWhole reads an answer that is no stream.
 func (a *streamAttempt) receiveWhole(response *http1.Response, judged callResult) streamResult {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,10 +80,10 @@
 		SecondSends: secondsends.Limits{
 			Ratio:  own.SecondSends.Ratio,
 			Extra:  own.SecondSends.Extra,
-			Window: time.Duration(own.SecondSends.WindowSeconds * float64(time.Second)),
+			Window: own.SecondSends.Window(),
 		},
 		Group:        func() peers.Group { return g.peers.Group() },
-		AddressReuse: time.Duration(own.AddressReuseSeconds * float64(time.Second)),
+		AddressReuse: own.AddressReuse(),
 		Lost:         func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
 		Logger:       logger,
 		Metrics:      g.metrics,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -66,9 +66,18 @@
 	if g.StopSeconds <= 0 {
 		return DefaultStop
 	}
-	return time.Duration(g.StopSeconds * float64(time.Second))
+	return seconds(g.StopSeconds)
 }
 
+// AddressReuse returns the time after the end of a backend server in which its
+// address belongs to nobody else.
+func (g *Gateway) AddressReuse() time.Duration { return seconds(g.AddressReuseSeconds) }
+
+// Window returns the span over which second sends are counted.
+func (s SecondSends) Window() time.Duration { return seconds(s.WindowSeconds) }
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
 // Regions returns the region of each data centre.
 func (g *Gateway) Regions() map[string]string {
 	regions := make(map[string]string, len(g.DataCentres))
