Take a cancelled call for no sign of life; answer greetings while the address opens

A cancelled call only tells how long the wait was.

The receiver is now given the transport, and waits until it can send.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -46,10 +46,17 @@
 // answer it well.
 func (l *Ledger) CallEnded(now, started time.Time, id string, failed bool) {
 	known := l.record(id)
-	known.own.Requests = max(0, known.own.Requests-1)
-	known.endPending(started)
+	known.ended(started)
 	known.answered(now, l.policy.Forget, now.Sub(started), failed)
 	if !failed {
 		known.heardAt(now)
 	}
 }
+
+// CallCancelled notes that nobody waits for a call any more. The server sent
+// nothing: only the wait so far is known of it.
+func (l *Ledger) CallCancelled(now, started time.Time, id string) {
+	known := l.record(id)
+	known.ended(started)
+	known.answered(now, l.policy.Forget, now.Sub(started), false)
+}
--- a/decision/placement/ledger_test.go
+++ b/decision/placement/ledger_test.go
@@ -228,3 +228,16 @@
 		_ = id
 	}
 }
+
+func TestCancelledCallIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.CallStarted(begin, "here")
+	until := l.Unreachable(begin.Add(time.Millisecond), "here", here.DataCentre, false)
+	l.CallCancelled(begin.Add(100*time.Millisecond), begin, "here")
+	is.True(l.LastHeard("here").IsZero())
+	is.True(l.Avoided(until.Add(-time.Millisecond), "here", here.DataCentre))
+	is.Equal(l.servers["here"].own, Load{})
+	is.Equal(len(l.servers["here"].pending), 0)
+	is.Equal(l.servers["here"].duration, 100*time.Millisecond) // it took that long at least
+}
--- a/decision/placement/record.go
+++ b/decision/placement/record.go
@@ -64,8 +64,9 @@
 	r.weight++
 }
 
-// endPending drops the start of a call.
-func (r *record) endPending(started time.Time) {
+// ended drops a call that was started at a time.
+func (r *record) ended(started time.Time) {
+	r.own.Requests = max(0, r.own.Requests-1)
 	for i, at := range r.pending {
 		if at.Equal(started) {
 			r.pending = append(r.pending[:i], r.pending[i+1:]...)
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -84,7 +84,7 @@
 			// The client left, or another server answered first: the wait so far
 			// is what is known of this one.
 			r.f.selector.update(func(ledger *placement.Ledger, now time.Time) {
-				ledger.CallEnded(now, started, server.ID, false)
+				ledger.CallCancelled(now, started, server.ID)
 			})
 		} else {
 			r.f.noteCall(&result)
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
-// receive takes one datagram.
-func (s *Service) receive(payload []byte, from netip.AddrPort) {
+// receive takes one datagram, which may come before Listen returned.
+func (s *Service) receive(transport *datagram.Transport, payload []byte, from netip.AddrPort) {
 	digest, err := Decode(payload)
 	if err != nil {
 		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
@@ -34,7 +35,7 @@
 		}
 	}
 	if answer != nil {
-		s.send(address, answer)
+		s.sendBy(transport, address, answer)
 	}
 	if !fresh {
 		return
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -197,5 +197,9 @@
 }
 
 func (s *Service) send(address netip.Addr, payload []byte) {
-	s.transport.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
+	s.sendBy(s.transport, address, payload)
+}
+
+func (s *Service) sendBy(transport *datagram.Transport, address netip.Addr, payload []byte) {
+	transport.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
 }
--- a/transport/datagram/handler.go
+++ b/transport/datagram/handler.go
@@ -23,6 +23,10 @@
 
 // OnTraffic implements gnet.EventHandler: one datagram arrived.
 func (h *handler) OnTraffic(conn gnet.Conn) gnet.Action {
+	<-h.transport.opened
+	if h.transport.socket == nil {
+		return gnet.Shutdown // Listen failed.
+	}
 	counters := &h.transport.counters
 	payload, err := conn.Next(-1)
 	if err != nil {
@@ -39,6 +43,6 @@
 	if address, ok := conn.RemoteAddr().(*net.UDPAddr); ok {
 		from = address.AddrPort()
 	}
-	h.receive(payload, from)
+	h.receive(h.transport, payload, from)
 	return gnet.None
 }
--- a/transport/datagram/transport.go
+++ b/transport/datagram/transport.go
@@ -20,15 +20,18 @@
 const stopTimeout = 5 * time.Second
 
 // Receiver takes datagrams, which are valid during the call. Calls come from
-// the event loop and must not block.
-type Receiver func(payload []byte, from netip.AddrPort)
+// the event loop and must not block. They may come before Listen returns: an
+// answer goes through the transport that they name.
+type Receiver func(transport *Transport, payload []byte, from netip.AddrPort)
 
 // Transport sends and receives datagrams on one UDP address.
 type Transport struct {
 	counters counters
 	engine   gnet.Engine
 	socket   net.PacketConn
-	stopped  chan struct{}
+	// opened is closed when the transport can send.
+	opened  chan struct{}
+	stopped chan struct{}
 }
 
 // Listen opens the UDP address, "ip:port", and hands what arrives to receive.
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Transport{stopped: make(chan struct{})}
+	t := &Transport{opened: make(chan struct{}), stopped: make(chan struct{})}
 	handler := &handler{transport: t, receive: receive, booted: make(chan gnet.Engine, 1)}
 	failed := make(chan error, 1)
 	go func() {
@@ -50,7 +53,9 @@
 	case err := <-failed:
 		return nil, fault.Wrap(fault.SettingsInvalid, "datagram", "listen on "+address, err)
 	}
-	if err := t.openSocket(); err != nil {
+	err = t.openSocket()
+	close(t.opened)
+	if err != nil {
 		_ = t.Close()
 		return nil, err
 	}
--- a/transport/gossip/transport.go
+++ b/transport/gossip/transport.go
@@ -23,7 +23,7 @@
 func Listen(address string, codec *Codec, receive Receiver) (*Transport, error) {
 	t := &Transport{codec: codec}
 	var err error
-	t.Transport, err = datagram.Listen(address, func(payload []byte, _ netip.AddrPort) { t.receive(payload, receive) })
+	t.Transport, err = datagram.Listen(address, func(_ *datagram.Transport, payload []byte, _ netip.AddrPort) { t.receive(payload, receive) })
 	if err != nil {
 		return nil, err
 	}
