Take a relay's watch for stuck when others know more and nothing comes to it

Ruled out: datagrams (configurations came from peers after 0.4 s all the while). A relay now reads the list from another instance when that one knows more for a second without news from the store, and does not count as following until its watch answers. A check of an old test is replaced: a relay needs no list from those that know as much as it, and one from those that know more.

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// errStuck means that others hear of changes that a watch does not tell of.
+var errStuck = fault.New(fault.PlatformUnavailable, "other instances know more than the watch tells")
+
+// Stuck notes that the watch of the backend servers is taken for lost: until it
+// answers, this instance does not count as following the store.
+func (f *Follower) Stuck() { f.note(watchServers, errStuck) }
+
 // note logs the first failed call and the first that works again.
 func (f *Follower) note(what string, err error) {
 	f.mu.Lock()
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -27,6 +27,10 @@
 	fetchPeriod = 250 * time.Millisecond
 	// fetchSpacing gathers changes that come together.
 	fetchSpacing = 60 * time.Millisecond
+	// stuckAfter is how long others may know more than a relay, without anything
+	// new from the store, before its watches are taken for stuck: they rest up to
+	// 400 ms between two calls, and a slow store takes half a second.
+	stuckAfter = time.Second
 	// fetchTimeout bounds one call to another instance.
 	fetchTimeout = time.Second
 )
@@ -37,7 +41,6 @@
 func (s *Service) RunFetch(ctx context.Context) {
 	ticker := time.NewTicker(fetchPeriod)
 	defer ticker.Stop()
-	var behind time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -49,20 +52,22 @@
 		now, own := time.Now(), s.own()
 		s.mu.Lock()
 		configuration, servers := s.table.Ahead(now, own)
+		behind := s.table.Behind(now, own, configuration != nil || servers != nil)
 		if servers != nil && !servers.relay {
 			s.table.Helped(now)
 		}
 		s.mu.Unlock()
-		if configuration == nil && servers == nil {
-			behind = time.Time{}
+		if own.Relay && behind < storeHead {
 			continue
 		}
-		if behind.IsZero() {
-			behind = now
-		}
-		if !own.Relay || now.Sub(behind) >= storeHead {
-			s.fetch(configuration, servers)
+		if own.Relay && servers != nil {
+			if behind < stuckAfter {
+				servers = nil
+			} else {
+				s.options.Follower.Stuck()
+			}
 		}
+		s.fetch(configuration, servers)
 	}
 }
 
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -179,9 +179,27 @@
 	is.Equal(source(), "instance-2")
 	hear(table, begin, 3, func(d *Digest) { d.Relay, d.Revision, d.Servers = true, 8, 2 })
 	is.Equal(source(), "instance-3")
-	own.Relay = true
+	own.Relay, own.Revision = true, 9
 	_, servers := table.Ahead(begin, own)
-	is.True(servers == nil) // it follows the store itself
+	is.True(servers == nil) // it follows the store itself, which tells it as much as others
+	own.Revision = 8
+	is.Equal(source(), "instance-2") // its watch may be stuck
+}
+
+// TestBehindCountsFromTheLastNews lets a relay hear later than others, again and
+// again: it is behind only when nothing new comes to it.
+func TestBehindCountsFromTheLastNews(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	own := Own{Relay: true, Revision: 5}
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	is.Equal(table.Behind(at(0), own, true), time.Duration(0))
+	is.Equal(table.Behind(at(300), own, true), 300*time.Millisecond)
+	own.Revision = 6
+	is.Equal(table.Behind(at(400), own, true), time.Duration(0)) // the store told it something
+	is.Equal(table.Behind(at(1500), own, true), 1100*time.Millisecond)
+	is.Equal(table.Behind(at(1600), own, false), time.Duration(0))
+	is.Equal(table.Behind(at(1700), own, true), time.Duration(0))
 }
 
 // TestLookingForHelpUsesNoneUp looks at each digest, as instances do, before the
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -30,6 +30,10 @@
 	// helped is when the servers were last read from an instance that does not
 	// reach the store.
 	helped time.Time
+	// behind is since when others know more, with progress as what this instance
+	// knew then.
+	behind   time.Time
+	progress Own
 	// reached is when a relay of the own data centre last reached the store.
 	reached time.Time
 }
@@ -142,7 +146,7 @@
 
 // Ahead returns an instance that has a newer configuration, and one whose list
 // of backend servers is needed; nil for none. An instance that follows the
-// store itself needs no list.
+// store itself needs a list only when its watch hears less than others do.
 func (t *Table) Ahead(now time.Time, own Own) (configuration, servers *member) {
 	for _, known := range t.members {
 		if now.Sub(known.heard) > aheadLifetime {
@@ -151,7 +155,10 @@
 		if known.version > own.Version && (configuration == nil || newer(known, configuration)) {
 			configuration = known
 		}
-		if own.Relay || known.servers == own.Servers || known.servers == known.fetched || known.revision < own.Revision {
+		if own.Relay && known.revision <= own.Revision {
+			continue
+		}
+		if known.servers == own.Servers || known.servers == known.fetched || known.revision < own.Revision {
 			continue
 		}
 		// A relay is never behind; others help while there is none, now and then
@@ -170,6 +177,19 @@
 // the store.
 func (t *Table) Helped(now time.Time) { t.helped = now }
 
+// Behind returns for how long others have known more than this instance without
+// anything new coming to it; 0 while they do not.
+func (t *Table) Behind(now time.Time, own Own, ahead bool) time.Duration {
+	if !ahead {
+		t.behind = time.Time{}
+		return 0
+	}
+	if t.behind.IsZero() || own.Version != t.progress.Version || own.Revision != t.progress.Revision {
+		t.behind, t.progress = now, own
+	}
+	return now.Sub(t.behind)
+}
+
 // newer reports whether one instance has a newer configuration than another, or
 // an equal one and the lower address.
 func newer(one, other *member) bool {
