Blame no server for a connection that the caller's time cut short

A request without time is not sent again, and a connection that ends with the caller's time says nothing about the server.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -65,8 +65,12 @@
 	}
 }
 
-// start sends the call to the best server that has not failed it.
+// start sends the call to the best server that has not failed it, unless no
+// time is left.
 func (r *callRun) start(ctx context.Context) bool {
+	if r.j.sends > 0 && r.j.remaining() < leastSend {
+		return false
+	}
 	server := r.f.selector.forCall(r.service, r.j.hasFailed)
 	if server == nil {
 		return false
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -131,7 +131,7 @@
 
 // noteCall tells the ledger how an attempt ended.
 func (f *Forwarder) noteCall(result *callResult) {
-	if result.code == fault.UpstreamUnreachable {
+	if result.code == fault.UpstreamUnreachable && !errors.Is(result.err, upstream.ErrNoTime) {
 		f.unreachable(result.server, result.err)
 	}
 	f.selector.update(func(ledger *placement.Ledger, now time.Time) {
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -44,6 +44,9 @@
 	// answerMargin is how long before the deadline the own answer is sent, so
 	// that it reaches the client before it gives up.
 	answerMargin = 30 * time.Millisecond
+	// leastSend is the time that a request must have left to be sent once more:
+	// a connection and an answer within a region take some milliseconds.
+	leastSend = 15 * time.Millisecond
 	// connectTimeout bounds the opening of a connection: a round trip between
 	// regions takes 60 ms, and a lost opening packet is repeated after a
 	// second.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -21,6 +22,10 @@
 	idleMargin = 1200 * time.Millisecond
 )
 
+// ErrNoTime means that a caller's time ended before a server was given the time
+// to accept a connection: it says nothing about the server.
+var ErrNoTime = fault.New(fault.UpstreamUnreachable, "no time left to open a connection")
+
 // Pool opens connections and keeps idle ones. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
@@ -37,16 +42,22 @@
 }
 
 // Open returns a connection to a server: an idle one when reuse is set and
-// there is one, else a new one.
+// there is one, else a new one. It returns ErrNoTime when the context's time
+// ends before the timeout.
 func (p *Pool) Open(ctx context.Context, server, address string, timeout time.Duration, reuse bool) (*Conn, error) {
 	if reuse {
 		if kept := p.take(server, address); kept != nil {
 			return kept, nil
 		}
 	}
+	end, bounded := ctx.Deadline()
+	short := bounded && time.Until(end) < timeout
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if short && IsTimeout(err) {
+		return nil, ErrNoTime
+	}
 	if err != nil {
 		return nil, err
 	}
