--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -9,8 +9,10 @@
 	ID string
 	// Wait is the expected time until the first event.
 	Wait time.Duration
-	// Waiting, Requests and Memory are the loads that decided it.
+	// Load is the load that decided it.
 	Load Load
+	// Home is the server that the prompt prefers; empty for none.
+	Home string
 }
 
 // ChooseGeneration returns the server where a generation is expected to begin
@@ -21,8 +23,12 @@
 	if l.loss(now) {
 		foreign = l.policy.LossForeignCost
 	}
+	home := l.home(now, generation.Key, candidates)
 	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration {
 		cost := l.generationCost(generation, candidate)
+		if candidate.ID == home {
+			cost -= l.homeGain(generation)
+		}
 		if candidate.Foreign {
 			cost += foreign
 		}
@@ -31,7 +37,9 @@
 	if !found {
 		return Choice{}, false
 	}
-	return l.expect(generation, &candidates[best]), true
+	choice := l.expect(generation, &candidates[best])
+	choice.Home = home
+	return choice, true
 }
 
 // expect returns what a generation meets at a candidate.
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -25,6 +25,11 @@
 	// LossForeignCost replaces it after the loss of a data centre, when all
 	// instances send at once: more than the way to another region.
 	LossForeignCost time.Duration
+	// HomeGain is taken off the cost of the server that instances prefer for a
+	// prompt, and HomeGainAgain when the prompt was probably read there a moment
+	// ago, so that its reading is saved.
+	HomeGain      time.Duration
+	HomeGainAgain time.Duration
 	// FullCost is added for a server without room in its memory: about the time
 	// until one of its generations ends.
 	FullCost time.Duration
@@ -68,6 +73,8 @@
 		CallFarCost:           120 * time.Millisecond,
 		ForeignCost:           150 * time.Millisecond,
 		LossForeignCost:       800 * time.Millisecond,
+		HomeGain:              400 * time.Millisecond,
+		HomeGainAgain:         900 * time.Millisecond,
 		FullCost:              2 * time.Second,
 		UsualCall:             30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -24,4 +24,9 @@
 	Prompt int
 	// Memory are the tokens that it holds at its end.
 	Memory int
+	// Key names its prompt; empty when unknown.
+	Key string
+	// Again is set when the caller already got a part of the answer from an
+	// attempt that broke: a server may still hold the prompt in its cache.
+	Again bool
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -54,6 +55,12 @@
 	if d.removed[server.ID] >= server.Revision {
 		return false
 	}
+	if server.Draining {
+		server.DrainingSince = time.Now()
+		if old := d.servers[server.ID]; old != nil && old.Draining && old.SameProcess(server) {
+			server.DrainingSince = old.DrainingSince
+		}
+	}
 	delete(d.removed, server.ID)
 	d.servers[server.ID] = server
 	d.revision = max(d.revision, server.Revision)
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -25,6 +25,10 @@
 	// copyAt holds the copy of the generation's KV cache that the next attempt
 	// goes on from; nil for none.
 	copyAt *directory.Server
+	// sameAgain is the server whose connection broke and that is tried again
+	// first; nil for none. retried names the servers that had that chance.
+	sameAgain *directory.Server
+	retried   map[string]bool
 	// mayHaveRun is set when an attempt may have run the request.
 	mayHaveRun bool
 	firstEvent time.Time
@@ -67,6 +71,7 @@
 	if run.size.Prompt == 0 {
 		run.size = placement.Generation{Prompt: defaultPrompt, Memory: defaultPrompt + defaultOutput}
 	}
+	run.size.Key, run.size.Again = j.request.Prompt, j.request.Position > 0
 	run.events.position, run.events.checked = j.request.Position, j.request.Position > 0
 	for {
 		result, found := run.attempt(ctx)
@@ -111,6 +116,9 @@
 
 // another reports whether the stream goes on with another attempt.
 func (r *streamRun) another(result *streamResult) bool {
+	if r.j.remaining() < leastSend {
+		return false
+	}
 	if !result.notRun {
 		r.mayHaveRun = true
 		if !r.j.route.Resumable {
@@ -130,12 +138,34 @@
 	if r.delivered > 0 || r.events.checked {
 		r.resumes++
 	}
-	if result.server != nil {
+	if result.server != nil && r.sameAgain == nil {
 		r.j.failed = append(r.j.failed, result.server.ID)
 	}
 	return true
 }
 
+// retry lets the next attempt go to a server whose connection broke, once: the
+// prompt is in its cache. Connections break without their servers.
+func (r *streamRun) retry(server *directory.Server) {
+	listed := r.goesOnAt(r.f.directory.Snapshot().Find(server.ID))
+	if r.retried[server.ID] || !r.j.route.Resumable || listed == nil || !listed.SameProcess(server) {
+		return
+	}
+	if r.retried == nil {
+		r.retried = make(map[string]bool)
+	}
+	r.retried[server.ID] = true
+	r.sameAgain = server
+}
+
+// goesOnAt returns the server if the stream may go on there, else nil.
+func (r *streamRun) goesOnAt(server *directory.Server) *directory.Server {
+	if server == nil || !server.TakesStreams(time.Now()) {
+		return nil
+	}
+	return server
+}
+
 // fail ends a stream that can't go on.
 func (r *streamRun) fail() {
 	switch {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
@@ -17,6 +19,9 @@
 type streamAttempt struct {
 	run    *streamRun
 	server *directory.Server
+	// again is set when the server had this stream before and only its
+	// connection broke.
+	again bool
 	// copyTo keeps a copy of this attempt's KV cache.
 	copyTo *directory.Server
 	conn   *upstream.Conn
@@ -36,17 +41,24 @@
 // false when there is no server.
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
 	a := &streamAttempt{run: r, waiting: true}
-	fromCopy := r.copyAt != nil
+	fromCopy := r.sameAgain == nil && r.copyAt != nil
 	var choice placement.Choice
-	if fromCopy {
+	switch {
+	case r.sameAgain != nil:
+		a.server, r.sameAgain, a.again = r.sameAgain, nil, true
+	case fromCopy:
 		a.server, r.copyAt = r.copyAt, nil
-	} else {
+	default:
 		a.server, choice = r.f.selector.forGeneration(r.service, r.size, r.j.hasFailed)
 		if a.server == nil {
 			return streamResult{code: fault.NoServer}, false
 		}
 	}
-	if r.service.Engine != nil && r.service.Engine.Copies && r.j.route.Resumable {
+	switch {
+	case r.service.Engine == nil || !r.service.Engine.Copies || !r.j.route.Resumable:
+	case a.again && r.copyAt != nil:
+		a.copyTo = r.copyAt
+	default:
 		a.copyTo = r.f.selector.forCopy(r.service, r.size, a.server)
 	}
 	r.j.sends++
@@ -64,7 +76,7 @@
 // charge counts the attempt in the load of its servers.
 func (a *streamAttempt) charge(fromCopy bool) {
 	a.load = placement.Load{Requests: 1, Waiting: a.run.size.Prompt, Memory: a.run.size.Memory}
-	if fromCopy {
+	if fromCopy || a.again {
 		a.load.Waiting = 0
 	}
 	a.run.f.selector.update(func(ledger *placement.Ledger, _ time.Time) {
@@ -91,11 +103,16 @@
 	if !result.notRun && r.delivered > 0 && a.copyTo != nil {
 		// The copy went to an address: a server that restarted there under
 		// another id may hold it.
-		r.copyAt = r.f.directory.Snapshot().At(a.copyTo.Address)
+		r.copyAt = r.goesOnAt(r.f.directory.Snapshot().At(a.copyTo.Address))
+	}
+	if a.connectionBroke(result) {
+		r.retry(a.server)
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
 		r.f.directory.Remove(a.server.ID, a.server.Revision)
+	} else if r.sameAgain != nil || errors.Is(result.err, upstream.ErrNoTime) {
+		// The server may be well: what becomes of the next connection tells.
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
 		r.f.unreachable(a.server, result.err)
 	}
@@ -108,7 +125,11 @@
 // exchange sends the request and reads the answer.
 func (a *streamAttempt) exchange(ctx context.Context, fromCopy bool) streamResult {
 	r := a.run
-	conn, err := r.f.pool.Open(ctx, a.server.ID, a.server.Address, connectTimeout, false)
+	timeout := connectTimeout
+	if a.again {
+		timeout = againTimeout
+	}
+	conn, err := r.f.pool.Open(ctx, a.server.ID, a.server.Address, timeout, false)
 	a.heard = time.Now()
 	if err != nil {
 		return streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
@@ -122,7 +143,7 @@
 		Position: r.events.position, Resume: r.j.sends > 1,
 		// Without a copy the prompt is read again and the pause is too long
 		// already.
-		Yield: r.events.checked && !fromCopy,
+		Yield: r.events.checked && !fromCopy && !a.again,
 	}
 	if a.copyTo != nil {
 		dispatch.CopyTo = a.copyTo.Address
@@ -148,6 +169,16 @@
 	return a.receive(ctx, response)
 }
 
+// connectionBroke reports whether the attempt ended with its connection while
+// the server showed no other sign of trouble.
+func (a *streamAttempt) connectionBroke(result *streamResult) bool {
+	return result.code == fault.UpstreamBroken && (errors.Is(result.err, syscall.ECONNRESET) || errors.Is(result.err, io.ErrUnexpectedEOF))
+}
+
+// againTimeout bounds the connection to a server whose last one broke: it just
+// sent a reset, so that it answers at once or not at all.
+const againTimeout = 150 * time.Millisecond
+
 // headTimeout bounds the rest of an answer's head once it began.
 const headTimeout = time.Second
 
@@ -165,7 +196,8 @@
 	line := r.f.sentLine(r.j, a.server).Bool("from_copy", fromCopy)
 	if !fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
-			Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory)
+			Int("waiting_tokens", choice.Load.Waiting).Int("memory_tokens", choice.Load.Memory).
+			Str("preferred", choice.Home).Uint64("position", r.events.position)
 	}
 	if a.copyTo != nil {
 		line = line.Str("copy_to", a.copyTo.ID)
--- a/gateway/message/request.go
+++ b/gateway/message/request.go
@@ -17,4 +17,7 @@
 	// unknown.
 	PromptTokens int
 	OutputTokens int
+	// Prompt names the part of the prompt that is the request's own or its
+	// conversation's; empty when unknown.
+	Prompt string
 }
