--- /dev/null
+++ b/decision/pace/estimator.go
@@ -0,0 +1,55 @@
+package pace
+
+import "time"
+
+const (
+	// weight is that of one generation in the moving means.
+	weight = 0.1
+	// leastSeen is the number of generations before anything is said.
+	leastSeen = 8
+	// deviations is how many mean deviations below the mean still count as
+	// possible: nearly all generations take longer.
+	deviations = 2.0
+	// leastPart bounds that from below, as a part of the mean.
+	leastPart = 0.5
+)
+
+// Generation is one that ran to its end without an interruption.
+type Generation struct {
+	// OutputTokens is the most that it could make, Events the number of events
+	// that it sent.
+	OutputTokens int
+	Events       int
+	// Took is the time from its first event to its last.
+	Took time.Duration
+}
+
+// Estimator holds what was learned of one service. The zero value knows nothing.
+// It is not safe for concurrent use.
+type Estimator struct {
+	seen int
+	// gap is the time between two events in nanoseconds, rate the number of
+	// events for each output token that was asked for.
+	gap  mean
+	rate mean
+}
+
+// Observe adds a generation.
+func (e *Estimator) Observe(generation Generation) {
+	if generation.Events < 2 || generation.OutputTokens <= 0 || generation.Took <= 0 {
+		return
+	}
+	e.seen++
+	e.gap.add(float64(generation.Took) / float64(generation.Events-1))
+	e.rate.add(float64(generation.Events) / float64(generation.OutputTokens))
+}
+
+// Least returns the shortest time in which the events of a generation after a
+// position can be expected; 0 when too little is known.
+func (e *Estimator) Least(outputTokens int, position uint64) time.Duration {
+	if e.seen < leastSeen {
+		return 0
+	}
+	rest := e.rate.low()*float64(outputTokens) - float64(position)
+	return time.Duration(max(0, rest) * e.gap.low())
+}
--- a/gateway/forward/own_answer.go
+++ b/gateway/forward/own_answer.go
@@ -20,6 +20,9 @@
 	// stoppingRetry leaves the balancer time to notice other instances that stop
 	// now, and the client enough time for its answer.
 	stoppingRetry = 600 * time.Millisecond
+	// longerRetry is for callers whose time is too short: they may come at once
+	// with more.
+	longerRetry = 500 * time.Millisecond
 	// busyRetry is about the time of one queued call.
 	busyRetry = 60 * time.Millisecond
 )
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/event"
@@ -35,6 +36,8 @@
 	usages map[string]map[string]statedUsage
 	// known holds the incarnation behind each record of the ledger.
 	known map[string]*directory.Server
+	// paces holds how fast the generations of each service run.
+	paces map[string]*pace.Estimator
 }
 
 func newSelector(options Options) *selector {
@@ -51,6 +54,7 @@
 		budgets:   make(map[string]*secondsends.Budget),
 		usages:    make(map[string]map[string]statedUsage),
 		known:     make(map[string]*directory.Server),
+		paces:     make(map[string]*pace.Estimator),
 	}
 }
 
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -73,6 +74,10 @@
 	}
 	run.size.Key, run.size.Again = j.request.Prompt, j.request.Position > 0
 	run.events.position, run.events.checked = j.request.Position, j.request.Position > 0
+	if !run.canEnd() {
+		f.reject(j, ownAnswer{status: 503, code: fault.TooLittleTime, retryAfter: longerRetry})
+		return
+	}
 	for {
 		result, found := run.attempt(ctx)
 		if !found {
@@ -94,6 +99,23 @@
 	}
 }
 
+// canEnd reports whether the rest of the generation may come in the time that is
+// left.
+func (r *streamRun) canEnd() bool {
+	return r.f.selector.leastTime(r.j.service, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
+}
+
+// learnPace adds a generation that ran without an interruption to what is known
+// of its service.
+func (r *streamRun) learnPace() {
+	if r.resumes > 0 || r.j.request.Position > 0 {
+		return
+	}
+	r.f.selector.learnPace(r.j.service, pace.Generation{
+		OutputTokens: r.j.request.OutputTokens, Events: r.delivered, Took: time.Since(r.firstEvent),
+	})
+}
+
 // finished ends the exchange when the attempt brought its end.
 func (r *streamRun) finished(result *streamResult) bool {
 	again := result.answered != nil && result.answered.failedAnswer() && r.j.route.Resumable && r.j.sends < r.j.route.Attempts
@@ -101,6 +123,7 @@
 	case result.complete:
 		err := r.j.exchange.End()
 		r.f.streams.observe(time.Since(r.j.exchange.Received))
+		r.learnPace()
 		r.f.meters.served(r.j.route.Kind)
 		event.Log(r.f.logger, event.RequestServed).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
 			Str("server", result.server.ID).Int("sends", r.j.sends).Int("resumes", r.resumes).Int("events", r.delivered).
@@ -116,7 +139,7 @@
 
 // another reports whether the stream goes on with another attempt.
 func (r *streamRun) another(result *streamResult) bool {
-	if r.j.remaining() < leastSend {
+	if r.j.remaining() < leastSend || !r.canEnd() {
 		return false
 	}
 	if !result.notRun {
