Make fewer calls to the store: a cheap first list, and a backup that asks less often

Now the first list may be seconds old (a tenth of the price; the watch goes on where it ends, and a lost history is read fresh), an instance waits 0.7 s for the others before it watches, and the second relay asks every 1.5 s: it hears from the first and takes over when that falls silent. Stuck watches are noticed after 2.2 s instead of 1 s for it. The test of relays tells the first from its backup.

--- a/gateway/discovery/feed.go
+++ b/gateway/discovery/feed.go
@@ -32,8 +32,9 @@
 	// WatchConfiguration waits for changes after a revision. The result is nil
 	// when there were none.
 	WatchConfiguration(ctx context.Context, after uint64) (*Configuration, uint64, error)
-	// Servers returns all entries and the store's revision.
-	Servers(ctx context.Context) ([]ServerChange, uint64, error)
+	// Servers returns all entries and the store's revision; unless it has to be
+	// fresh, both may be some seconds old.
+	Servers(ctx context.Context, fresh bool) ([]ServerChange, uint64, error)
 	// WatchServers waits for changes after a revision.
 	WatchServers(ctx context.Context, after uint64) ([]ServerChange, uint64, error)
 }
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -22,8 +22,13 @@
 	retryWait  = 150 * time.Millisecond
 	retryLimit = 1200 * time.Millisecond
 	// serverPause is the time between two watches of the backend servers:
-	// changes that come together cost one call.
-	serverPause = 400 * time.Millisecond
+	// changes that come together cost one call. backupPause is that of a backup,
+	// which hears of most changes from the first relay.
+	serverPause = 500 * time.Millisecond
+	backupPause = 1500 * time.Millisecond
+	// settleTime is the time after the first list of a process in which it hears
+	// from other instances whether it has to follow the store at all.
+	settleTime = 700 * time.Millisecond
 	// configurationPause does the same for the configuration, which changes
 	// rarely.
 	configurationPause = 100 * time.Millisecond
@@ -43,10 +48,8 @@
 	state     *State
 	directory *directory.Directory
 	logger    zerolog.Logger
-	// follow reports whether this instance has to follow the store, because
-	// others do not tell it of changes, and whether it only stands in for them.
-	// changed is called after each change.
-	follow  func() (follows, standsIn bool)
+	// duty returns the duty of this instance. changed is called after each change.
+	duty    func() Duty
 	changed func()
 	mu      sync.Mutex
 	// failing holds the watches that fail now, and following those under way.
@@ -65,10 +68,10 @@
 }
 
 // NewFollower returns a follower that fills a state and a directory. It follows
-// the store while follow says so, and calls changed after each change.
-func NewFollower(feed Feed, state *State, servers *directory.Directory, follow func() (follows, standsIn bool), changed func(), logger zerolog.Logger) *Follower {
+// the store while its duty says so, and calls changed after each change.
+func NewFollower(feed Feed, state *State, servers *directory.Directory, duty func() Duty, changed func(), logger zerolog.Logger) *Follower {
 	return &Follower{
-		feed: feed, state: state, directory: servers, follow: follow, changed: changed, logger: logger,
+		feed: feed, state: state, directory: servers, duty: duty, changed: changed, logger: logger,
 		failing: make(map[string]bool), following: make(map[string]bool), missing: make(map[string]lapse),
 	}
 }
@@ -95,7 +98,8 @@
 
 // RunConfiguration keeps the configuration up to date until the context ends.
 func (f *Follower) RunConfiguration(ctx context.Context) {
-	f.run(ctx, watchConfiguration, configurationPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+	pauses := spacing{first: configurationPause, backup: configurationPause}
+	f.run(ctx, watchConfiguration, pauses, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
 		var newest *Configuration
 		var revision uint64
 		var err error
@@ -117,7 +121,12 @@
 
 // RunServers keeps the directory up to date until the context ends.
 func (f *Follower) RunServers(ctx context.Context) {
-	f.run(ctx, watchServers, serverPause, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
+	// The first list may be seconds old, which costs less: the watch goes on
+	// where it ends. When the store keeps no history for that, a list is read
+	// that is not.
+	fresh := false
+	pauses := spacing{first: serverPause, backup: backupPause}
+	f.run(ctx, watchServers, pauses, func(ctx context.Context, after uint64, listed bool) (uint64, error) {
 		if listed {
 			changes, revision, err := f.feed.WatchServers(ctx, after)
 			if err != nil {
@@ -126,23 +135,33 @@
 			f.apply(changes, revision)
 			return revision, nil
 		}
-		servers, revision, err := f.feed.Servers(ctx)
+		servers, revision, err := f.feed.Servers(ctx, fresh)
 		if err != nil {
 			return 0, err
 		}
+		fresh = true
 		f.replace(servers, revision)
 		return revision, nil
 	})
 }
 
+// spacing is the time between two calls of a relay and of its backup.
+type spacing struct {
+	first, backup time.Duration
+}
+
 // run lists once and then watches; a failed call is repeated after a growing
 // wait, and a lost history starts with a list again.
-func (f *Follower) run(ctx context.Context, what string, spacing time.Duration, read func(context.Context, uint64, bool) (uint64, error)) {
+func (f *Follower) run(ctx context.Context, what string, pauses spacing, read func(context.Context, uint64, bool) (uint64, error)) {
 	var revision uint64
-	listed, wait := false, retryWait
+	listed, settled, wait := false, false, retryWait
 	for ctx.Err() == nil {
-		follows, standsIn := f.follow()
-		if !follows {
+		duty := f.duty()
+		between := pauses.first
+		if duty == Backup {
+			between = pauses.backup
+		}
+		if duty == Listen {
 			// What changes meanwhile is not seen: the next turn begins with a
 			// list.
 			listed = false
@@ -157,14 +176,17 @@
 			f.noteFollowing(what, true)
 			f.changed()
 			revision, listed, wait = next, true, retryWait
-			pause.For(ctx, spacing)
+			if !settled {
+				settled, between = true, settleTime
+			}
+			pause.For(ctx, between)
 		case fault.HasCode(err, fault.PlatformHistoryGone):
 			event.Log(f.logger, event.StoreHistoryGone).Str("what", what).Uint64("revision", revision).Send()
 			listed = false
-			pause.For(ctx, spacing)
+			pause.For(ctx, between)
 		default:
 			f.note(what, err)
-			if standsIn {
+			if duty == StandIn {
 				wait = standInWait
 			}
 			pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait/2))))
--- a/gateway/discovery/follower_test.go
+++ b/gateway/discovery/follower_test.go
@@ -20,9 +20,12 @@
 	listed  chan []ServerChange
 	watched chan []ServerChange
 	failing atomic.Bool
+	// askedFresh is set while the last list had to be fresh.
+	askedFresh atomic.Bool
 }
 
-func (f *scriptedFeed) Servers(ctx context.Context) ([]ServerChange, uint64, error) {
+func (f *scriptedFeed) Servers(ctx context.Context, fresh bool) ([]ServerChange, uint64, error) {
+	f.askedFresh.Store(fresh)
 	return f.next(ctx, f.listed)
 }
 
@@ -59,7 +62,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		feed := &scriptedFeed{listed: make(chan []ServerChange), watched: make(chan []ServerChange)}
 		servers := directory.New()
-		follower := NewFollower(feed, NewState(), servers, func() (bool, bool) { return true, false }, func() {}, zerolog.Nop())
+		follower := NewFollower(feed, NewState(), servers, func() Duty { return Follow }, func() {}, zerolog.Nop())
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
@@ -121,3 +124,46 @@
 		is.Equal(known(servers), 1)
 	})
 }
+
+// TestListeningInstanceStopsAfterItsFirstList starts an instance that does not
+// know yet that others follow the store: it lists once, cheaply, and waits to hear
+// of them before it would watch.
+func TestListeningInstanceStopsAfterItsFirstList(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{listed: make(chan []ServerChange), watched: make(chan []ServerChange)}
+		servers := directory.New()
+		var alone atomic.Bool
+		alone.Store(true)
+		follower := NewFollower(feed, NewState(), servers, func() Duty {
+			if alone.Load() {
+				return Follow
+			}
+			return Listen
+		}, func() {}, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second) // lets the goroutines end
+		}()
+		go follower.RunServers(ctx)
+		feed.listed <- []ServerChange{put("a", 1)}
+		synctest.Wait()
+		is.True(!feed.askedFresh.Load())
+		is.Equal(known(servers), 1)
+		time.Sleep(settleTime / 2)
+		alone.Store(false) // it hears of the others
+		select {
+		case feed.watched <- []ServerChange{put("b", 2)}:
+			t.Fatal("it watches though others do")
+		case <-time.After(10 * settleTime):
+		}
+		alone.Store(true) // the others are gone
+		feed.listed <- []ServerChange{put("a", 1), put("b", 2)}
+		synctest.Wait()
+		is.True(feed.askedFresh.Load())
+		feed.watched <- []ServerChange{put("c", 3)}
+		synctest.Wait()
+		is.Equal(known(servers), 3)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,10 +65,7 @@
 		directory: directory.New(),
 	}
 	g.follower = discovery.NewFollower(parts.Feed, g.state, g.directory,
-		func() (follows, standsIn bool) {
-			duty := g.peers.Duty()
-			return duty != peers.Listen, duty == peers.StandIn
-		}, func() { g.peers.Announce() }, logger)
+		func() discovery.Duty { return g.peers.Duty() }, func() { g.peers.Announce() }, logger)
 	own := s.Gateway
 	g.forwarder = forward.New(forward.Options{
 		Protocol:  parts.Protocol,
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -28,9 +28,10 @@
 	// fetchSpacing gathers changes that come together.
 	fetchSpacing = 60 * time.Millisecond
 	// stuckAfter is how long others may know more than a relay, without anything
-	// new from the store, before its watches are taken for stuck: they rest up to
-	// 400 ms between two calls, and a slow store takes half a second.
-	stuckAfter = time.Second
+	// new from the store, before its watches are taken for stuck: a backup rests
+	// for a second and a half between two calls, and a slow store takes half a
+	// second.
+	stuckAfter = 2200 * time.Millisecond
 	// fetchTimeout bounds one call to another instance.
 	fetchTimeout = time.Second
 )
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -26,7 +26,7 @@
 // newService returns a service that does not run.
 func newService(address netip.AddrPort) *Service {
 	state, servers := discovery.NewState(), directory.New()
-	follower := discovery.NewFollower(nil, state, servers, func() (bool, bool) { return false, false }, func() {}, zerolog.Nop())
+	follower := discovery.NewFollower(nil, state, servers, func() discovery.Duty { return discovery.Listen }, func() {}, zerolog.Nop())
 	return New(Options{
 		Instance: "instance-1", DataCentre: "a", Address: address, State: state, Directory: servers,
 		Follower: follower, Ledger: silentLedger{}, Logger: zerolog.Nop(),
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
@@ -99,7 +100,7 @@
 func TestTwoInstancesFollowTheStore(t *testing.T) {
 	is := is.New(t)
 	const count = 9
-	following, standingIn := 0, 0
+	following, backing, standingIn := 0, 0, 0
 	at := begin.Add(time.Second)
 	for own := range count {
 		table := NewTable("instance-"+strconv.Itoa(own), addressOf(own), nil)
@@ -109,13 +110,16 @@
 			}
 		}
 		switch table.Duty(at, "a") {
-		case Follow:
+		case discovery.Follow:
 			following++
-		case StandIn:
+		case discovery.Backup:
+			backing++
+		case discovery.StandIn:
 			standingIn++
 		}
 	}
-	is.Equal(following, relaysPerCentre)
+	is.Equal(following, 1)
+	is.Equal(following+backing, relaysPerCentre)
 	is.Equal(standingIn, 0)
 }
 
@@ -134,7 +138,7 @@
 					hear(table, now, other, nil)
 				}
 			}
-			if table.Duty(now, "a") != Listen {
+			if table.Duty(now, "a") != discovery.Listen {
 				active++
 			}
 		}
@@ -160,8 +164,8 @@
 		}
 	}
 	is.True(before >= relaysPerCentre) // the test needs instances that come first
-	is.Equal(table.Duty(now, "a"), Listen)
-	is.Equal(table.Duty(now.Add(relaySilence+time.Millisecond), "a"), Follow)
+	is.Equal(table.Duty(now, "a"), discovery.Listen)
+	is.Equal(table.Duty(now.Add(relaySilence+time.Millisecond), "a"), discovery.Follow)
 }
 
 // TestServersAreReadFromANearRelay offers the list in several places.
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/ring"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
@@ -187,11 +188,11 @@
 }
 
 // Duty returns whether this instance has to follow the object store.
-func (s *Service) Duty() Duty {
+func (s *Service) Duty() discovery.Duty {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
-		return Follow
+		return discovery.Follow
 	}
 	return s.table.Duty(time.Now(), s.options.DataCentre)
 }
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -233,26 +235,13 @@
 	relaySilence = 1300 * time.Millisecond
 )
 
-// Duty says whether an instance follows the object store.
-type Duty uint8
-
-// The duties.
-const (
-	// Listen leaves it to others.
-	Listen Duty = iota
-	// Stand in for relays that can't reach the store, with few calls.
-	StandIn
-	// Follow the store.
-	Follow
-)
-
 // standInDelay is the time between the turns of two instances that stand in.
 const standInDelay = 400 * time.Millisecond
 
 // Duty returns the duty of this instance. All instances of a data centre agree
 // on an order: the first relaysPerCentre follow the store. While none of them
 // says that the store answers, the next ones stand in, one after the other.
-func (t *Table) Duty(now time.Time, dataCentre string) Duty {
+func (t *Table) Duty(now time.Time, dataCentre string) discovery.Duty {
 	own, before, reached := relayRank(t.own), 0, false
 	for _, known := range t.members {
 		if known.dataCentre != dataCentre || known.leaving || now.Sub(known.heard) > relaySilence {
@@ -267,12 +256,14 @@
 		t.reached = now
 	}
 	switch {
+	case before == 0:
+		return discovery.Follow
 	case before < relaysPerCentre:
-		return Follow
+		return discovery.Backup
 	case now.Sub(t.reached) >= time.Duration(before-relaysPerCentre+1)*standInDelay:
-		return StandIn
+		return discovery.StandIn
 	default:
-		return Listen
+		return discovery.Listen
 	}
 }
 
