Let no more servers run a stream than its route allows

Servers that may have run it count now, each once (a broken connection tries the same server again), those that did not run it are bounded apart. The test (two attempts, eight servers that break off) fails before.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -30,8 +30,10 @@
 	// first; nil for none. retried names the servers that had that chance.
 	sameAgain *directory.Server
 	retried   map[string]bool
-	// mayHaveRun is set when an attempt may have run the request.
-	mayHaveRun bool
+	// ranAt names the servers that may have run the request, unused counts the
+	// attempts that certainly did not.
+	ranAt  map[string]bool
+	unused int
 	firstEvent time.Time
 	delivered  int
 	resumes    int
@@ -40,6 +42,9 @@
 	last      streamResult
 }
 
+// unusedStreamSends bounds the sends of a stream to servers that do not run it.
+const unusedStreamSends = 6
+
 // unreachedLimit bounds the servers that are tried in vain: more than a data
 // centre of the users has.
 const unreachedLimit = 40
@@ -67,7 +72,7 @@
 
 // serveStream serves a request whose answer is a stream of events.
 func (f *Forwarder) serveStream(ctx context.Context, j *job, service *route.Service) {
-	run := &streamRun{f: f, j: j, service: service}
+	run := &streamRun{f: f, j: j, service: service, retried: make(map[string]bool), ranAt: make(map[string]bool)}
 	run.size = placement.Generation{Prompt: j.request.PromptTokens, Memory: j.request.PromptTokens + j.request.OutputTokens}
 	if run.size.Prompt == 0 {
 		run.size = placement.Generation{Prompt: defaultPrompt, Memory: defaultPrompt + defaultOutput}
@@ -118,7 +123,7 @@
 
 // finished ends the exchange when the attempt brought its end.
 func (r *streamRun) finished(result *streamResult) bool {
-	again := result.answered != nil && result.answered.failedAnswer() && r.j.route.Resumable && r.j.sends < r.j.route.Attempts
+	again := result.answered != nil && result.answered.failedAnswer() && r.j.route.Resumable && len(r.ranAt)+1 < r.j.route.Attempts
 	switch {
 	case result.complete:
 		err := r.j.exchange.End()
@@ -143,11 +148,14 @@
 		return false
 	}
 	if !result.notRun {
-		r.mayHaveRun = true
+		r.ranAt[result.server.ID] = true
 		if !r.j.route.Resumable {
 			return false
 		}
 	}
+	if len(r.ranAt) >= r.j.route.Attempts && r.sameAgain == nil {
+		return false
+	}
 	if result.code == fault.UpstreamUnreachable {
 		// Nothing was sent: only time bounds the search for a server.
 		r.unreached++
@@ -155,7 +163,7 @@
 		if r.unreached > unreachedLimit {
 			return false
 		}
-	} else if r.j.sends >= r.j.route.Attempts+unusedSends || !r.f.selector.secondSend(r.j.request.ID, r.j.service) {
+	} else if r.unusedUp(result) || !r.f.selector.secondSend(r.j.request.ID, r.j.service) {
 		return false
 	}
 	if r.delivered > 0 || r.events.checked {
@@ -167,6 +175,15 @@
 	return true
 }
 
+// unusedUp counts an attempt that did not run and reports whether there were too
+// many.
+func (r *streamRun) unusedUp(result *streamResult) bool {
+	if result.notRun {
+		r.unused++
+	}
+	return r.unused > unusedStreamSends
+}
+
 // retry lets the next attempt go to a server whose connection broke, once: the
 // prompt is in its cache. Connections break without their servers.
 func (r *streamRun) retry(server *directory.Server) {
@@ -174,9 +191,6 @@
 	if r.retried[server.ID] || !r.j.route.Resumable || listed == nil || !listed.SameProcess(server) {
 		return
 	}
-	if r.retried == nil {
-		r.retried = make(map[string]bool)
-	}
 	r.retried[server.ID] = true
 	r.sameAgain = server
 }
@@ -200,7 +214,7 @@
 			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", r.last.err).Send()
 	case r.last.answered != nil:
 		r.f.pass(r.j, r.last.answered)
-	case r.mayHaveRun:
+	case len(r.ranAt) > 0:
 		r.f.reject(r.j, ownAnswer{status: 502, code: r.last.code, cause: r.last.err})
 	default:
 		r.f.reject(r.j, ownAnswer{status: 503, code: r.last.code, cause: r.last.err, retryAfter: noServerRetry})
