Apply changed settings while an instance runs

Regions, bounds of second sends, the time in which an address belongs to nobody else, the time to stop, seeds, connections and memory hold at once now; the line names the fields that wait for a start. A changed bound forgets nothing that was counted.

--- a/cmd/wisteriahaven/gateway.go
+++ b/cmd/wisteriahaven/gateway.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -17,7 +18,7 @@
 )
 
 // runGateway runs an instance that forwards requests. SIGTERM and SIGINT stop
-// it; SIGHUP reads the settings again.
+// it; SIGHUP, or a change of the file, reads the settings again.
 func runGateway(loaded settings.Settings, file string, level zerolog.Level) int {
 	lines := logring.New(os.Stdout)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -35,19 +36,38 @@
 	if err := instance.Start(); err != nil {
 		return fail(err, exitFailure)
 	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
+	watched := watchedFile{path: file}
+	watched.changed()
+	look := time.NewTicker(fileCheck)
+	defer look.Stop()
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				instance.Stop()
+				return 0
+			}
+			watched.changed()
+			reload(file, instance, logger)
+		case <-look.C:
+			if watched.changed() {
+				reload(file, instance, logger)
+			}
 		}
-		reload(file, logger)
 	}
-	instance.Stop()
-	return 0
 }
 
-// reload reads the settings again. Listeners and the store stay as they are
-// until the next start; a file that can't be read changes nothing.
-func reload(file string, logger zerolog.Logger) {
-	_, err := settings.Load(file)
-	event.Log(logger, event.SettingsReloaded).Str("file", file).AnErr("problem", err).Send()
+// fileCheck is the time between two looks at the settings file, which may change
+// without a signal.
+const fileCheck = 5 * time.Second
+
+// reload reads the settings again and applies them; a file that can't be read
+// changes nothing.
+func reload(file string, instance *gateway.Gateway, logger zerolog.Logger) {
+	changed, err := settings.Load(file)
+	if err != nil {
+		event.Log(logger, event.SettingsInvalid).Str("file", file).Err(err).Send()
+		return
+	}
+	instance.Apply(changed)
 }
--- a/decision/secondsends/budget.go
+++ b/decision/secondsends/budget.go
@@ -33,6 +33,15 @@
 // NewBudget returns a budget without sends.
 func NewBudget(limits Limits) *Budget { return &Budget{limits: limits} }
 
+// Limit replaces the limits. What was counted in the window counts for a whole new
+// one.
+func (b *Budget) Limit(now time.Duration, limits Limits) {
+	usage := b.Usage(now)
+	*b = Budget{limits: limits}
+	b.advance(now)
+	b.requests[b.bucket%buckets], b.seconds[b.bucket%buckets] = usage.Requests, usage.Seconds
+}
+
 // Request notes a client's request.
 func (b *Budget) Request(now time.Duration) {
 	b.advance(now)
--- a/decision/secondsends/budget_test.go
+++ b/decision/secondsends/budget_test.go
@@ -91,3 +91,26 @@
 	budget.Request(100 * time.Second)
 	is.Equal(budget.Usage(100*time.Second), Usage{Requests: 1})
 }
+
+// TestChangedLimitsForgetNothing lowers and raises the limits within a window: what
+// was used before counts.
+func TestChangedLimitsForgetNothing(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Window: 10 * time.Second, Extra: 20}
+	b := NewBudget(limits)
+	whole := Group{Own: 1, Part: 1}
+	taken := 0
+	for b.Take(time.Second, whole) {
+		taken++
+	}
+	limits.Extra, limits.Window = 40, 20*time.Second
+	b.Limit(2*time.Second, limits)
+	for b.Take(2*time.Second, whole) {
+		taken++
+	}
+	is.Equal(taken, int(reserve*40))
+	limits.Extra = 10
+	b.Limit(3*time.Second, limits)
+	is.True(!b.Take(3*time.Second, whole))
+	is.True(b.Take(40*time.Second, whole))
+}
--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -27,11 +27,12 @@
 	PeerFetchFailed    = Definition{7037, "peer_fetch_failed", zerolog.InfoLevel, "another instance that knows more could not be asked", "none while it is retried"}
 	ProcessResumed     = Definition{7033, "process_resumed", zerolog.WarnLevel, "the process did not run for a while", "check the machine"}
 	AcceptFailed       = Definition{7035, "accept_failed", zerolog.WarnLevel, "a client's connection could not be accepted", "check the descriptors of the process"}
-	SettingsReloaded   = Definition{7034, "settings_reloaded", zerolog.InfoLevel, "the settings file was read again", "none"}
+	SettingsReloaded   = Definition{7034, "settings_reloaded", zerolog.InfoLevel, "the settings were read again and hold, but for the fields in next_start", "restart the instance for those"}
+	SettingsInvalid    = Definition{7038, "settings_invalid", zerolog.WarnLevel, "the settings were read again and can't be used: the ones before stay", "correct the file"}
 )
 
 var forwardingEvents = []Definition{
 	RequestServed, RequestRejected, RequestBroken, ClientLeft, AttemptFailed, StreamContinued, RequestSent, ReportInvalid,
 	ServerSuspected, SecondSendDenied, ServersChanged, ServerAdopted, StoreLost, StoreRegained, StoreObjectInvalid, StoreHistoryGone,
-	ReadinessChanged, LogLinesDropped, PeerServersGot, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, AcceptFailed,
+	ReadinessChanged, LogLinesDropped, PeerServersGot, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
 }
--- /dev/null
+++ b/gateway/apply.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"net/netip"
+	"runtime/debug"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
+	"github.com/wisteriahaven/wisteriahaven/settings"
+)
+
+const (
+	// reservedDescriptors are left for backend servers, the store and files: a
+	// client's connection needs one for itself and, while a request runs, one
+	// more.
+	reservedDescriptors = 400
+	// heapPart is the part of the process's memory that the heap may use before
+	// the collector works harder: buffers of the kernel and stacks need the rest.
+	heapPart = 0.6
+)
+
+// Apply takes over changed settings. Addresses, the store and the place of the
+// instance stay as they are until the next start: the log line names those that
+// differ.
+func (g *Gateway) Apply(changed settings.Settings) {
+	own := changed.Gateway
+	if own == nil {
+		event.Log(g.logger, event.SettingsReloaded).Strs("next_start", []string{"gateway"}).Send()
+		return
+	}
+	g.forwarder.Apply(changeable(own))
+	g.ingress.Limit(clientConnections(own))
+	g.peers.AddSeeds(seedAddresses(own))
+	g.stopTime.Store(int64(own.Stop()))
+	limitHeap(own)
+	event.Log(g.logger, event.SettingsReloaded).Strs("next_start", g.fixed(changed)).Send()
+}
+
+// fixed returns the fields that differ and hold from the next start on.
+func (g *Gateway) fixed(changed settings.Settings) []string {
+	before, now := g.settings, changed
+	var fields []string
+	for _, field := range []struct{ name, before, now string }{
+		{"instance", before.Instance, now.Instance},
+		{"data_centre", before.DataCentre, now.DataCentre},
+		{"region", before.Region, now.Region},
+		{"gateway.clients", before.Gateway.Clients, now.Gateway.Clients},
+		{"gateway.readiness", before.Gateway.Readiness, now.Gateway.Readiness},
+		{"gateway.metrics", before.Gateway.Metrics, now.Gateway.Metrics},
+		{"gateway.peers", before.Gateway.Peers, now.Gateway.Peers},
+		{"gateway.store", before.Gateway.Store, now.Gateway.Store},
+	} {
+		if field.before != field.now {
+			fields = append(fields, field.name)
+		}
+	}
+	return fields
+}
+
+// changeable returns the options of forwarding that may change.
+func changeable(own *settings.Gateway) forward.Changeable {
+	return forward.Changeable{
+		Regions: own.Regions(),
+		SecondSends: secondsends.Limits{
+			Ratio:  own.SecondSends.Ratio,
+			Extra:  own.SecondSends.Extra,
+			Window: own.SecondSends.Window(),
+		},
+		AddressReuse: own.AddressReuse(),
+	}
+}
+
+// clientConnections returns how many connections clients may have.
+func clientConnections(own *settings.Gateway) int {
+	return max(1, (own.Descriptors-reservedDescriptors)/2)
+}
+
+// seedAddresses returns the addresses of the seeds, which were checked with the
+// settings.
+func seedAddresses(own *settings.Gateway) []netip.Addr {
+	var seeds []netip.Addr
+	for _, seed := range own.Seeds {
+		seeds = append(seeds, netip.MustParseAddrPort(seed).Addr())
+	}
+	return seeds
+}
+
+func limitHeap(own *settings.Gateway) {
+	debug.SetMemoryLimit(int64(heapPart * own.MemoryMB * (1 << 20)))
+}
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
@@ -30,22 +31,23 @@
 // while: whoever answers there in that time is the restarted server.
 type adopter struct {
 	f *Forwarder
-	// reuse is the time in which the address of an ended server belongs to
-	// nobody else; without it nothing is adopted.
-	reuse time.Duration
+	// reuse is the time, a time.Duration, in which the address of an ended server
+	// belongs to nobody else; without it nothing is adopted.
+	reuse atomic.Int64
 	mu    sync.Mutex
 	busy  map[string]bool
 }
 
 // lost begins to ask at the address of a server that can't be reached.
 func (a *adopter) lost(server *directory.Server) {
-	if a.reuse <= 0 {
+	reuse := time.Duration(a.reuse.Load())
+	if reuse <= 0 {
 		return
 	}
 	service := a.f.service(server.Service)
 	var heard time.Time
 	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
-	if service == nil || service.HealthPath == "" || heard.IsZero() || time.Since(heard) > a.reuse-adoptMargin {
+	if service == nil || service.HealthPath == "" || heard.IsZero() || time.Since(heard) > reuse-adoptMargin {
 		return
 	}
 	a.mu.Lock()
@@ -54,17 +56,18 @@
 		return
 	}
 	a.busy[server.ID] = true
-	go a.ask(server, service.HealthPath, heard)
+	go a.ask(server, service.HealthPath, heard, heard.Add(reuse-adoptMargin))
 }
 
-// ask asks until somebody answers or the address may be another service's.
-func (a *adopter) ask(server *directory.Server, path string, heard time.Time) {
+// ask asks until somebody answers or the address may be another service's, at
+// end.
+func (a *adopter) ask(server *directory.Server, path string, heard, end time.Time) {
 	defer func() {
 		a.mu.Lock()
 		delete(a.busy, server.ID)
 		a.mu.Unlock()
 	}()
-	ctx, cancel := context.WithDeadline(context.Background(), heard.Add(a.reuse-adoptMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if !pause.For(ctx, time.Until(heard.Add(adoptFirst))) {
 		return
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -44,7 +44,8 @@
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
 	}
-	f.adopter = &adopter{f: f, reuse: options.AddressReuse, busy: make(map[string]bool)}
+	f.adopter = &adopter{f: f, busy: make(map[string]bool)}
+	f.adopter.reuse.Store(int64(options.AddressReuse))
 	return f
 }
 
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -7,7 +7,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
-	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
@@ -18,23 +17,17 @@
 	Protocol  Protocol
 	State     *discovery.State
 	Directory *directory.Directory
-	// Place is the place of this instance, and Regions the region of each data
-	// centre.
-	Place   placement.Place
-	Regions map[string]string
-	Policy  placement.Policy
-	// SecondSends bounds the sends to second servers over all instances.
-	SecondSends secondsends.Limits
+	Changeable
+	// Place is the place of this instance.
+	Place  placement.Place
+	Policy placement.Policy
 	// Group returns the place of this instance among those that share that
 	// bound.
 	Group func() peers.Group
 	// Lost is called with each server that could not be reached.
-	Lost func(server *directory.Server, down bool)
-	// AddressReuse is the time in which the address of an ended server belongs
-	// to nobody else; 0 when not known.
-	AddressReuse time.Duration
-	Logger       zerolog.Logger
-	Metrics      metrics.Registry
+	Lost    func(server *directory.Server, down bool)
+	Logger  zerolog.Logger
+	Metrics metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -32,8 +32,8 @@
 	retried   map[string]bool
 	// ranAt names the servers that may have run the request, unused counts the
 	// attempts that certainly did not.
-	ranAt  map[string]bool
-	unused int
+	ranAt      map[string]bool
+	unused     int
 	firstEvent time.Time
 	delivered  int
 	resumes    int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
-	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -27,10 +25,6 @@
 
 const domain = "gateway"
 
-// reservedDescriptors are left for backend servers, the store and files: a
-// client's connection needs one for itself and, while a request runs, one more.
-const reservedDescriptors = 400
-
 // Gateway is one running instance.
 type Gateway struct {
 	settings  settings.Settings
@@ -46,10 +40,12 @@
 	peers     *peers.Service
 	monitor   *monitor
 	listeners []net.Listener
-	leaving   atomic.Bool
-	aborted   sync.Once
-	mu        sync.Mutex
-	ready     bool
+	// stopTime is the time, a time.Duration, that a planned stop has.
+	stopTime atomic.Int64
+	leaving  atomic.Bool
+	aborted  sync.Once
+	mu       sync.Mutex
+	ready    bool
 }
 
 // New builds an instance that does not run yet.
@@ -68,37 +64,28 @@
 		func() discovery.Duty { return g.peers.Duty() }, func() { g.peers.Announce() }, logger)
 	own := s.Gateway
 	g.forwarder = forward.New(forward.Options{
-		Protocol:  parts.Protocol,
-		State:     g.state,
-		Directory: g.directory,
-		Place:     placement.Place{DataCentre: s.DataCentre, Region: s.Region},
-		Regions:   own.Regions(),
-		Policy:    placement.DefaultPolicy(),
-		SecondSends: secondsends.Limits{
-			Ratio:  own.SecondSends.Ratio,
-			Extra:  own.SecondSends.Extra,
-			Window: own.SecondSends.Window(),
-		},
-		Group:        func() peers.Group { return g.peers.Group() },
-		AddressReuse: own.AddressReuse(),
-		Lost:         func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
-		Logger:       logger,
-		Metrics:      g.metrics,
+		Protocol:   parts.Protocol,
+		State:      g.state,
+		Directory:  g.directory,
+		Place:      placement.Place{DataCentre: s.DataCentre, Region: s.Region},
+		Changeable: changeable(own),
+		Policy:     placement.DefaultPolicy(),
+		Group:      func() peers.Group { return g.peers.Group() },
+		Lost:       func(server *directory.Server, down bool) { g.peers.Lost(server, down) },
+		Logger:     logger,
+		Metrics:    g.metrics,
 	})
-	g.ingress = ingress.NewServer(g.forwarder, max(1, (own.Descriptors-reservedDescriptors)/2), logger)
+	g.ingress = ingress.NewServer(g.forwarder, clientConnections(own), logger)
+	g.stopTime.Store(int64(own.Stop()))
 	g.peers = peers.New(g.peerOptions())
 	g.monitor = newMonitor(g)
 	return g
 }
 
-// heapPart is the part of the process's memory that the heap may use before the
-// collector works harder: buffers of the kernel and stacks need the rest.
-const heapPart = 0.6
-
 // Start listens on the instance's addresses and starts its duties.
 func (g *Gateway) Start() error {
 	own := g.settings.Gateway
-	debug.SetMemoryLimit(int64(heapPart * own.MemoryMB * (1 << 20)))
+	limitHeap(own)
 	clients, err := g.listen("clients", own.Clients)
 	if err != nil {
 		return err
@@ -134,12 +121,8 @@
 	own := g.settings.Gateway
 	// The settings were checked: the addresses can be read.
 	address := netip.MustParseAddrPort(own.Peers)
-	var seeds []netip.Addr
-	for _, seed := range own.Seeds {
-		seeds = append(seeds, netip.MustParseAddrPort(seed).Addr())
-	}
 	return peers.Options{
-		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Address: address, Seeds: seeds,
+		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Address: address, Seeds: seedAddresses(own),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
 		Decode: g.parts.Decode, Logger: g.logger,
 	}
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -29,9 +29,9 @@
 type Server struct {
 	handler Handler
 	logger  zerolog.Logger
+	mu      sync.Mutex
 	// maximum bounds the open connections.
 	maximum int
-	mu      sync.Mutex
 	open    map[*clientConn]struct{}
 	// leaving is set when answers shall end their connections.
 	leaving atomic.Bool
@@ -84,6 +84,13 @@
 	delete(s.open, client)
 }
 
+// Limit changes how many connections may be open; those that are stay open.
+func (s *Server) Limit(maximum int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maximum = maximum
+}
+
 // Leave makes every answer from now on end its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// AddSeeds greets addresses of other instances that are not known yet.
+func (s *Service) AddSeeds(seeds []netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Named(s.options.Address.Addr(), seeds)
+}
+
 // Listen opens the UDP address.
 func (s *Service) Listen() error {
 	transport, err := datagram.Listen(s.options.Address.String(), s.receive)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -23,7 +23,7 @@
 // shortly before the end of the time that the process has.
 func (g *Gateway) Stop() {
 	begun := time.Now()
-	end := begun.Add(g.settings.Gateway.Stop() - closing)
+	end := begun.Add(time.Duration(g.stopTime.Load()) - closing)
 	g.leaving.Store(true)
 	g.ingress.Leave()
 	g.forwarder.Stop(begun.Add(noticed), end)
