--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -38,8 +38,8 @@
 	// that it reaches the client before it gives up.
 	answerMargin = 30 * time.Millisecond
 	// leastSend is the time that a request must have left to be sent once more:
-	// a connection and an answer within a region take some milliseconds.
-	leastSend = 15 * time.Millisecond
+	// the users' calls take 30 ms, and a connection and an answer some more.
+	leastSend = 40 * time.Millisecond
 	// connectTimeout bounds the opening of a connection: a round trip between
 	// regions takes 60 ms, and a lost opening packet is repeated after a
 	// second.
