Bound the bodies of all requests together

Cause: each body was bounded (4 MB), their sum was not; a process of 112 MB would end by itself with thirty such requests. Bodies may take a quarter of the memory together; a request that finds none is rejected while its body is read, with a time to come back, and was not sent. The test fails before: the second large body was sent.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
+	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -18,6 +19,10 @@
 	// heapPart is the part of the process's memory that the heap may use before
 	// the collector works harder: buffers of the kernel and stacks need the rest.
 	heapPart = 0.6
+	// bodyPart is the part of the process's memory that the bodies of requests
+	// may take together: half of the heap, because they are copied when they are
+	// sent.
+	bodyPart = 0.25
 )
 
 // Apply takes over changed settings. Addresses, the store and the place of the
@@ -30,7 +35,7 @@
 		return
 	}
 	g.forwarder.Apply(changeable(own))
-	g.ingress.Limit(clientConnections(own))
+	g.ingress.Limit(clientLimits(own))
 	g.peers.AddSeeds(seedAddresses(own))
 	g.stopTime.Store(int64(own.Stop()))
 	limitHeap(own)
@@ -71,9 +76,12 @@
 	}
 }
 
-// clientConnections returns how many connections clients may have.
-func clientConnections(own *settings.Gateway) int {
-	return max(1, (own.Descriptors-reservedDescriptors)/2)
+// clientLimits returns what clients may take.
+func clientLimits(own *settings.Gateway) ingress.Limits {
+	return ingress.Limits{
+		Connections: max(1, (own.Descriptors-reservedDescriptors)/2),
+		BodyBytes:   int64(bodyPart * own.MemoryMB * (1 << 20)),
+	}
 }
 
 // seedAddresses returns the addresses of the seeds, which were checked with the
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -100,6 +100,15 @@
 	f.answer(exchange, "", ownAnswer{status: cause.Status, code: fault.MessageMalformed, cause: cause})
 }
 
+// Overloaded implements ingress.Handler.
+func (f *Forwarder) Overloaded(exchange *ingress.Exchange, cause error) {
+	id := ""
+	if request, err := f.protocol.Request(exchange.Head); err == nil {
+		id = request.ID
+	}
+	f.answer(exchange, id, ownAnswer{status: 503, code: fault.BodiesFull, cause: cause, retryAfter: bodiesRetry})
+}
+
 // Serve implements ingress.Handler.
 func (f *Forwarder) Serve(ctx context.Context, exchange *ingress.Exchange) {
 	request, err := f.protocol.Request(exchange.Head)
--- a/gateway/forward/own_answer.go
+++ b/gateway/forward/own_answer.go
@@ -23,6 +23,9 @@
 	// longerRetry is for callers whose time is too short: they may come at once
 	// with more.
 	longerRetry = 500 * time.Millisecond
+	// bodiesRetry is about the time in which calls with large bodies are read and
+	// answered.
+	bodiesRetry = 300 * time.Millisecond
 	// busyRetry is about the time of one queued call.
 	busyRetry = 60 * time.Millisecond
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 		Logger:     logger,
 		Metrics:    g.metrics,
 	})
-	g.ingress = ingress.NewServer(g.forwarder, clientConnections(own), logger)
+	g.ingress = ingress.NewServer(g.forwarder, clientLimits(own), logger)
 	g.stopTime.Store(int64(own.Stop()))
 	g.peers = peers.New(g.peerOptions())
 	g.monitor = newMonitor(g)
--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -56,7 +56,15 @@
 	if !c.state.CompareAndSwap(stateIdle, stateBusy) {
 		return false
 	}
-	exchange, err := c.read(limits)
+	taken := share{budget: &c.server.bodies}
+	defer taken.release()
+	exchange, err := c.read(limits, &taken)
+	if errors.Is(err, errBodiesFull) {
+		exchange.CloseAfter()
+		c.server.handler.Overloaded(exchange, err)
+		c.linger()
+		return false
+	}
 	if err != nil {
 		c.reject(err)
 		return false
@@ -98,8 +106,9 @@
 	return true
 }
 
-// read reads one request whole.
-func (c *clientConn) read(limits route.Limits) (*Exchange, error) {
+// read reads one request whole. With errBodiesFull it returns the exchange too:
+// its head was read.
+func (c *clientConn) read(limits route.Limits, taken *share) (*Exchange, error) {
 	received := time.Now()
 	if err := c.conn.SetReadDeadline(received.Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
@@ -124,11 +133,8 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)); err != nil {
 		return nil, err
 	}
-	exchange.Body, err = c.reader.Body(head.Framing).ReadAll(limits.BodyBytes)
-	if err != nil {
-		return nil, err
-	}
-	return exchange, nil
+	exchange.Body, err = c.reader.Body(head.Framing).ReadReserved(limits.BodyBytes, taken.reserve)
+	return exchange, err
 }
 
 // reject answers a request that can't be read, when there is anybody to
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -21,6 +21,8 @@
 	Serve(ctx context.Context, exchange *Exchange)
 	// Reject answers a request that could not be read.
 	Reject(exchange *Exchange, err *http1.ProtocolError)
+	// Overloaded answers a request whose body finds no memory.
+	Overloaded(exchange *Exchange, err error)
 	// Limits returns the bounds in force.
 	Limits() route.Limits
 }
@@ -36,11 +38,22 @@
 	// leaving is set when answers shall end their connections.
 	leaving atomic.Bool
 	active  atomic.Int64
+	bodies  byteBudget
 }
 
-// NewServer returns a server that keeps at most maximum connections open.
-func NewServer(handler Handler, maximum int, logger zerolog.Logger) *Server {
-	return &Server{handler: handler, logger: logger, maximum: maximum, open: make(map[*clientConn]struct{})}
+// Limits bound what clients may take of the process.
+type Limits struct {
+	// Connections is how many may be open.
+	Connections int
+	// BodyBytes is how much the bodies of all requests may take together.
+	BodyBytes int64
+}
+
+// NewServer returns a server with the given limits.
+func NewServer(handler Handler, limits Limits, logger zerolog.Logger) *Server {
+	s := &Server{handler: handler, logger: logger, open: make(map[*clientConn]struct{})}
+	s.Limit(limits)
+	return s
 }
 
 // acceptPause is the wait after a failed accept, for instance when the process
@@ -84,11 +97,12 @@
 	delete(s.open, client)
 }
 
-// Limit changes how many connections may be open; those that are stay open.
-func (s *Server) Limit(maximum int) {
+// Limit changes the limits; connections that are open stay open.
+func (s *Server) Limit(limits Limits) {
+	s.bodies.limit.Store(limits.BodyBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.maximum = maximum
+	s.maximum = limits.Connections
 }
 
 // Leave makes every answer from now on end its connection.
