Build the list of servers once for many changes, and ask the near relay first

Now the list is built when somebody looks, removals go to those that may not know them, and a far instance is asked only when no near relay follows or it knows no better after 0.9 s; the same for configurations, among equal ones the near one first. How long others have known more is kept apart for both.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -20,39 +20,62 @@
 type Directory struct {
 	mu      sync.Mutex
 	servers map[string]*Server
-	// removed holds the revision at which a server was removed, so that older
-	// news of it from other instances does not bring it back.
-	removed  map[string]uint64
+	// removed holds the servers that were removed, so that older news of them
+	// from other instances does not bring them back.
+	removed  map[string]removal
 	revision uint64
+	// changed is set when the snapshot is older than the servers. It is built when
+	// somebody looks: changes come many at a time.
+	changed  atomic.Bool
 	snapshot atomic.Pointer[Snapshot]
 }
 
+// removal is what is remembered of a removed server.
+type removal struct {
+	// revision is that of the removal, known the directory's when it learned
+	// of it, which is later when the server had time to come back.
+	revision uint64
+	known    uint64
+}
+
 // New returns an empty directory.
 func New() *Directory {
-	d := &Directory{servers: make(map[string]*Server), removed: make(map[string]uint64)}
+	d := &Directory{servers: make(map[string]*Server), removed: make(map[string]removal)}
 	d.publish()
 	return d
 }
 
 // Snapshot returns the current servers.
-func (d *Directory) Snapshot() *Snapshot { return d.snapshot.Load() }
+func (d *Directory) Snapshot() *Snapshot {
+	if d.changed.Load() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.current()
+	}
+	return d.snapshot.Load()
+}
+
+// current returns the current servers; mu is held.
+func (d *Directory) current() *Snapshot {
+	if d.changed.Load() {
+		d.publish()
+		d.changed.Store(false)
+	}
+	return d.snapshot.Load()
+}
 
 // Put takes over one entry and reports whether it was news.
 func (d *Directory) Put(server *Server) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.put(server) {
-		return false
-	}
-	d.publish()
-	return true
+	return d.put(server)
 }
 
 func (d *Directory) put(server *Server) bool {
 	if old := d.servers[server.ID]; old != nil && old.Revision >= server.Revision {
 		return false
 	}
-	if d.removed[server.ID] >= server.Revision {
+	if d.removed[server.ID].revision >= server.Revision {
 		return false
 	}
 	if server.Draining {
@@ -63,6 +86,7 @@
 	}
 	delete(d.removed, server.ID)
 	d.servers[server.ID] = server
+	d.changed.Store(true)
 	d.revision = max(d.revision, server.Revision)
 	return true
 }
@@ -72,14 +96,10 @@
 func (d *Directory) Remove(id string, revision uint64) *Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.remove(id, revision)
-	if old != nil {
-		d.publish()
-	}
-	return old
+	return d.remove(id, revision)
 }
 
-// remove is Remove; mu is held and nothing is published.
+// remove is Remove; mu is held.
 func (d *Directory) remove(id string, revision uint64) *Server {
 	old := d.servers[id]
 	if old != nil && old.Revision > revision {
@@ -88,9 +108,14 @@
 	if len(d.removed) >= removedLimit {
 		clear(d.removed)
 	}
-	d.removed[id] = max(d.removed[id], revision)
 	d.revision = max(d.revision, revision)
-	delete(d.servers, id)
+	if before, known := d.removed[id]; !known || before.revision < revision {
+		d.removed[id] = removal{revision: revision, known: d.revision}
+	}
+	if old != nil {
+		delete(d.servers, id)
+		d.changed.Store(true)
+	}
 	return old
 }
 
@@ -106,7 +131,7 @@
 	adopted.ID, adopted.Incarnation, adopted.Draining, adopted.Adopted = id, 0, false, true
 	d.remove(old.ID, old.Revision)
 	d.servers[id] = &adopted
-	d.publish()
+	d.changed.Store(true)
 	return &adopted
 }
 
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -93,3 +93,42 @@
 	export := d.Export(20)
 	is.Equal(len(export.Servers), 0)
 }
+
+// TestManyChangesCostOneSnapshot takes over a list of servers one after the other.
+func TestManyChangesCostOneSnapshot(t *testing.T) {
+	is := is.New(t)
+	const count = 2000
+	d := New()
+	allocations := testing.AllocsPerRun(1, func() {
+		for i := range count {
+			d.Put(server(strconv.Itoa(i), uint64(i+1)))
+		}
+	})
+	is.True(allocations < 20*count) // a snapshot of all servers each would be millions
+	is.Equal(len(d.Snapshot().All), count)
+	is.True(d.Snapshot() == d.Snapshot()) // nothing changed since
+}
+
+// TestRemovalsAreTold once: to an instance that got the list before it, and also when
+// the server had time to come back, so that its removal is older than other news.
+func TestRemovalsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	d, other := New(), New()
+	exchange := func() int {
+		export := d.Export(other.Revision())
+		other.Import(export)
+		return len(export.Removed)
+	}
+	d.Put(server("a", 1))
+	d.Put(server("b", 2))
+	is.Equal(exchange(), 0)
+	d.Put(server("c", 9))
+	is.Equal(exchange(), 0)
+	d.Remove("a", 5) // late
+	is.Equal(exchange(), 1)
+	is.True(other.Snapshot().Find("a") == nil)
+	d.Put(server("d", 12))
+	is.Equal(exchange(), 1) // may be told again while nothing newer was known
+	is.Equal(exchange(), 0)
+	is.Equal(other.Snapshot().Fingerprint, d.Snapshot().Fingerprint)
+}
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -1,7 +1,5 @@
 package directory
 
-import "maps"
-
 // Export is the content of a directory for another instance.
 type Export struct {
 	Revision uint64
@@ -9,15 +7,22 @@
 	Fingerprint uint64
 	// Servers are the entries that are newer than the other instance's.
 	Servers []*Server
-	// Removed holds the revisions at which servers were removed.
+	// Removed holds the revisions of the removals that the other instance may not
+	// know.
 	Removed map[string]uint64
 }
 
-// Export returns the content beyond a revision, and all removals.
+// Export returns the content beyond a revision that another instance got from
+// here or elsewhere.
 func (d *Directory) Export(after uint64) Export {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	export := Export{Revision: d.revision, Fingerprint: d.Snapshot().Fingerprint, Removed: maps.Clone(d.removed)}
+	export := Export{Revision: d.revision, Fingerprint: d.current().Fingerprint, Removed: make(map[string]uint64)}
+	for id, removed := range d.removed {
+		if removed.known >= after {
+			export.Removed[id] = removed.revision
+		}
+	}
 	for _, server := range d.servers {
 		if server.Revision > after || server.Adopted {
 			export.Servers = append(export.Servers, server)
@@ -43,6 +48,5 @@
 		}
 	}
 	d.revision = max(d.revision, export.Revision)
-	d.publish()
 	return changed
 }
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -53,20 +53,21 @@
 		now, own := time.Now(), s.own()
 		s.mu.Lock()
 		configuration, servers := s.table.Ahead(now, own)
-		behind := s.table.Behind(now, own, configuration != nil || servers != nil)
+		oldConfiguration, oldServers := s.table.Behind(now, own, configuration != nil, servers != nil)
+		configuration = s.table.Patient(now, own, configuration, oldConfiguration)
+		servers = s.table.Patient(now, own, servers, oldServers)
+		if own.Relay && oldConfiguration < storeHead {
+			configuration = nil
+		}
+		if own.Relay && oldServers < stuckAfter {
+			servers = nil
+		}
 		if servers != nil && !servers.relay {
 			s.table.Helped(now)
 		}
 		s.mu.Unlock()
-		if own.Relay && behind < storeHead {
-			continue
-		}
 		if own.Relay && servers != nil {
-			if behind < stuckAfter {
-				servers = nil
-			} else {
-				s.options.Follower.Stuck()
-			}
+			s.options.Follower.Stuck()
 		}
 		s.fetch(configuration, servers)
 	}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -197,13 +197,18 @@
 	table := NewTable("own", addressOf(100), nil)
 	own := Own{Relay: true, Revision: 5}
 	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
-	is.Equal(table.Behind(at(0), own, true), time.Duration(0))
-	is.Equal(table.Behind(at(300), own, true), 300*time.Millisecond)
+	servers := func(ms int, ahead bool) time.Duration {
+		configuration, servers := table.Behind(at(ms), own, true, ahead)
+		is.Equal(configuration, at(ms).Sub(begin)) // news of servers are none of it
+		return servers
+	}
+	is.Equal(servers(0, true), time.Duration(0))
+	is.Equal(servers(300, true), 300*time.Millisecond)
 	own.Revision = 6
-	is.Equal(table.Behind(at(400), own, true), time.Duration(0)) // the store told it something
-	is.Equal(table.Behind(at(1500), own, true), 1100*time.Millisecond)
-	is.Equal(table.Behind(at(1600), own, false), time.Duration(0))
-	is.Equal(table.Behind(at(1700), own, true), time.Duration(0))
+	is.Equal(servers(400, true), time.Duration(0)) // the store told it something
+	is.Equal(servers(1500, true), 1100*time.Millisecond)
+	is.Equal(servers(1600, false), time.Duration(0))
+	is.Equal(servers(1700, true), time.Duration(0))
 }
 
 // TestLookingForHelpUsesNoneUp looks at each digest, as instances do, before the
@@ -239,3 +244,30 @@
 	table.Expire(begin.Add(forgetAfter + time.Second))
 	is.Equal(len(table.Members()), 0)
 }
+
+// TestFarInstancesAreAskedWhenNearOnesDoNotKnow lets a relay of another data centre
+// know of a change first.
+func TestFarInstancesAreAskedWhenNearOnesDoNotKnow(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	own := Own{DataCentre: "a", Version: 4, Revision: 5, Servers: 1}
+	hear(table, begin, 1, func(d *Digest) { d.Relay, d.Version, d.Revision, d.Servers = true, 4, 5, 1 })
+	hear(table, begin, 2, func(d *Digest) {
+		d.DataCentre, d.Relay, d.Version, d.Revision, d.Servers = "b", true, 6, 9, 2
+	})
+	configuration, servers := table.Ahead(begin, own)
+	is.Equal(servers.instance, "instance-2")
+	for _, asked := range []*member{configuration, servers} {
+		is.True(table.Patient(begin, own, asked, 0) == nil) // the near relay will know in a moment
+		is.Equal(table.Patient(begin, own, asked, farPatience), asked)
+		silent := begin.Add(relaySilence + time.Millisecond)
+		is.Equal(table.Patient(silent, own, asked, 0), asked) // there is no near relay any more
+	}
+	later := begin.Add(time.Millisecond)
+	hear(table, later, 1, func(d *Digest) { d.Relay, d.Version, d.Revision, d.Servers = true, 6, 9, 2 })
+	configuration, servers = table.Ahead(later, own)
+	is.Equal(configuration.instance, "instance-1")
+	is.Equal(servers.instance, "instance-1")
+	is.Equal(table.Patient(later, own, servers, 0), servers)
+	is.True(table.Patient(later, own, nil, 0) == nil)
+}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -32,10 +32,9 @@
 	// helped is when the servers were last read from an instance that does not
 	// reach the store.
 	helped time.Time
-	// behind is since when others know more, with progress as what this instance
-	// knew then.
-	behind   time.Time
-	progress Own
+	// configuration and servers tell how long others have known more of them.
+	configuration lag
+	servers       lag
 	// reached is when a relay of the own data centre last reached the store.
 	reached time.Time
 }
@@ -154,7 +153,7 @@
 		if now.Sub(known.heard) > aheadLifetime {
 			continue
 		}
-		if known.version > own.Version && (configuration == nil || newer(known, configuration)) {
+		if known.version > own.Version && (configuration == nil || newer(known, configuration, own.DataCentre)) {
 			configuration = known
 		}
 		if own.Relay && known.revision <= own.Revision {
@@ -179,25 +178,42 @@
 // the store.
 func (t *Table) Helped(now time.Time) { t.helped = now }
 
-// Behind returns for how long others have known more than this instance without
-// anything new coming to it; 0 while they do not.
-func (t *Table) Behind(now time.Time, own Own, ahead bool) time.Duration {
-	if !ahead {
-		t.behind = time.Time{}
-		return 0
+// Behind returns for how long others have known a newer configuration and more of
+// the servers than this instance, without anything new coming to it; 0 while they
+// do not.
+func (t *Table) Behind(now time.Time, own Own, newerConfiguration, moreServers bool) (configuration, servers time.Duration) {
+	return t.configuration.behind(now, own.Version, newerConfiguration), t.servers.behind(now, own.Revision, moreServers)
+}
+
+// farPatience is how long an instance lets a relay of its own data centre have the
+// first word on what a far one knows already: relays hear of a change within half a
+// second of each other, and each list that crosses regions has a price.
+const farPatience = 900 * time.Millisecond
+
+// Patient returns the instance that is to be asked now, or nil when it is far and a
+// relay of the own data centre will know the same in a moment.
+func (t *Table) Patient(now time.Time, own Own, asked *member, behind time.Duration) *member {
+	if asked == nil || asked.dataCentre == own.DataCentre || behind >= farPatience {
+		return asked
 	}
-	if t.behind.IsZero() || own.Version != t.progress.Version || own.Revision != t.progress.Revision {
-		t.behind, t.progress = now, own
+	for _, known := range t.members {
+		if known.relay && known.dataCentre == own.DataCentre && now.Sub(known.heard) <= relaySilence {
+			return nil
+		}
 	}
-	return now.Sub(t.behind)
+	return asked
 }
 
-// newer reports whether one instance has a newer configuration than another, or
-// an equal one and the lower address.
-func newer(one, other *member) bool {
+// newer reports whether the configuration is rather read from one instance than from
+// another: from the one that has the newer, then from one of the own data centre,
+// then from the lower address.
+func newer(one, other *member, dataCentre string) bool {
 	if one.version != other.version {
 		return one.version > other.version
 	}
+	if near := one.dataCentre == dataCentre; near != (other.dataCentre == dataCentre) {
+		return near
+	}
 	return one.address.Less(other.address)
 }
 
