--- a/decision/pace/estimator.go
+++ b/decision/pace/estimator.go
@@ -1,10 +1,12 @@
 package pace
 
-import "time"
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/internal/moving"
+)
 
 const (
-	// weight is that of one generation in the moving means.
-	weight = 0.1
 	// leastSeen is the number of generations before anything is said.
 	leastSeen = 8
 	// deviations is how many mean deviations below the mean still count as
@@ -30,8 +32,8 @@
 	seen int
 	// gap is the time between two events in nanoseconds, rate the number of
 	// events for each output token that was asked for.
-	gap  mean
-	rate mean
+	gap  moving.Mean
+	rate moving.Mean
 }
 
 // Observe adds a generation.
@@ -40,8 +42,8 @@
 		return
 	}
 	e.seen++
-	e.gap.add(float64(generation.Took) / float64(generation.Events-1))
-	e.rate.add(float64(generation.Events) / float64(generation.OutputTokens))
+	e.gap.Add(float64(generation.Took) / float64(generation.Events-1))
+	e.rate.Add(float64(generation.Events) / float64(generation.OutputTokens))
 }
 
 // Least returns the shortest time in which the events of a generation after a
@@ -50,6 +52,9 @@
 	if e.seen < leastSeen {
 		return 0
 	}
-	rest := e.rate.low()*float64(outputTokens) - float64(position)
-	return time.Duration(max(0, rest) * e.gap.low())
+	rest := low(&e.rate)*float64(outputTokens) - float64(position)
+	return time.Duration(max(0, rest) * low(&e.gap))
 }
+
+// low returns a value that few are below.
+func low(mean *moving.Mean) float64 { return max(mean.Offset(-deviations), leastPart*mean.Value()) }
