Bound the digests that an instance sends, whatever the number of instances

Digests now keep rates (48 a second within a data centre, 32 to others), lost servers are told to 16 and 16 instances, because many instances lose the same ones, and changes to the own data centre, the relays of others and 8 more. Loads of others count as long as two reports take. The users' small deployments send as before.

--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -57,10 +57,10 @@
 	delete(l.reports, instance)
 }
 
-// Expire drops reports that are too old.
-func (l *Ledger) Expire(now time.Time) {
+// Expire drops reports that are older than a lifetime.
+func (l *Ledger) Expire(now time.Time, lifetime time.Duration) {
 	for instance, stated := range l.reports {
-		if now.Sub(stated.at) > l.policy.ReportLifetime {
+		if now.Sub(stated.at) > lifetime {
 			l.withdraw(instance)
 		}
 	}
--- a/decision/placement/ledger_test.go
+++ b/decision/placement/ledger_test.go
@@ -56,8 +56,11 @@
 func TestReportsExpire(t *testing.T) {
 	is := is.New(t)
 	l := newLedger()
+	const lifetime = 2 * time.Second
 	l.Report(begin, "other instance", map[string]Load{"here": {Waiting: 50000}})
-	l.Expire(begin.Add(DefaultPolicy().ReportLifetime + time.Millisecond))
+	l.Expire(begin.Add(lifetime), lifetime)
+	is.Equal(l.load("here"), Load{Waiting: 50000})
+	l.Expire(begin.Add(lifetime+time.Millisecond), lifetime)
 	choice, _ := l.ChooseGeneration(begin, usual, []Candidate{engine("here", here), engine("near", near)})
 	is.Equal(choice.ID, "here")
 }
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -52,8 +52,6 @@
 	CentreWindow   time.Duration
 	// Forget is the time after which half of what answers said is forgotten.
 	Forget time.Duration
-	// ReportLifetime is how long another instance's report counts.
-	ReportLifetime time.Duration
 	// Spread is the part of a cost that is drawn at random, so that instances
 	// with the same knowledge do not all choose the same server.
 	Spread float64
@@ -84,7 +82,6 @@
 		CentreFailures:        2,
 		CentreWindow:          1200 * time.Millisecond,
 		Forget:                3 * time.Second,
-		ReportLifetime:        2 * time.Second,
 		Spread:                0.1,
 	}
 }
--- a/gateway/forward/exchange.go
+++ b/gateway/forward/exchange.go
@@ -63,8 +63,8 @@
 }
 
 // Expire implements peers.Ledger.
-func (s *selector) Expire() {
+func (s *selector) Expire(lifetime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Expire(time.Now())
+	s.ledger.Expire(time.Now(), lifetime)
 }
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -21,7 +21,7 @@
 func (silentLedger) Usages() []ServiceUsage                 { return nil }
 func (silentLedger) UsagesElsewhere(string, []ServiceUsage) {}
 func (silentLedger) LostElsewhere(LostServer)               {}
-func (silentLedger) Expire()                                {}
+func (silentLedger) Expire(time.Duration)                   {}
 
 // newService returns a service that does not run.
 func newService(address netip.AddrPort) *Service {
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -21,8 +22,8 @@
 	UsagesElsewhere(instance string, usages []ServiceUsage)
 	// LostElsewhere takes over that another instance lost a server.
 	LostElsewhere(lost LostServer)
-	// Expire drops reports that are too old.
-	Expire()
+	// Expire drops reports that are older than a lifetime.
+	Expire(lifetime time.Duration)
 }
 
 // Options are the parts of a service.
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -12,7 +12,6 @@
 
 // round sends what is due.
 func (s *Service) round(now time.Time) {
-	s.options.Ledger.Expire()
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages := s.options.Ledger.Usages()
@@ -26,6 +25,8 @@
 		s.send(address, Encode(&digest))
 	}
 	members := s.table.Members()
+	paces := paceOf(members, s.options.DataCentre)
+	s.options.Ledger.Expire(paces.lifetime())
 	idleFar := 0
 	for _, i := range rand.Perm(len(members)) {
 		known := members[i]
@@ -38,7 +39,7 @@
 			})
 		}
 		mark := fingerprint(needed)
-		if !due(now, known, near, s.options.Follower.Following(), mark) {
+		if !due(now, known, near, s.options.Follower.Following(), paces, mark) {
 			continue
 		}
 		if !near && len(needed) == 0 && mark == known.fingerprint {
@@ -58,15 +59,15 @@
 }
 
 // due reports whether a member gets a digest now.
-func due(now time.Time, known *member, near, relay bool, mark uint64) bool {
+func due(now time.Time, known *member, near, relay bool, paces pace, mark uint64) bool {
 	since := now.Sub(known.sent)
 	if near && relay && since >= relayRefresh {
 		return true
 	}
 	if near {
-		return mark != known.fingerprint || since >= nearRefresh
+		return since >= max(nearRefresh, paces.near) || (mark != known.fingerprint && since >= paces.near)
 	}
-	return since >= farRefresh || (mark != known.fingerprint && since >= farSpacing)
+	return since >= max(farRefresh, paces.far) || (mark != known.fingerprint && since >= paces.far)
 }
 
 // someAddresses returns addresses of members drawn at random.
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -136,14 +136,14 @@
 	}
 }
 
-// sendLost tells all members at once.
+// sendLost tells members at once; they tell nobody, others that lost the same do.
 func (s *Service) sendLost(first LostServer) {
 	gathered := []LostServer{first}
 	for len(s.lost.Items()) > 0 {
 		gathered = append(gathered, <-s.lost.Items())
 	}
 	s.mu.Lock()
-	members := s.table.Members()
+	members := some(s.table.Members(), s.options.DataCentre, lostNear, lostFar, func(*member) bool { return false })
 	digest := s.digest()
 	s.mu.Unlock()
 	digest.Lost = gathered
@@ -174,9 +174,9 @@
 	}
 }
 
-// Announce tells all instances at once when this one learned something from the
-// store. Relays of other data centres do so too, so that no instance depends on
-// those of its own.
+// Announce tells others at once when this one learned something from the store: all
+// of its data centre, the relays of others and some more, so that no instance
+// depends on the relays of its own.
 func (s *Service) Announce() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +187,10 @@
 	s.announced = own
 	digest := s.digest()
 	payload := Encode(&digest)
-	for _, known := range s.table.Members() {
+	told := some(s.table.Members(), s.options.DataCentre, 0, announcedFar, func(known *member) bool {
+		return known.relay || known.dataCentre == s.options.DataCentre
+	})
+	for _, known := range told {
 		if known.version < own.Version || known.servers != own.Servers {
 			s.send(known.address, payload)
 		}
