Adopt a restarted server when it answers at its address; take only a server's own words for life

The answer names the server: it is adopted at once if the old one was heard within the time in which the address belongs to nobody else. For that, the bytes of any answer no longer count as heard, nor does the answer to a question about load, which names nobody: a server of another service could have been adopted.

--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -59,6 +59,28 @@
 	go a.ask(server, service.HealthPath, heard, heard.Add(reuse-adoptMargin))
 }
 
+// replaced takes over that another server answered at the address of a server and
+// named itself: the same one, restarted, if that one was heard a moment ago.
+func (a *adopter) replaced(server *directory.Server, id string) {
+	reuse := time.Duration(a.reuse.Load())
+	var heard time.Time
+	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
+	if id == "" || heard.IsZero() || time.Since(heard) > reuse-adoptMargin || !a.adopt(server, id, heard) {
+		a.f.directory.Remove(server.ID, server.Revision)
+	}
+}
+
+// adopt replaces a server by the one that answers at its address, and reports
+// whether it was still listed.
+func (a *adopter) adopt(server *directory.Server, id string, heard time.Time) bool {
+	if a.f.directory.Adopt(server, id) == nil {
+		return false
+	}
+	event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
+		Str("address", server.Address).Dur("after_ms", time.Since(heard)).Send()
+	return true
+}
+
 // ask asks until somebody answers or the address may be another service's, at
 // end.
 func (a *adopter) ask(server *directory.Server, path string, heard, end time.Time) {
@@ -83,10 +105,7 @@
 		if response.Status != 200 || id == "" || id == server.ID {
 			continue
 		}
-		if adopted := a.f.directory.Adopt(server, id); adopted != nil {
-			event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
-				Str("address", server.Address).Dur("after_ms", time.Since(heard)).Send()
-		}
+		a.adopt(server, id, heard)
 		return
 	}
 }
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -88,7 +88,7 @@
 	result.response, result.body = response, body
 	f.judge(&result, j, answer)
 	if answer.WrongServer {
-		f.directory.Remove(server.ID, server.Revision)
+		f.adopter.replaced(server, answer.Server)
 	}
 	if answer.WrongServer || errors.Is(result.err, errForeignAnswer) || ctx.Err() != nil {
 		conn.Close()
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
@@ -12,14 +11,15 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
-// probe asks a server for its load and reports whether it answers, and what.
+// probe asks at a server's address for its load and reports whether somebody
+// answers, and what. The answer does not say by whom: it is no sign of life of the
+// server.
 func (f *Forwarder) probe(ctx context.Context, server *directory.Server) (message.Report, bool) {
 	f.meters.count("probes")
 	response, body, err := f.ask(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
 	if err != nil {
 		return message.Report{}, false
 	}
-	f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, server.ID) })
 	if response.Status != 200 {
 		return message.Report{}, true
 	}
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -44,9 +44,9 @@
 		if err == nil {
 			if !a.waiting {
 				a.cadence.Observe(now.Sub(a.heard))
+				a.noteHeard()
 			}
 			a.heard = now
-			a.run.f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, a.server.ID) })
 			return nil
 		}
 		if !upstream.IsTimeout(err) || ctx.Err() != nil {
@@ -58,6 +58,12 @@
 	}
 }
 
+// noteHeard notes that the server itself sent something: an answer that it vouches
+// for, or a part of one.
+func (a *streamAttempt) noteHeard() {
+	a.run.f.selector.update(func(ledger *placement.Ledger, now time.Time) { ledger.Heard(now, a.server.ID) })
+}
+
 // alive reports whether the server shows that it runs though this stream is
 // silent.
 func (a *streamAttempt) alive(ctx context.Context, now time.Time, budget time.Duration) bool {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -57,8 +57,10 @@
 	// answered is set when the server's answer is no stream and is passed on.
 	answered *callResult
 	notRun   bool
-	// wrongServer is set when the address belongs to another server now.
+	// wrongServer is set when the address belongs to another server now, which
+	// is answeredBy if it said so.
 	wrongServer bool
+	answeredBy  string
 	code        fault.Code
 	err         error
 }
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -110,7 +110,7 @@
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
-		r.f.directory.Remove(a.server.ID, a.server.Revision)
+		r.f.adopter.replaced(a.server, result.answeredBy)
 	} else if r.sameAgain != nil || errors.Is(result.err, upstream.ErrNoTime) {
 		// The server may be well: what becomes of the next connection tells.
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errFalsePromise)) {
--- a/gateway/forward/stream_relay.go
+++ b/gateway/forward/stream_relay.go
@@ -20,8 +20,11 @@
 	judged := callResult{server: a.server, response: response}
 	r.f.judge(&judged, r.j, answer)
 	if !judged.usable() {
-		return streamResult{notRun: judged.notRun, wrongServer: answer.WrongServer, code: judged.code, err: judged.err}
+		return streamResult{
+			notRun: judged.notRun, wrongServer: answer.WrongServer, answeredBy: answer.Server, code: judged.code, err: judged.err,
+		}
 	}
+	a.noteHeard()
 	if response.Status != 200 {
 		return a.receiveWhole(response, judged)
 	}
