Never promise that a stream has not run when a server began to work on it

Found by reading the change: since streams without time are not sent again, the check for time came before the note that the server may have run the request, so that a stream that broke in its last moments was answered 503. The note comes first now. The test fails before (503 on both kinds of stream).

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -99,6 +99,9 @@
 			return
 		}
 		run.last = result
+		if !result.notRun {
+			run.ranAt[result.server.ID] = true
+		}
 		if !run.another(&result) {
 			run.fail()
 			return
@@ -149,11 +152,8 @@
 	if r.j.remaining() < leastSend || !r.canEnd() {
 		return false
 	}
-	if !result.notRun {
-		r.ranAt[result.server.ID] = true
-		if !r.j.route.Resumable {
-			return false
-		}
+	if !result.notRun && !r.j.route.Resumable {
+		return false
 	}
 	if len(r.ranAt) >= r.j.route.Attempts && r.sameAgain == nil {
 		return false
