Send configurations compressed between instances, and ask different ones

Cause: a configuration of 1,200 routes (some 200 KB) was read by all twelve instances of a data centre from one relay at the same moment, over a link of 10 Mbit/s: each call was given up after a second, all began again at the same one, and some instances had it after 5 to 7 s. Ruled out: the store (relays had it within 0.2 s) and the decoding.

--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	others := &fasthttp.Server{Handler: m.gateway.peers.Handle, NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
+	others := &fasthttp.Server{Handler: m.gateway.peers.Handler(), NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
 	for _, serve := range []func() error{
 		func() error { return m.server.Serve(readiness) },
 		func() error { return m.server.Serve(served) },
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -32,8 +32,10 @@
 	// for a second and a half between two calls, and a slow store takes half a
 	// second.
 	stuckAfter = 2200 * time.Millisecond
-	// fetchTimeout bounds one call to another instance.
-	fetchTimeout = time.Second
+	// fetchTimeout bounds one call to another instance: a configuration of 1,200
+	// routes is some 30 KB compressed, which a dozen instances may ask for at once
+	// over a link of 10 Mbit/s.
+	fetchTimeout = 1500 * time.Millisecond
 )
 
 // RunFetch reads what other instances know beyond this one, until the context
@@ -85,6 +87,9 @@
 
 func (s *Service) note(asked *member, err error) {
 	if err != nil {
+		s.mu.Lock()
+		asked.failed = time.Now()
+		s.mu.Unlock()
 		event.Log(s.options.Logger, event.PeerFetchFailed).Str("peer", asked.instance).Stringer("address", asked.address).Err(err).Send()
 	}
 }
@@ -130,12 +135,17 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + netip.AddrPortFrom(address, s.options.Address.Port()).String() + target)
 	request.SetConnectionClose()
+	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	if err := s.client.Do(request, response); err != nil {
 		return nil, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
 	}
 	switch response.StatusCode() {
 	case fasthttp.StatusOK:
-		return append([]byte(nil), response.Body()...), nil
+		body, err := response.BodyUncompressed()
+		if err != nil {
+			return nil, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
+		}
+		return append([]byte(nil), body...), nil
 	case fasthttp.StatusNoContent:
 		return nil, nil
 	default:
@@ -143,8 +153,13 @@
 	}
 }
 
-// Handle answers other instances over HTTP.
-func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+// Handler answers other instances over HTTP, compressed: documents of many routes
+// cross slow links.
+func (s *Service) Handler() fasthttp.RequestHandler {
+	return fasthttp.CompressHandlerLevel(s.handle, fasthttp.CompressBestSpeed)
+}
+
+func (s *Service) handle(ctx *fasthttp.RequestCtx) {
 	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -24,6 +24,8 @@
 	// loads.
 	sent        time.Time
 	fingerprint uint64
+	// failed is when it did not answer a question.
+	failed time.Time
 	// fetched is the fingerprint of the servers that were last read from it.
 	fetched uint64
 }
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/rendezvous"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -150,10 +151,10 @@
 // store itself needs a list only when its watch hears less than others do.
 func (t *Table) Ahead(now time.Time, own Own) (configuration, servers *member) {
 	for _, known := range t.members {
-		if now.Sub(known.heard) > aheadLifetime {
+		if now.Sub(known.heard) > aheadLifetime || now.Sub(known.failed) < askAgain {
 			continue
 		}
-		if known.version > own.Version && (configuration == nil || newer(known, configuration, own.DataCentre)) {
+		if known.version > own.Version && (configuration == nil || t.newer(known, configuration, own.DataCentre)) {
 			configuration = known
 		}
 		if own.Relay && known.revision <= own.Revision {
@@ -204,17 +205,21 @@
 	return asked
 }
 
+// askAgain is how long an instance that did not answer is left alone while others can
+// be asked: others ask it too, over a link that may be slow.
+const askAgain = 700 * time.Millisecond
+
 // newer reports whether the configuration is rather read from one instance than from
-// another: from the one that has the newer, then from one of the own data centre,
-// then from the lower address.
-func newer(one, other *member, dataCentre string) bool {
+// another: from the one that has the newer, then from one of the own data centre. Among
+// equal ones each instance prefers another, so that not all ask the same.
+func (t *Table) newer(one, other *member, dataCentre string) bool {
 	if one.version != other.version {
 		return one.version > other.version
 	}
 	if near := one.dataCentre == dataCentre; near != (other.dataCentre == dataCentre) {
 		return near
 	}
-	return one.address.Less(other.address)
+	return rendezvous.Weight(t.own, one.instance) > rendezvous.Weight(t.own, other.instance)
 }
 
 // better reports whether the servers are rather read from one instance than from
