Keep one gain of a prompt's server, and one span in which an address is a server's

Found by reading the change once more: the gain for callers that come again had become equal to the usual one, so that its setting, a flag of each generation and a function decided nothing; the adopter worked out twice when a server was heard and until when its address counts. Behaviour stays as it is; the tests keep their assertions and lose the setting that no longer exists.

--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -27,7 +27,7 @@
 	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration {
 		cost := l.generationCost(generation, candidate)
 		if candidate.ID == home {
-			cost -= l.homeGain(generation)
+			cost -= l.policy.HomeGain
 		}
 		if candidate.Foreign {
 			cost += foreign
--- a/decision/placement/home.go
+++ b/decision/placement/home.go
@@ -29,11 +29,3 @@
 	}
 	return home
 }
-
-// homeGain returns what is taken off the cost of a generation's home.
-func (l *Ledger) homeGain(generation Generation) time.Duration {
-	if generation.Again {
-		return l.policy.HomeGainAgain
-	}
-	return l.policy.HomeGain
-}
--- a/decision/placement/home_test.go
+++ b/decision/placement/home_test.go
@@ -104,7 +104,7 @@
 	for _, run := range interrupted {
 		result.again++
 		size := usual
-		size.Key, size.Again = run.key, true
+		size.Key = run.key
 		at := random.IntN(instances)
 		choice, _ := ledgers[at].ChooseGeneration(now, size, candidates)
 		if choice.ID == run.server {
@@ -122,7 +122,7 @@
 func TestCallersThatComeAgainFindTheirPrompt(t *testing.T) {
 	is := is.New(t)
 	alone := DefaultPolicy()
-	alone.HomeGain, alone.HomeGainAgain = 0, 0
+	alone.HomeGain = 0
 	var with, without homeLoad
 	for seed := range uint64(20) {
 		for sum, policy := range map[*homeLoad]Policy{&with: DefaultPolicy(), &without: alone} {
--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -26,10 +26,9 @@
 	// instances send at once: more than the way to another region.
 	LossForeignCost time.Duration
 	// HomeGain is taken off the cost of the server that instances prefer for a
-	// prompt, and HomeGainAgain when the prompt was probably read there a moment
-	// ago, so that its reading is saved.
-	HomeGain      time.Duration
-	HomeGainAgain time.Duration
+	// prompt: more than reading one prompt takes, so that callers that come again
+	// find theirs in its cache.
+	HomeGain time.Duration
 	// FullCost is added for a server without room in its memory: about the time
 	// until one of its generations ends.
 	FullCost time.Duration
@@ -72,7 +71,6 @@
 		ForeignCost:           150 * time.Millisecond,
 		LossForeignCost:       800 * time.Millisecond,
 		HomeGain:              1200 * time.Millisecond,
-		HomeGainAgain:         1200 * time.Millisecond,
 		FullCost:              2 * time.Second,
 		UsualCall:             30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -26,7 +26,4 @@
 	Memory int
 	// Key names its prompt; empty when unknown.
 	Key string
-	// Again is set when the caller already got a part of the answer from an
-	// attempt that broke: a server may still hold the prompt in its cache.
-	Again bool
 }
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -40,14 +40,9 @@
 
 // lost begins to ask at the address of a server that can't be reached.
 func (a *adopter) lost(server *directory.Server) {
-	reuse := time.Duration(a.reuse.Load())
-	if reuse <= 0 {
-		return
-	}
 	service := a.f.service(server.Service)
-	var heard time.Time
-	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
-	if service == nil || service.HealthPath == "" || heard.IsZero() || time.Since(heard) > reuse-adoptMargin {
+	heard, end := a.span(server)
+	if service == nil || service.HealthPath == "" || time.Now().After(end) {
 		return
 	}
 	a.mu.Lock()
@@ -56,16 +51,25 @@
 		return
 	}
 	a.busy[server.ID] = true
-	go a.ask(server, service.HealthPath, heard, heard.Add(reuse-adoptMargin))
+	go a.ask(server, service.HealthPath, heard, end)
+}
+
+// span returns when a server was heard last, and until when its address is certainly
+// its own or a restarted one's; both are zero when that is not known.
+func (a *adopter) span(server *directory.Server) (heard, end time.Time) {
+	reuse := time.Duration(a.reuse.Load())
+	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
+	if reuse <= 0 || heard.IsZero() {
+		return time.Time{}, time.Time{}
+	}
+	return heard, heard.Add(reuse - adoptMargin)
 }
 
 // replaced takes over that another server answered at the address of a server and
 // named itself: the same one, restarted, if that one was heard a moment ago.
 func (a *adopter) replaced(server *directory.Server, id string) {
-	reuse := time.Duration(a.reuse.Load())
-	var heard time.Time
-	a.f.selector.update(func(ledger *placement.Ledger, _ time.Time) { heard = ledger.LastHeard(server.ID) })
-	if id == "" || heard.IsZero() || time.Since(heard) > reuse-adoptMargin || !a.adopt(server, id, heard) {
+	heard, end := a.span(server)
+	if id == "" || time.Now().After(end) || !a.adopt(server, id, heard) {
 		a.f.directory.Remove(server.ID, server.Revision)
 	}
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -79,7 +79,7 @@
 	if run.size.Prompt == 0 {
 		run.size = placement.Generation{Prompt: defaultPrompt, Memory: defaultPrompt + defaultOutput}
 	}
-	run.size.Key, run.size.Again = j.request.Prompt, j.request.Position > 0
+	run.size.Key = j.request.Prompt
 	run.events.position, run.events.checked = j.request.Position, j.request.Position > 0
 	if !run.canEnd() {
 		f.reject(j, ownAnswer{status: 503, code: fault.TooLittleTime, retryAfter: longerRetry})
