--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -155,8 +155,11 @@
 	return engines
 }
 
-// send sends one order and records it with its reason and the error, if any.
+// send records the reason of one order, sends the order and records the error, if any. The reason
+// is recorded first: the engine may take the order long before its answer arrives here.
 func (c *Controller) send(ctx context.Context, address string, order decision.Order) {
+	reason := fmt.Sprintf("%s %s %s: %s", order.Kind, order.Desired.Model, order.Desired.Version, order.Reason)
+	c.record(order.Server, reason)
 	_, err := c.options.Engines.Order(ctx, address, engineapi.Order{
 		ID:           fmt.Sprintf("%s-%d-%s", c.options.Instance, order.FencingToken, order.Server),
 		Kind:         order.Kind,
@@ -164,11 +167,10 @@
 		Version:      order.Desired.Version,
 		FencingToken: order.FencingToken,
 	})
-	reason := fmt.Sprintf("%s %s %s: %s", order.Kind, order.Desired.Model, order.Desired.Version, order.Reason)
 	if err != nil {
 		reason += "; failed: " + err.Error()
+		c.record(order.Server, reason)
 	}
-	c.options.Recorder.Record(serving.Decision{Subject: order.Server, Kind: "order", Server: order.Server, Reason: reason})
 	c.updateStatus(func(s *Status) {
 		s.Orders++
 		if fault.HasCode(err, fault.FencingRejected) {
@@ -178,6 +180,11 @@
 	event.Log(c.options.Logger, event.OrderGiven).Str("server", order.Server).Str("reason", reason).Send()
 }
 
+// record records a decision about a server for explain commands.
+func (c *Controller) record(server, reason string) {
+	c.options.Recorder.Record(serving.Decision{Subject: server, Kind: "order", Server: server, Reason: reason})
+}
+
 func (c *Controller) updateStatus(change func(*Status)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/decision/quarantine/tracker.go
+++ b/decision/quarantine/tracker.go
@@ -37,6 +37,8 @@
 type attempt struct {
 	fingerprint serving.Fingerprint
 	started     time.Time
+	// reached is set once the server accepted the connection of the request.
+	reached bool
 }
 
 // NewTracker returns an empty tracker for an instance.
@@ -52,8 +54,9 @@
 	}
 }
 
-// Started records that a request runs on a server. It ends the intent of this
-// instance to run the request.
+// Started records that a request is sent to a server. It ends the intent of this
+// instance to run the request. The request is no suspect of the server's failure before
+// Reached is called.
 func (t *Tracker) Started(now time.Time, fingerprint serving.Fingerprint, request, server string) {
 	if t.running[server] == nil {
 		t.running[server] = make(map[string]attempt)
@@ -65,6 +68,15 @@
 	t.running[server][request] = attempt{fingerprint: fingerprint, started: now}
 }
 
+// Reached records that a server accepted the connection of a request. It does nothing when the
+// request has ended.
+func (t *Tracker) Reached(now time.Time, request, server string) {
+	if reached, inFlight := t.running[server][request]; inFlight {
+		reached.started, reached.reached = now, true
+		t.running[server][request] = reached
+	}
+}
+
 // Ended records that a request left a server that did not fail. A suspect that ran
 // long enough is cleared. It does nothing after the server's failure.
 func (t *Tracker) Ended(now time.Time, request, server string) {
@@ -76,7 +88,7 @@
 	if len(t.running[server]) == 0 {
 		delete(t.running, server)
 	}
-	if t.isSuspected(ended.fingerprint) {
+	if ended.reached && t.isSuspected(ended.fingerprint) {
 		t.addClearance(Clearance{Fingerprint: ended.fingerprint, At: now, RunDuration: now.Sub(ended.started)})
 	}
 }
@@ -116,11 +128,10 @@
 	return cmp.Or(cmp.Compare(a.RunDuration, b.RunDuration), a.At.Compare(b.At))
 }
 
-// ServerFailed records that a server failed: every request in flight on it becomes a
-// suspect. It returns their number.
+// ServerFailed records that a server failed: every request that reached it and is in flight
+// there becomes a suspect. It returns their number.
 func (t *Tracker) ServerFailed(now time.Time, server string) int {
-	inFlight := t.running[server]
-	delete(t.running, server)
+	inFlight := t.takeReached(server)
 	if len(inFlight) == 0 {
 		return 0
 	}
@@ -140,6 +151,21 @@
 	return len(inFlight)
 }
 
+// takeReached removes and returns the requests in flight that reached a server.
+func (t *Tracker) takeReached(server string) map[string]attempt {
+	reached := make(map[string]attempt)
+	for request, running := range t.running[server] {
+		if running.reached {
+			reached[request] = running
+			delete(t.running[server], request)
+		}
+	}
+	if len(t.running[server]) == 0 {
+		delete(t.running, server)
+	}
+	return reached
+}
+
 // addReport adds a report without its cleared suspects and keeps the newest
 // MaxReports reports.
 func (t *Tracker) addReport(report Report) {
--- a/decision/quarantine/tracker_test.go
+++ b/decision/quarantine/tracker_test.go
@@ -21,7 +21,7 @@
 	tracker := quarantine.NewTracker("instance", settings)
 	now := start
 	for _, server := range []string{"a", "b", "c"} {
-		tracker.Started(now, poison, "request", server)
+		run(tracker, now, poison, "request", server)
 		now = now.Add(time.Second)
 		tracker.ServerFailed(now, server)
 		now = now.Add(settings.JoinWindow + time.Second)
@@ -50,7 +50,7 @@
 	now := start
 	for range 3 {
 		for _, server := range []string{"a", "b", "c", "d"} {
-			tracker.Started(now, harmless, "request-"+server, server)
+			run(tracker, now, harmless, "request-"+server, server)
 			tracker.ServerFailed(now, server)
 		}
 		now = now.Add(time.Minute)
@@ -61,14 +61,39 @@
 func TestLongRunWithoutFailureClearsSuspect(t *testing.T) {
 	is := is.New(t)
 	tracker := quarantine.NewTracker("instance", quarantine.DefaultSettings())
-	tracker.Started(start, harmless, "request", "a")
+	run(tracker, start, harmless, "request", "a")
 	now := start.Add(time.Second)
 	tracker.ServerFailed(now, "a")
 	is.Equal(tracker.Check(now, harmless, "request").Action, quarantine.RunIsolated)
-	tracker.Started(now, harmless, "request", "b")
+	run(tracker, now, harmless, "request", "b")
 	tracker.Ended(now.Add(500*time.Millisecond), "request", "b")
 	is.Equal(tracker.Check(now.Add(time.Second), harmless, "request").Action, quarantine.RunIsolated) // shorter than the run before the failure
-	tracker.Started(now, harmless, "request", "b")
+	run(tracker, now, harmless, "request", "b")
 	tracker.Ended(now.Add(2*time.Second), "request", "b")
 	is.Equal(tracker.Check(now.Add(3*time.Second), harmless, "request").Action, quarantine.Run)
 }
+
+// TestUnreachedServerFailsNoRequest guards against failures of a server that is down already: a
+// request whose connection was still being opened can't have crashed it.
+func TestUnreachedServerFailsNoRequest(t *testing.T) {
+	is := is.New(t)
+	settings := quarantine.DefaultSettings()
+	tracker := quarantine.NewTracker("instance", settings)
+	now := start
+	for _, server := range []string{"a", "b"} {
+		run(tracker, now, harmless, "request", server)
+		is.Equal(tracker.ServerFailed(now, server), 1)
+	}
+	now = now.Add(settings.JoinWindow + time.Second)
+	tracker.Started(now, harmless, "request", "a") // a is still down
+	is.Equal(tracker.ServerFailed(now, "a"), 0)    // found by another request, which it refused
+	tracker.Ended(now, "request", "a")
+	now = now.Add(settings.JoinWindow + time.Second)
+	is.True(tracker.Check(now, harmless, "request").Action != quarantine.Refuse)
+}
+
+// run records that a request reached a server and runs there.
+func run(tracker *quarantine.Tracker, now time.Time, fingerprint serving.Fingerprint, request, server string) {
+	tracker.Started(now, fingerprint, request, server)
+	tracker.Reached(now, request, server)
+}
--- a/experiment/killingrequest/job.go
+++ b/experiment/killingrequest/job.go
@@ -86,6 +86,7 @@
 	}
 	s.running[j.id] = j
 	j.at.tracker.Started(w.Now, j.request.fingerprint, strconv.Itoa(j.id), s.name)
+	j.at.tracker.Reached(w.Now, strconv.Itoa(j.id), s.name)
 	boot := s.boot
 	stillRunning := func() bool { return s.up && s.boot == boot && s.running[j.id] == j }
 	if j.request.poison {
--- a/serving/call/attempt.go
+++ b/serving/call/attempt.go
@@ -62,7 +62,7 @@
 		Operation: r.request.Operation.Name,
 		Key:       r.request.Key,
 		Body:      r.request.Body,
-	})
+	}, func() { guard.Reached(r.request.RequestID, route.Server.Name) })
 	ended := call.AttemptEnded{Attempt: number}
 	outcome := serving.OutcomeSucceeded
 	switch {
--- a/serving/generation/attempt.go
+++ b/serving/generation/attempt.go
@@ -33,13 +33,15 @@
 	request engineapi.CompletionRequest
 	inputs  chan<- decision.Input
 	opened  decision.AttemptOpened
+	// onConnect is called when the engine has accepted the connection.
+	onConnect func()
 	// cancelStream cancels a stream whose id came after the attempt was closed.
 	cancelStream func(streamID string)
 }
 
 // run reads until the stream, the attempt or the context ends.
 func (r *reader) run(ctx context.Context) {
-	stream, err := r.engines.Open(ctx, r.attempt.route.Server.Address, r.request)
+	stream, err := r.engines.Open(ctx, r.attempt.route.Server.Address, r.request, r.onConnect)
 	if err != nil {
 		r.send(decision.AttemptFailed{Attempt: r.attempt.number, Reason: openFailure(err, r.request.Resume != nil)})
 		return
--- a/serving/generation/attempts.go
+++ b/serving/generation/attempts.go
@@ -97,6 +97,7 @@
 	r.addresses[out.Server] = route.Server.Address
 	stream := &reader{
 		attempt: opened, engines: r.parts.Engines, request: request, inputs: r.inputs,
+		onConnect:    func() { r.parts.Guard.Reached(r.request.RequestID, opened.server) },
 		cancelStream: func(streamID string) { r.cancelAt(route.Server.Address, streamID, false) },
 	}
 	r.generator.wait.Go(func() {
--- a/serving/guard.go
+++ b/serving/guard.go
@@ -12,11 +12,14 @@
 	// holds a suspect for a bounded time while other requests with its
 	// fingerprint run, and returns RequestSuspected after that.
 	Check(fingerprint Fingerprint, requestID string) (isolated bool, err error)
-	// Started records that a request runs on a server.
+	// Started records that a request is sent to a server.
 	Started(fingerprint Fingerprint, requestID, server string)
+	// Reached records that the server accepted the connection of the request: from
+	// then on the request may crash it.
+	Reached(requestID, server string)
 	// Ended records that the request left the server without a crash.
 	Ended(fingerprint Fingerprint, requestID, server string)
-	// ServerFailed records that a server failed: every request in flight on it
-	// becomes a suspect.
+	// ServerFailed records that a server failed: every request that reached it and is
+	// in flight there becomes a suspect.
 	ServerFailed(server string)
 }
--- a/serving/guard/allow_all.go
+++ b/serving/guard/allow_all.go
@@ -11,6 +11,9 @@
 // Started implements serving.Guard.
 func (AllowAll) Started(serving.Fingerprint, string, string) {}
 
+// Reached implements serving.Guard.
+func (AllowAll) Reached(string, string) {}
+
 // Ended implements serving.Guard.
 func (AllowAll) Ended(serving.Fingerprint, string, string) {}
 
--- a/serving/guard/guard.go
+++ b/serving/guard/guard.go
@@ -81,6 +81,13 @@
 	g.book.Started(time.Now(), fingerprint, requestID, server)
 }
 
+// Reached implements serving.Guard.
+func (g *Guard) Reached(requestID, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Reached(time.Now(), requestID, server)
+}
+
 // Ended implements serving.Guard.
 func (g *Guard) Ended(_ serving.Fingerprint, requestID, server string) {
 	g.mu.Lock()
--- a/serving/guard/guard_test.go
+++ b/serving/guard/guard_test.go
@@ -31,6 +31,7 @@
 	second := New("second", settings, zerolog.Nop())
 	for _, server := range []string{"a", "b", "c"} {
 		first.Started(poison, "request", server)
+		first.Reached("request", server)
 		first.ServerFailed(server)
 	}
 	_, err := first.Check(poison, "resend")
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -34,8 +34,9 @@
 // Open sends the request on a new connection and waits for the response header. Cancelling the
 // context closes the connection at any time, also while the stream is read. Errors are
 // *fault.Error: EngineUnreachable, EngineStreamUnknown if the engine does not hold the stream
-// to resume, NoBackendServer for a refusal, EngineProtocol otherwise.
-func (c *Client) Open(ctx context.Context, address string, request engineapi.CompletionRequest) (*Stream, error) {
+// to resume, NoBackendServer for a refusal, EngineProtocol otherwise. onConnect is called when the
+// engine has accepted the connection.
+func (c *Client) Open(ctx context.Context, address string, request engineapi.CompletionRequest, onConnect func()) (*Stream, error) {
 	request.Stream = true
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -47,7 +48,7 @@
 	message.SetRequestURI("http://" + address + "/v1/completions")
 	message.Header.SetContentType("application/json")
 	message.SetBodyRaw(body)
-	exchange, sent, err := sse.Post(ctx, &c.dialer, address, message)
+	exchange, sent, err := sse.PostNotify(ctx, &c.dialer, address, message, onConnect)
 	if err != nil {
 		return nil, unreachableError(address, sent, err)
 	}
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -42,12 +42,13 @@
 
 // Call sends the request and reads the response. sent is false if no byte of the request can
 // have reached the server. Errors are CallFailed, and AnswerCrossed for a response that does
-// not echo the nonce of the request: it belongs to another request and is discarded.
-func (c *Client) Call(ctx context.Context, address string, call Request) (result serving.CallResult, sent bool, err error) {
+// not echo the nonce of the request: it belongs to another request and is discarded. onConnect
+// is called when the server has accepted the connection.
+func (c *Client) Call(ctx context.Context, address string, call Request, onConnect func()) (result serving.CallResult, sent bool, err error) {
 	nonce := fmt.Sprintf("%016x", rand.Uint64())
 	request := newRequest(address, call, nonce)
 	defer fasthttp.ReleaseRequest(request)
-	exchange, sent, err := sse.Post(ctx, &c.dialer, address, request)
+	exchange, sent, err := sse.PostNotify(ctx, &c.dialer, address, request, onConnect)
 	if err != nil {
 		return result, sent, fault.Wrap(fault.CallFailed, domain, "call "+address, err)
 	}
--- a/transport/sse/exchange.go
+++ b/transport/sse/exchange.go
@@ -33,10 +33,17 @@
 // also while the response is read. sent is false if no byte can have reached
 // the server. Errors are those of the connection and of parsing the response.
 func Post(ctx context.Context, dialer *net.Dialer, address string, request *fasthttp.Request) (exchange *Exchange, sent bool, err error) {
+	return PostNotify(ctx, dialer, address, request, func() {})
+}
+
+// PostNotify is Post that calls onConnect when the server has accepted the connection, before
+// the request is sent.
+func PostNotify(ctx context.Context, dialer *net.Dialer, address string, request *fasthttp.Request, onConnect func()) (exchange *Exchange, sent bool, err error) {
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, err
 	}
+	onConnect()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	exchange, err = send(conn, request)
 	if err != nil {
