Heed what backend servers state about themselves

A server that leaves says so in its answers, and one that turns a request away may name a time until which it wants nothing; the instance read neither. Change: every answer is read for both, also those to probes. A leaving process stays out whatever the store says, and peers are told. The placement ledger never chooses a server that refuses; resumption, copies and probes ask it too, and a request for which all servers refuse is rejected at once with the time of the first. Fields that can't be read have a typed error and no effect.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -5,7 +5,8 @@
 )
 
 // ChooseCall returns the server that is expected to answer a call first, and false
-// when there is no candidate. It chooses an avoided server only when all are avoided.
+// when there is no candidate. It chooses an avoided server only when all are avoided, and none
+// that refuses requests.
 func (l *Ledger) ChooseCall(now time.Time, candidates []Candidate) (string, bool) {
 	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration { return l.callCost(now, candidate) })
 	if !found {
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -17,7 +17,7 @@
 
 // ChooseGeneration returns the server that is expected to send the first event of
 // a generation earliest, and false when there is no candidate. It chooses an
-// avoided server only when all are avoided.
+// avoided server only when all are avoided, and none that refuses requests.
 func (l *Ledger) ChooseGeneration(now time.Time, generation Generation, candidates []Candidate) (Choice, bool) {
 	partitionCost := l.policy.PartitionCost
 	if l.anyCentreSuspected(now) {
@@ -71,7 +71,7 @@
 	best, bestCost, found := "", time.Duration(0), false
 	for i := range candidates {
 		candidate := &candidates[i]
-		if candidate.ID == running.ID || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
+		if candidate.ID == running.ID || l.Refusing(now, candidate.ID) > 0 || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
 			continue
 		}
 		load := l.load(candidate.ID)
--- a/decision/placement/home.go
+++ b/decision/placement/home.go
@@ -20,7 +20,7 @@
 	for i := range candidates {
 		candidate := &candidates[i]
 		local := candidate.Place.DataCentre == l.ownPlace.DataCentre
-		if (chosenLocal && !local) || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
+		if (chosenLocal && !local) || l.Refusing(now, candidate.ID) > 0 || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
 			continue
 		}
 		if weight := prompt.Weight(rendezvous.DigestOf(candidate.ID)); weight > maxWeight || (local && !chosenLocal) {
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -120,6 +120,23 @@
 	return server.avoidUntil
 }
 
+// Refuses records that a server wants no request of this instance until a time. Until then it is
+// never chosen; an earlier statement with a later end stays.
+func (l *Ledger) Refuses(until time.Time, id string) {
+	server := l.record(id)
+	if until.After(server.refusesUntil) {
+		server.refusesUntil = until
+	}
+}
+
+// Refusing returns for how long a server wants no request of this instance, 0 if it takes them.
+func (l *Ledger) Refusing(now time.Time, id string) time.Duration {
+	if server := l.servers[id]; server != nil {
+		return max(0, server.refusesUntil.Sub(now))
+	}
+	return 0
+}
+
 // Avoided reports whether a server is avoided now: because it failed itself, or
 // because several others of its data centre failed together and it has sent
 // nothing since.
@@ -174,10 +191,14 @@
 }
 
 // cheapest returns the position of the candidate with the lowest cost, and false when
-// there is no candidate. It returns an avoided server only when all are avoided.
+// there is none. It returns an avoided server only when all are avoided, and never one that
+// refuses the requests of this instance.
 func (l *Ledger) cheapest(now time.Time, candidates []Candidate, cost func(*Candidate) time.Duration) (best int, found bool) {
 	bestCost, bestAvoided := time.Duration(0), false
 	for i := range candidates {
+		if l.Refusing(now, candidates[i].ID) > 0 {
+			continue
+		}
 		avoided := l.Avoided(now, candidates[i].ID, candidates[i].Place.DataCentre)
 		if found && avoided && !bestAvoided {
 			continue
--- a/decision/placement/record.go
+++ b/decision/placement/record.go
@@ -14,6 +14,8 @@
 	// failures is the number of consecutive times that it could not be reached.
 	failures   int
 	avoidUntil time.Time
+	// refusesUntil is when the server wants requests of this instance again.
+	refusesUntil time.Time
 	// meanDuration and failedFraction are moving means over the ended calls: their
 	// duration and the fraction that failed. weight is the number of calls in them,
 	// which decays with time.
--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -15,6 +15,9 @@
 	ServerSuspected     = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server if it repeats"}
 	ServerAdopted       = Definition{7012, "server_adopted", zerolog.InfoLevel, "a restarted backend server was found at its address before the store listed it", "none"}
 	SecondSendDenied    = Definition{7013, "second_send_denied", zerolog.InfoLevel, "a request was not sent to another backend server because the limit of second sends is reached; the fields give its use by this instance and by its data centre", "look for the servers that fail"}
+	AnswerFieldInvalid  = Definition{7014, "answer_field_invalid", zerolog.WarnLevel, "a header field of a backend server's answer could not be read and has no effect", "check the server"}
+	ServerLeaving       = Definition{7015, "server_leaving", zerolog.InfoLevel, "a backend server stated in an answer that it leaves: it gets no new requests", "none"}
+	ServerRefusing      = Definition{7016, "server_refusing", zerolog.InfoLevel, "a backend server asked this instance to send nothing for a while", "check the server's load if it repeats"}
 	ServerChanged       = Definition{7011, "server_changed", zerolog.InfoLevel, "a backend server was added, changed or removed", "none"}
 	StoreUnavailable    = Definition{7020, "store_lost", zerolog.WarnLevel, "the object store is unavailable; the instance continues with the last state that it received", "check the platform"}
 	StoreAvailable      = Definition{7021, "store_regained", zerolog.InfoLevel, "the object store answers again", "none"}
@@ -34,6 +37,6 @@
 
 var forwardingEvents = []Definition{
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
-	ServerSuspected, SecondSendDenied, ServerChanged, ServerAdopted, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
+	ServerSuspected, SecondSendDenied, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
 }
--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -17,6 +17,7 @@
 	UpstreamTimeout         Code = "upstream_timeout"
 	MessageMalformed        Code = "message_malformed"
 	ConfigurationUnreadable Code = "configuration_unreadable"
+	AnswerFieldInvalid      Code = "answer_field_invalid"
 )
 
 var forwardingDefinitions = map[Code]Definition{
@@ -32,5 +33,6 @@
 	UpstreamBroken:          {http.StatusBadGateway, "the backend server did not finish its answer: the request may have run", "check the backend server for the request's id"},
 	UpstreamTimeout:         {http.StatusGatewayTimeout, "no answer within the route's or the client's time: the request may have run", "check the backend server for the request's id"},
 	MessageMalformed:        {http.StatusBadRequest, "the request violates the protocol", "correct the client"},
+	AnswerFieldInvalid:      {http.StatusBadGateway, "a header field of a backend server's answer can't be read and has no effect", "check the backend server"},
 	ConfigurationUnreadable: {http.StatusUnprocessableEntity, "a version of the configuration can't be read and is ignored", "check what wrote it"},
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -123,7 +123,7 @@
 	if old == nil {
 		old = d.removed[server.ID].server
 	}
-	if old != nil && old.mayBeSameProcess(server) {
+	if old != nil && old.MayBeSameProcess(server) {
 		server.Leaving = server.Leaving || old.Leaving
 		server.Draining = server.Draining || (old.Draining && old.Revision.Era() < server.Revision.Era())
 	}
@@ -132,7 +132,7 @@
 		return
 	}
 	server.DrainingSince = d.now()
-	if old != nil && old.Draining && old.mayBeSameProcess(server) {
+	if old != nil && old.Draining && old.MayBeSameProcess(server) {
 		server.DrainingSince = old.DrainingSince
 	}
 }
@@ -145,7 +145,7 @@
 	if !found || removed.mayReturn || removed.revision.Era() >= server.Revision.Era() || removed.server == nil {
 		return false
 	}
-	if !removed.server.mayBeSameProcess(server) && !server.precedes(removed.server) {
+	if !removed.server.MayBeSameProcess(server) && !server.precedes(removed.server) {
 		return false
 	}
 	held, waiting := d.heldBack[server.ID]
@@ -206,7 +206,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := d.servers[server.ID]
-	if listed == nil || listed.Leaving || !listed.mayBeSameProcess(server) {
+	if listed == nil || listed.Leaving || !listed.MayBeSameProcess(server) {
 		return false
 	}
 	marked := *listed
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -57,8 +57,8 @@
 	return s.Incarnation != 0 && s.Incarnation < other.Incarnation
 }
 
-// mayBeSameProcess is SameProcess that takes a missing incarnation for the same one.
-func (s *Server) mayBeSameProcess(other *Server) bool {
+// MayBeSameProcess is SameProcess that takes a missing incarnation for the same one.
+func (s *Server) MayBeSameProcess(other *Server) bool {
 	known := s.Incarnation != 0 && other.Incarnation != 0
 	return s.ID == other.ID && s.Address == other.Address && (!known || s.Incarnation == other.Incarnation)
 }
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -101,6 +101,9 @@
 	}
 	request := a.f.protocol.IdentityRequest(server.Address, path)
 	for pause.For(ctx, adoptProbeInterval) {
+		if a.f.selector.refusing(server) > 0 {
+			continue
+		}
 		a.f.meters.count("probes")
 		response, _, err := a.f.query(ctx, server, request, adoptProbeTimeout)
 		if err != nil || ctx.Err() != nil {
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	run := &callRun{f: f, j: j, service: service, results: make(chan callResult, j.route.Attempts+maxNotRunSends+1)}
 	if !run.send(ctx) {
-		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetryAfter})
+		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: f.selector.untilServer(j.service)})
 		return
 	}
 	second := time.NewTimer(time.Duration(secondSendFraction * float64(j.route.TargetLatency)))
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -81,6 +81,7 @@
 		return f.failedExchange(conn, result, err)
 	}
 	answer := f.protocol.ParseAnswer(response)
+	f.recordStatements(server, &answer)
 	body, err := conn.Body(response).ReadAll(maxAnswerBytes)
 	if err != nil {
 		return f.failedExchange(conn, result, err)
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -28,6 +28,7 @@
 	adopter         *adopter
 	logger          zerolog.Logger
 	meters          *meters
+	onLeaving       func(server *directory.Server)
 	streamDurations streamDuration
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -43,6 +44,7 @@
 		pool:      upstream.NewPool(),
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
+		onLeaving: options.OnLeaving,
 	}
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -27,8 +27,10 @@
 	// OnUnreachable is called with each server that could not be reached; down is
 	// set when it refused the connection.
 	OnUnreachable func(server *directory.Server, down bool)
-	Logger        zerolog.Logger
-	Metrics       metrics.Registry
+	// OnLeaving is called with each server that stated for the first time that it leaves.
+	OnLeaving func(server *directory.Server)
+	Logger    zerolog.Logger
+	Metrics   metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -54,6 +54,8 @@
 		conn.Close()
 		return nil, nil, conn.Reused, err
 	}
+	answer := f.protocol.ParseAnswer(response)
+	f.recordStatements(server, &answer)
 	f.pool.Put(server.ID, conn, response)
 	return response, body, conn.Reused, nil
 }
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -94,7 +94,7 @@
 // trackProcess records the process behind a server's id, and drops the ledger's
 // record of an earlier process with the same id.
 func (s *selector) trackProcess(server *directory.Server) {
-	if old := s.processes[server.ID]; old != nil && !old.SameProcess(server) {
+	if old := s.processes[server.ID]; old != nil && !old.MayBeSameProcess(server) {
 		s.ledger.Forget(server.ID)
 	}
 	s.processes[server.ID] = server
@@ -165,6 +165,33 @@
 		Dur("avoid_ms", time.Until(until)).AnErr("cause", cause).Send()
 }
 
+// recordRefusal records that a server wants no request of this instance for a time.
+func (s *selector) recordRefusal(server *directory.Server, retryAfter time.Duration) {
+	s.withLedger(func(ledger *placement.Ledger, now time.Time) { ledger.Refuses(now.Add(retryAfter), server.ID) })
+	event.Log(s.logger, event.ServerRefusing).Str("server", server.ID).Dur("retry_after_ms", retryAfter).Send()
+}
+
+// refusing returns for how long a server wants no request of this instance, 0 if it takes them.
+func (s *selector) refusing(server *directory.Server) (remaining time.Duration) {
+	s.withLedger(func(ledger *placement.Ledger, now time.Time) { remaining = ledger.Refusing(now, server.ID) })
+	return remaining
+}
+
+// untilServer returns when a service is expected to have a server that takes requests: when the
+// first of those that refuse them takes them again, else after noServerRetryAfter.
+func (s *selector) untilServer(service string) time.Duration {
+	earliest := time.Duration(0)
+	for _, server := range s.directory.Snapshot().ForService(service) {
+		if remaining := s.refusing(server); !server.Draining && remaining > 0 && (earliest == 0 || remaining < earliest) {
+			earliest = remaining
+		}
+	}
+	if earliest == 0 {
+		return noServerRetryAfter
+	}
+	return earliest
+}
+
 // withLedger calls change with the ledger and the current time, with mu held.
 func (s *selector) withLedger(change func(ledger *placement.Ledger, now time.Time)) {
 	s.mu.Lock()
--- /dev/null
+++ b/gateway/forward/statements.go
@@ -0,0 +1,26 @@
+package forward
+
+import (
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+)
+
+// recordStatements acts on what a server states about itself in an answer: that it leaves, or
+// that it wants no request of this instance for a while. An answer of another server at the
+// same address says nothing about this one.
+func (f *Forwarder) recordStatements(server *directory.Server, answer *message.Answer) {
+	if answer.WrongServer || (answer.Server != "" && answer.Server != server.ID) {
+		return
+	}
+	if answer.Invalid != nil {
+		event.Log(f.logger, event.AnswerFieldInvalid).Str("server", server.ID).Err(answer.Invalid).Send()
+	}
+	if answer.RetryAfter > 0 {
+		f.selector.recordRefusal(server, answer.RetryAfter)
+	}
+	if answer.Leaving && f.directory.MarkLeaving(server) {
+		event.Log(f.logger, event.ServerLeaving).Str("server", server.ID).Str("address", server.Address).Send()
+		f.onLeaving(server)
+	}
+}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -203,7 +203,7 @@
 
 // resumableAt returns the server if the stream may resume there, else nil.
 func (r *streamRun) resumableAt(server *directory.Server) *directory.Server {
-	if server == nil || !server.AcceptsResumption(time.Now()) {
+	if server == nil || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 {
 		return nil
 	}
 	return server
@@ -223,14 +223,14 @@
 	case len(r.mayHaveRunAt) > 0:
 		r.f.reject(r.j, localAnswer{status: 502, code: r.lastResult.code, cause: r.lastResult.err})
 	default:
-		r.f.reject(r.j, localAnswer{status: 503, code: r.lastResult.code, cause: r.lastResult.err, retryAfter: noServerRetryAfter})
+		r.f.reject(r.j, localAnswer{status: 503, code: r.lastResult.code, cause: r.lastResult.err, retryAfter: r.f.selector.untilServer(r.j.service)})
 	}
 }
 
 // noServer ends a stream for which no server is available.
 func (r *streamRun) noServer(result streamResult) {
 	if r.j.sends == 0 {
-		r.f.reject(r.j, localAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetryAfter})
+		r.f.reject(r.j, localAnswer{status: 503, code: fault.NoServer, retryAfter: r.f.selector.untilServer(r.j.service)})
 		return
 	}
 	if r.lastResult.code == "" {
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -17,6 +17,7 @@
 func (a *streamAttempt) receive(ctx context.Context, response *http1.Response) streamResult {
 	r := a.run
 	answer := r.f.protocol.ParseAnswer(response)
+	r.f.recordStatements(a.server, &answer)
 	checked := callResult{server: a.server, response: response}
 	r.f.checkAnswer(&checked, r.j, answer)
 	if !checked.usable() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 		Policy:            placement.DefaultPolicy(),
 		Group:             func() peers.Group { return g.peers.Group() },
 		OnUnreachable:     func(server *directory.Server, down bool) { g.peers.AnnounceFailure(server, down) },
+		OnLeaving:         func(server *directory.Server) { g.peers.AnnounceLeaving(server) },
 		Logger:            logger,
 		Metrics:           g.metrics,
 	})
--- a/gateway/message/answer.go
+++ b/gateway/message/answer.go
@@ -1,5 +1,7 @@
 package message
 
+import "time"
+
 // Answer holds the statements of a backend server about its answer.
 type Answer struct {
 	// RequestID is the id of the request that it answers; empty when not given.
@@ -17,4 +19,11 @@
 	// Encoded reports whether the body has a content encoding, which servers do
 	// not use themselves.
 	Encoded bool
+	// Leaving reports whether the server states that it leaves.
+	Leaving bool
+	// RetryAfter is how long the server wants no request of this instance; 0 when it
+	// doesn't say so. Only a server that turns a request away does.
+	RetryAfter time.Duration
+	// Invalid is the error of a field that could not be read and has no effect; nil for none.
+	Invalid error
 }
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -26,6 +26,7 @@
 	tagPeerAddress
 	tagServers
 	tagUsage
+	tagLeavingServer
 )
 
 // Bits of a digest's flags field.
@@ -36,7 +37,7 @@
 	flagRelay
 )
 
-// Protobuf field numbers of the nested messages: load, usage and failed server.
+// Protobuf field numbers of the nested messages: load, usage, failed and leaving server.
 const (
 	tagServer protowire.Number = iota + 1
 	tagRequests
@@ -45,10 +46,12 @@
 	tagAge
 	tagDown
 	tagServerDataCentre
+	tagServerAddress
+	tagServerIncarnation
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// failed servers are written first, then usages, loads and peer addresses.
+// failed servers are written first, then leaving ones, usages, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -61,6 +64,9 @@
 	for i := range digest.FailedServers {
 		b = appendIfFits(b, tagFailedServer, encodeFailedServer(&digest.FailedServers[i]))
 	}
+	for i := range digest.LeavingServers {
+		b = appendIfFits(b, tagLeavingServer, encodeLeavingServer(&digest.LeavingServers[i]))
+	}
 	for i := range digest.Usages {
 		b = appendIfFits(b, tagUsage, encodeUsage(&digest.Usages[i]))
 	}
@@ -113,6 +119,12 @@
 	return b
 }
 
+func encodeLeavingServer(leaving *LeavingServer) []byte {
+	b := appendText(nil, tagServer, leaving.Server)
+	b = appendText(b, tagServerAddress, leaving.Address)
+	return appendNumber(b, tagServerIncarnation, uint64(max(0, leaving.Incarnation)))
+}
+
 func appendText(b []byte, tag protowire.Number, text string) []byte {
 	return protowire.AppendString(protowire.AppendTag(b, tag, protowire.BytesType), text)
 }
@@ -136,6 +148,9 @@
 // maxNumber bounds the decoded numbers of a nested message, so that sums can't overflow.
 const maxNumber = 1 << 40
 
+// maxIncarnation bounds a decoded incarnation, so that it fits into a signed number.
+const maxIncarnation = 1<<63 - 1
+
 // Decode reads the digest of a datagram. Unknown fields, which newer instances
 // may send, are skipped. Errors have the code PeerMessage.
 func Decode(payload []byte) (*Digest, error) {
@@ -167,6 +182,8 @@
 			return digest.decodeUsage(text)
 		case tagFailedServer:
 			return digest.decodeFailedServer(text)
+		case tagLeavingServer:
+			return digest.decodeLeavingServer(text)
 		case tagPeerAddress:
 			if address, ok := netip.AddrFromSlice(text); ok {
 				digest.Members = append(digest.Members, address)
@@ -243,6 +260,25 @@
 	return err
 }
 
+func (d *Digest) decodeLeavingServer(part []byte) error {
+	var leaving LeavingServer
+	err := eachField(part, func(tag protowire.Number, number uint64, text []byte) error {
+		switch tag {
+		case tagServer:
+			leaving.Server = string(text)
+		case tagServerAddress:
+			leaving.Address = string(text)
+		case tagServerIncarnation:
+			leaving.Incarnation = int64(min(number, maxIncarnation))
+		}
+		return nil
+	})
+	if err == nil && leaving.Server != "" {
+		d.LeavingServers = append(d.LeavingServers, leaving)
+	}
+	return err
+}
+
 // eachField calls visit for each field, with its number or text by the type of the field.
 func eachField(message []byte, visit func(tag protowire.Number, number uint64, text []byte) error) error {
 	for len(message) > 0 {
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -37,6 +37,8 @@
 	Loads    []ServerLoad
 	// FailedServers are servers that the sender could not reach.
 	FailedServers []FailedServer
+	// LeavingServers are servers that stated in an answer to the sender that they leave.
+	LeavingServers []LeavingServer
 	// Usages are the sender's recent second sends for each service. Only
 	// instances of the same data centre receive them.
 	Usages []ServiceUsage
@@ -57,6 +59,14 @@
 	Usage   secondsends.Usage
 }
 
+// LeavingServer identifies the process of a backend server that leaves.
+type LeavingServer struct {
+	Server  string
+	Address string
+	// Incarnation is the server's start in Unix milliseconds, 0 when unknown.
+	Incarnation int64
+}
+
 // FailedServer is a backend server that an instance could not reach.
 type FailedServer struct {
 	Server     string
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -35,6 +35,7 @@
 			id := "i-" + strconv.Itoa(i)
 			sent.Loads = append(sent.Loads, ServerLoad{Server: id, Load: placement.Load{Requests: i + 1, PrefillTokens: 100 * i, MemoryTokens: 1000 * i}})
 			sent.FailedServers = append(sent.FailedServers, FailedServer{Server: id, DataCentre: "a", Age: time.Duration(i) * time.Millisecond, Down: i%2 == 0})
+			sent.LeavingServers = append(sent.LeavingServers, LeavingServer{Server: id, Address: "10.0.0.1:80", Incarnation: int64(i)})
 			sent.Usages = append(sent.Usages, ServiceUsage{Service: id, Usage: secondsends.Usage{Requests: i, SecondSends: 2 * i}})
 			sent.Members = append(sent.Members, addressOf(i))
 		}
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -47,6 +47,7 @@
 	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
 		s.options.Ledger.ReportUsages(digest.Instance, digest.Usages)
 	}
+	s.recordLeaving(digest.LeavingServers)
 	for _, failed := range digest.FailedServers {
 		s.options.Ledger.ReportFailure(failed)
 	}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -57,6 +57,8 @@
 	wake chan struct{}
 	// lastAnnounced is the state that Announce sent last.
 	lastAnnounced LocalState
+	// leavingServers are announced in digests, oldest first.
+	leavingServers []announcedLeaving
 	// completeListAt is when a complete list of servers was last fetched.
 	completeListAt time.Time
 }
@@ -164,7 +166,7 @@
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
-		Leaving: s.leaving,
+		Leaving: s.leaving, LeavingServers: s.currentLeaving(time.Now()),
 	}
 }
 
