Resume streams of clients at the engine that keeps their prompt

Cause: when all instances fail, their clients come again at instances that have no record of the streams. Change: an instance asks the engines once what they keep (up to 64, those of its data centre first, answers serve for a second) and the placement counts only what is left to read there. Such a stream has no low priority, because it hardly delays others.

--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -17,19 +17,23 @@
 
 // ChooseGeneration returns the server that is expected to send the first event of
 // a generation earliest, and false when there is no candidate. It chooses an
-// avoided server only when all are avoided, and none that refuses requests.
+// avoided server only when all are avoided, and none that refuses requests. Where the prompt is
+// known to be kept, only the rest counts as read; otherwise one server is preferred for it.
 func (l *Ledger) ChooseGeneration(now time.Time, generation Generation, candidates []Candidate) (Choice, bool) {
 	partitionCost := l.policy.PartitionCost
 	if l.anyCentreSuspected(now) {
 		partitionCost = l.policy.FailoverPartitionCost
 	}
-	affinity := l.affinityServer(now, generation.PromptKey, candidates)
+	affinity := ""
+	if generation.CachedAt == "" {
+		affinity = l.affinityServer(now, generation.PromptKey, candidates)
+	}
 	best, found := l.cheapest(now, candidates, func(candidate *Candidate) time.Duration {
 		cost := l.generationCost(generation, candidate)
 		if candidate.ID == affinity {
 			cost -= l.policy.AffinityDiscount
 		}
-		if candidate.OutsidePartition {
+		if candidate.OutsidePartition && candidate.ID != generation.CachedAt {
 			cost += partitionCost
 		}
 		return cost
@@ -45,7 +49,7 @@
 // expectedAt returns a candidate's load and the expected wait of a generation there.
 func (l *Ledger) expectedAt(generation Generation, candidate *Candidate) Choice {
 	load := l.load(candidate.ID)
-	wait := l.prefillTime(load.PrefillTokens + generation.PromptTokens)
+	wait := l.prefillTime(load.PrefillTokens + generation.unreadTokens(candidate.ID))
 	if candidate.MemoryTokens > 0 && load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
 		wait += l.policy.FullCost
 	}
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -26,4 +26,16 @@
 	MemoryTokens int
 	// PromptKey identifies its prompt; empty when unknown.
 	PromptKey string
+	// CachedAt is the server that keeps CachedTokens of the prompt and need not read them
+	// again; empty when unknown.
+	CachedAt     string
+	CachedTokens int
+}
+
+// unreadTokens returns the number of prompt tokens that a server has to read.
+func (g *Generation) unreadTokens(server string) int {
+	if server == g.CachedAt {
+		return max(0, g.PromptTokens-g.CachedTokens)
+	}
+	return g.PromptTokens
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -26,6 +26,7 @@
 	selector        *selector
 	pool            *upstream.Pool
 	adopter         *adopter
+	prompts         *promptFinder
 	logger          zerolog.Logger
 	meters          *meters
 	onLeaving       func(server *directory.Server)
@@ -47,6 +48,7 @@
 		onLeaving: options.OnLeaving,
 	}
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
+	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	return f
 }
--- /dev/null
+++ b/gateway/forward/prompt_finder.go
@@ -0,0 +1,139 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+)
+
+const (
+	// promptFindTimeout bounds the search for a prompt, and promptQueryTimeout one question to an
+	// engine: a new connection and an answer take two round trips, 120 ms between regions.
+	promptFindTimeout  = 200 * time.Millisecond
+	promptQueryTimeout = 250 * time.Millisecond
+	// promptSweepLifetime is how long the answers to a sweep serve further searches. Callers come
+	// again together when their instances fail.
+	promptSweepLifetime = time.Second
+	// maxSweptEngines bounds the engines that a sweep asks.
+	maxSweptEngines = 64
+)
+
+// promptFinder finds the engines that keep the prompts of streams that were interrupted elsewhere.
+// Their callers come again at any instance, which has no record of the first attempt when all
+// instances failed; reading a prompt again takes an engine a second. It is safe for concurrent use.
+type promptFinder struct {
+	f      *Forwarder
+	mu     sync.Mutex
+	sweeps map[string]*promptSweep
+}
+
+// promptLocation is an engine that keeps tokens of a prompt.
+type promptLocation struct {
+	server *directory.Server
+	tokens int
+}
+
+// promptSweep asks the engines of a service once.
+type promptSweep struct {
+	started time.Time
+	mu      sync.Mutex
+	// changed is closed and replaced after each answer, pending counts those that are missing.
+	changed   chan struct{}
+	pending   int
+	locations map[string]promptLocation
+}
+
+// find returns an engine of the service that keeps the prompt with a key, and the tokens that it
+// keeps; the zero location when none is found in time.
+func (p *promptFinder) find(ctx context.Context, service *route.Service, key string) promptLocation {
+	ctx, cancel := context.WithTimeout(ctx, promptFindTimeout)
+	defer cancel()
+	sweep := p.sweep(service)
+	for {
+		location, pending, changed := sweep.lookUp(key)
+		if location.server != nil || pending == 0 {
+			return location
+		}
+		select {
+		case <-ctx.Done():
+			return promptLocation{}
+		case <-changed:
+		}
+	}
+}
+
+// sweep returns the current sweep of a service, and starts one unless there is a recent one.
+func (p *promptFinder) sweep(service *route.Service) *promptSweep {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if current := p.sweeps[service.Name]; current != nil && time.Since(current.started) < promptSweepLifetime {
+		return current
+	}
+	servers := p.f.selector.sweepTargets(service.Name)
+	started := &promptSweep{started: time.Now(), changed: make(chan struct{}), pending: len(servers), locations: make(map[string]promptLocation)}
+	p.sweeps[service.Name] = started
+	for _, server := range servers {
+		go p.ask(started, server)
+	}
+	return started
+}
+
+// ask asks one engine for the prompts that it keeps.
+func (p *promptFinder) ask(sweep *promptSweep, server *directory.Server) {
+	p.f.meters.count("probes")
+	response, body, err := p.f.query(context.Background(), server, p.f.protocol.CacheReportRequest(server.Address), promptQueryTimeout)
+	if err != nil || response.Status != 200 {
+		sweep.add(server, nil)
+		return
+	}
+	report, err := p.f.protocol.ParseCacheReport(body)
+	if err != nil {
+		event.Log(p.f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
+	}
+	sweep.add(server, report.TokensByPrompt)
+}
+
+// add adds the answer of an engine; of several that keep a prompt the one with most tokens counts.
+func (s *promptSweep) add(server *directory.Server, tokensByPrompt map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending--
+	for key, tokens := range tokensByPrompt {
+		if tokens > s.locations[key].tokens {
+			s.locations[key] = promptLocation{server: server, tokens: tokens}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lookUp returns where a prompt is kept, the number of missing answers, and a channel that is closed
+// after the next one.
+func (s *promptSweep) lookUp(key string) (location promptLocation, pending int, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.locations[key], s.pending, s.changed
+}
+
+// sweepTargets returns the engines of a service that a sweep asks: those of the instance's data
+// centre first, then others in random order.
+func (s *selector) sweepTargets(service string) []*directory.Server {
+	var local, others []*directory.Server
+	for _, server := range s.directory.Snapshot().ForService(service) {
+		switch {
+		case server.Draining || s.refusing(server) > 0:
+		case server.DataCentre == s.place.DataCentre:
+			local = append(local, server)
+		default:
+			others = append(others, server)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	targets := append(local, others...)
+	return targets[:min(len(targets), maxSweptEngines)]
+}
--- a/gateway/forward/protocol.go
+++ b/gateway/forward/protocol.go
@@ -22,6 +22,10 @@
 	LoadRequest(address string) []byte
 	// IdentityRequest returns a request for the id of the server at an address.
 	IdentityRequest(address, healthPath string) []byte
+	// CacheReportRequest returns a request for what a model engine keeps in its KV cache.
+	CacheReportRequest(address string) []byte
+	// ParseCacheReport reads the body of a model engine's answer to CacheReportRequest.
+	ParseCacheReport(body []byte) (message.CacheReport, error)
 	// ParseReport reads the body of a model engine's answer to LoadRequest.
 	ParseReport(body []byte) (message.Report, error)
 }
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -22,6 +22,7 @@
 // budgets of second sends. It is safe for concurrent use.
 type selector struct {
 	directory     *directory.Directory
+	place         placement.Place
 	regions       map[string]string
 	peerGroup     func() peers.Group
 	onUnreachable func(server *directory.Server, down bool)
@@ -44,6 +45,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &selector{
 		directory:      options.Directory,
+		place:          options.Place,
 		regions:        options.Regions,
 		peerGroup:      options.Group,
 		onUnreachable:  options.OnUnreachable,
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -87,6 +87,7 @@
 		f.reject(j, localAnswer{status: 503, code: fault.TooLittleTime, retryAfter: tooLittleTimeRetryAfter})
 		return
 	}
+	run.findPrompt(ctx)
 	for {
 		result, found := run.attempt(ctx)
 		if !found {
@@ -111,6 +112,16 @@
 	}
 }
 
+// findPrompt looks for the engine that keeps the prompt of a stream which the client resumes.
+func (r *streamRun) findPrompt(ctx context.Context) {
+	if r.j.request.Position == 0 || r.size.PromptKey == "" || r.service.Engine == nil {
+		return
+	}
+	if location := r.f.prompts.find(ctx, r.service, r.size.PromptKey); location.server != nil {
+		r.size.CachedAt, r.size.CachedTokens = location.server.ID, min(location.tokens, r.size.PromptTokens)
+	}
+}
+
 // canEndInTime reports whether the remaining tokens may arrive in the remaining time.
 func (r *streamRun) canEndInTime() bool {
 	return r.f.selector.minTimeToEnd(r.j.service, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -76,6 +76,9 @@
 // addLoad adds the attempt to the load of its servers.
 func (a *streamAttempt) addLoad(fromCopy bool) {
 	a.load = placement.Load{Requests: 1, PrefillTokens: a.run.size.PromptTokens, MemoryTokens: a.run.size.MemoryTokens}
+	if a.server.ID == a.run.size.CachedAt {
+		a.load.PrefillTokens -= a.run.size.CachedTokens
+	}
 	if fromCopy || a.reconnecting {
 		a.load.PrefillTokens = 0
 	}
@@ -141,9 +144,8 @@
 	dispatch := message.Dispatch{
 		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
 		Position: r.events.position, Resume: r.j.sends > 1,
-		// Without a KV cache copy the prefill is repeated, and the pause exceeds
-		// the target anyway.
-		LowPriority: r.events.positionKnown && !fromCopy && !a.reconnecting,
+		// Where the prefill is repeated, the pause exceeds the target anyway.
+		LowPriority: r.events.positionKnown && !fromCopy && !a.reconnecting && a.server.ID != r.size.CachedAt,
 	}
 	if a.cacheCopyServer != nil {
 		dispatch.CopyTo = a.cacheCopyServer.Address
@@ -198,7 +200,7 @@
 	if !fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.PrefillTokens).Int("memory_tokens", choice.Load.MemoryTokens).
-			Str("preferred", choice.AffinityServer).Uint64("position", r.events.position)
+			Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
 	}
 	if a.cacheCopyServer != nil {
 		line = line.Str("copy_to", a.cacheCopyServer.ID)
