Reject streams by the pace that all instances of a data centre measured

Change: instances tell those of their data centre their estimates (every sixth digest, some 45 bytes) and combine them; the deviation holds that between the reports. The time to read a prompt is estimated too, low, from what was measured; a stream that can't end after it is rejected unsent. One that would fit if some engine kept its prompt makes the instance ask.

--- a/decision/pace/doc.go
+++ b/decision/pace/doc.go
@@ -4,5 +4,7 @@
 // It is needed in the minute after many instances failed: callers detect a silent
 // connection late, resume their answers, and some have less remaining time than
 // the rest takes. Repeated prefills for these would delay the callers that can be
-// served in time, and produce no answer. The package itself rejects nothing.
+// served in time, and produce no answer. An instance that was just started, or one of hundreds,
+// sees few generations itself, so instances exchange their estimates. The package itself
+// rejects nothing.
 package pace
--- a/decision/pace/estimator.go
+++ b/decision/pace/estimator.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/internal/moving"
@@ -14,6 +15,8 @@
 	lowDeviations = 2.0
 	// minMeanPart bounds a low estimate from below, as a part of the mean.
 	minMeanPart = 0.5
+	// peerReportLifetime is how long the report of a peer counts.
+	peerReportLifetime = time.Minute
 )
 
 // CompletedGeneration is a generation that ended without an interruption.
@@ -24,16 +27,30 @@
 	Events       int
 	// Duration is the time from the first event to the last.
 	Duration time.Duration
+	// PromptTokens is the size of the prompt, 0 when unknown, and ReadTime the time from the
+	// request to the first event.
+	PromptTokens int
+	ReadTime     time.Duration
 }
 
-// Estimator holds the moving estimates of one service. The zero value has
-// observed nothing. It is not safe for concurrent use.
+// Estimator holds the moving estimates of one service, of this instance and its peers. The
+// zero value has observed nothing. It is not safe for concurrent use.
 type Estimator struct {
 	observed int
 	// eventInterval is the mean time between two events in nanoseconds,
 	// eventsPerToken the number of events for each requested output token.
 	eventInterval  moving.Mean
 	eventsPerToken moving.Mean
+	// readTimePerToken is the mean time to the first event for each prompt token in nanoseconds.
+	readTimePerToken moving.Mean
+	// peers holds the last report of each peer by its instance.
+	peers map[string]peerReport
+}
+
+// peerReport is a report that a peer sent at a time.
+type peerReport struct {
+	report Report
+	at     time.Time
 }
 
 // Observe adds a generation. One without an event interval is ignored.
@@ -44,19 +61,75 @@
 	e.observed++
 	e.eventInterval.Add(float64(generation.Duration) / float64(generation.Events-1))
 	e.eventsPerToken.Add(float64(generation.Events) / float64(generation.OutputTokens))
+	if generation.PromptTokens > 0 && generation.ReadTime > 0 {
+		e.readTimePerToken.Add(float64(generation.ReadTime) / float64(generation.PromptTokens))
+	}
+}
+
+// Report returns this instance's own estimate, not usable before the first generation.
+func (e *Estimator) Report() Report {
+	return Report{
+		Observed:                e.observed,
+		EventInterval:           time.Duration(e.eventInterval.Value()),
+		EventIntervalDeviation:  time.Duration(e.eventInterval.Deviation()),
+		EventsPerToken:          e.eventsPerToken.Value(),
+		EventsPerTokenDeviation: e.eventsPerToken.Deviation(),
+		ReadTimePerToken:        time.Duration(e.readTimePerToken.Value()),
+		ReadTimeDeviation:       time.Duration(e.readTimePerToken.Deviation()),
+	}
+}
+
+// SetPeerReport replaces the report of a peer. One that is not usable is ignored.
+func (e *Estimator) SetPeerReport(now time.Time, instance string, report Report) {
+	if !report.Usable() {
+		return
+	}
+	if e.peers == nil {
+		e.peers = make(map[string]peerReport)
+	}
+	e.peers[instance] = peerReport{report: report, at: now}
+	for other, entry := range e.peers {
+		if now.Sub(entry.at) > peerReportLifetime {
+			delete(e.peers, other)
+		}
+	}
 }
 
 // MinRemainingTime returns the minimum time that the events of a generation after
-// a position are expected to take; 0 before minGenerations generations.
-func (e *Estimator) MinRemainingTime(outputTokens int, position uint64) time.Duration {
-	if e.observed < minGenerations {
+// a position are expected to take; 0 before minGenerations generations of all instances.
+func (e *Estimator) MinRemainingTime(now time.Time, outputTokens int, position uint64) time.Duration {
+	combined := e.combined(now)
+	if combined.Observed < minGenerations {
 		return 0
 	}
-	remainingEvents := lowEstimate(&e.eventsPerToken)*float64(outputTokens) - float64(position)
-	return time.Duration(max(0, remainingEvents) * lowEstimate(&e.eventInterval))
+	eventsPerToken := lowEstimate(combined.EventsPerToken, combined.EventsPerTokenDeviation)
+	eventInterval := lowEstimate(float64(combined.EventInterval), float64(combined.EventIntervalDeviation))
+	return time.Duration(max(0, eventsPerToken*float64(outputTokens)-float64(position)) * eventInterval)
+}
+
+// MinReadTime returns the minimum time that reading prompt tokens is expected to take; 0 before
+// minGenerations generations of all instances.
+func (e *Estimator) MinReadTime(now time.Time, promptTokens int) time.Duration {
+	combined := e.combined(now)
+	if combined.Observed < minGenerations {
+		return 0
+	}
+	perToken := lowEstimate(float64(combined.ReadTimePerToken), float64(combined.ReadTimeDeviation))
+	return time.Duration(float64(promptTokens) * perToken)
+}
+
+// combined returns the estimate of all instances.
+func (e *Estimator) combined(now time.Time) Report {
+	reports := []Report{e.Report()}
+	for _, entry := range e.peers {
+		if now.Sub(entry.at) <= peerReportLifetime {
+			reports = append(reports, entry.report)
+		}
+	}
+	return combine(slices.DeleteFunc(reports, func(r Report) bool { return !r.Usable() }))
 }
 
 // lowEstimate returns a low estimate: few values are below it.
-func lowEstimate(mean *moving.Mean) float64 {
-	return max(mean.PlusDeviations(-lowDeviations), minMeanPart*mean.Value())
+func lowEstimate(mean, deviation float64) float64 {
+	return max(mean-lowDeviations*deviation, minMeanPart*mean)
 }
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -9,6 +9,9 @@
 	ID string
 	// Wait is the expected time until the first event.
 	Wait time.Duration
+	// MinReadTokens is the number of prompt tokens that are read before the first event for certain:
+	// the generation's own ones, and half of those that wait, which may be read in part already.
+	MinReadTokens int
 	// Load is the load of the server before the generation.
 	Load Load
 	// AffinityServer is the server that is preferred for the prompt; empty for none.
@@ -49,11 +52,12 @@
 // expectedAt returns a candidate's load and the expected wait of a generation there.
 func (l *Ledger) expectedAt(generation Generation, candidate *Candidate) Choice {
 	load := l.load(candidate.ID)
-	wait := l.prefillTime(load.PrefillTokens + generation.unreadTokens(candidate.ID))
+	unread := generation.unreadTokens(candidate.ID)
+	wait := l.prefillTime(load.PrefillTokens + unread)
 	if candidate.MemoryTokens > 0 && load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
 		wait += l.policy.FullCost
 	}
-	return Choice{ID: candidate.ID, Wait: wait, Load: load}
+	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, Load: load}
 }
 
 func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -112,9 +112,13 @@
 	}
 }
 
-// findPrompt looks for the engine that keeps the prompt of a stream which the client resumes.
+// findPrompt looks for the engine that keeps the prompt of a stream which the client resumes, or
+// of one that can end in time only if some engine keeps it.
 func (r *streamRun) findPrompt(ctx context.Context) {
-	if r.j.request.Position == 0 || r.size.PromptKey == "" || r.service.Engine == nil {
+	if r.size.PromptKey == "" || r.service.Engine == nil {
+		return
+	}
+	if r.j.request.Position == 0 && r.fits(r.size.PromptTokens) {
 		return
 	}
 	if location := r.f.prompts.find(ctx, r.service, r.size.PromptKey); location.server != nil {
@@ -123,8 +127,12 @@
 }
 
 // canEndInTime reports whether the remaining tokens may arrive in the remaining time.
-func (r *streamRun) canEndInTime() bool {
-	return r.f.selector.minTimeToEnd(r.j.service, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
+func (r *streamRun) canEndInTime() bool { return r.fits(0) }
+
+// fits reports whether the remaining tokens may arrive in the remaining time after a number of
+// prompt tokens was read.
+func (r *streamRun) fits(promptTokens int) bool {
+	return r.f.selector.minReadTime(r.j.service, promptTokens)+r.f.selector.minTimeToEnd(r.j.service, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
 }
 
 // observeGeneration adds a generation that ran without an interruption to the
@@ -135,6 +143,7 @@
 	}
 	r.f.selector.observeGeneration(r.j.service, pace.CompletedGeneration{
 		OutputTokens: r.j.request.OutputTokens, Events: r.deliveredEvents, Duration: time.Since(r.firstEventAt),
+		PromptTokens: r.j.request.PromptTokens, ReadTime: r.firstEventAt.Sub(r.j.exchange.Received),
 	})
 }
 
@@ -238,10 +247,14 @@
 	}
 }
 
-// noServer ends a stream for which no server is available.
+// noServer ends a stream for which no server is available, or none soon enough.
 func (r *streamRun) noServer(result streamResult) {
 	if r.j.sends == 0 {
-		r.f.reject(r.j, localAnswer{status: 503, code: fault.NoServer, retryAfter: r.f.selector.untilServer(r.j.service)})
+		retryAfter := tooLittleTimeRetryAfter
+		if result.code == fault.NoServer {
+			retryAfter = r.f.selector.untilServer(r.j.service)
+		}
+		r.f.reject(r.j, localAnswer{status: 503, code: result.code, retryAfter: retryAfter})
 		return
 	}
 	if r.lastResult.code == "" {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -35,10 +35,12 @@
 	load             placement.Load
 }
 
+var errTooLate = fault.New(fault.TooLittleTime, "the prompt can't be read and the rest sent in the remaining time")
+
 var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not read the answer")
 
 // attempt sends the request to a server and forwards its events; found is false if
-// there is none.
+// there is none, or none at which the stream can end in time.
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
 	a := &streamAttempt{run: r, awaitsFirstEvent: true}
 	fromCopy := r.reconnectServer == nil && r.cacheCopyServer != nil
@@ -53,6 +55,9 @@
 		if a.server == nil {
 			return streamResult{code: fault.NoServer}, false
 		}
+		if !r.fits(choice.MinReadTokens) {
+			return streamResult{code: fault.TooLittleTime, err: errTooLate}, false
+		}
 	}
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
@@ -104,8 +109,8 @@
 func (a *streamAttempt) handleFailure(result *streamResult, fromCopy bool) {
 	r := a.run
 	if !result.notRun && r.deliveredEvents > 0 && a.cacheCopyServer != nil {
-		// The copy went to an address: a server that restarted there under
-		// another id may hold it.
+		// The copy goes to an address: a server that restarted there under another id gets
+		// it anew.
 		r.cacheCopyServer = r.resumableAt(r.f.directory.Snapshot().FindByAddress(a.cacheCopyServer.Address))
 	}
 	if a.connectionBroke(result) {
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -27,6 +27,7 @@
 	tagServers
 	tagUsage
 	tagLeavingServer
+	tagRate
 )
 
 // Bits of a digest's flags field.
@@ -51,7 +52,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// failed servers are written first, then leaving ones, usages, loads and peer addresses.
+// failed servers are written first, then leaving ones, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -70,6 +71,9 @@
 	for i := range digest.Usages {
 		b = appendIfFits(b, tagUsage, encodeUsage(&digest.Usages[i]))
 	}
+	for i := range digest.Rates {
+		b = appendIfFits(b, tagRate, encodeRate(&digest.Rates[i]))
+	}
 	for i := range digest.Loads {
 		b = appendIfFits(b, tagLoad, encodeLoad(&digest.Loads[i]))
 	}
@@ -180,6 +184,8 @@
 			return digest.decodeLoad(text)
 		case tagUsage:
 			return digest.decodeUsage(text)
+		case tagRate:
+			return digest.decodeRate(text)
 		case tagFailedServer:
 			return digest.decodeFailedServer(text)
 		case tagLeavingServer:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
@@ -42,6 +43,9 @@
 	// Usages are the sender's recent second sends for each service. Only
 	// instances of the same data centre receive them.
 	Usages []ServiceUsage
+	// Rates are the sender's estimates of how fast generations proceed. Only some digests to
+	// instances of the same data centre hold them.
+	Rates []ServiceRate
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
@@ -59,6 +63,12 @@
 	Usage   secondsends.Usage
 }
 
+// ServiceRate is an instance's estimate of how fast the generations of a service proceed.
+type ServiceRate struct {
+	Service string
+	Report  pace.Report
+}
+
 // LeavingServer identifies the process of a backend server that leaves.
 type LeavingServer struct {
 	Server  string
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -20,6 +20,8 @@
 func (discardingLedger) Report(string, []ServerLoad)         {}
 func (discardingLedger) Usages() []ServiceUsage              { return nil }
 func (discardingLedger) ReportUsages(string, []ServiceUsage) {}
+func (discardingLedger) Rates() []ServiceRate                { return nil }
+func (discardingLedger) ReportRates(string, []ServiceRate)   {}
 func (discardingLedger) ReportFailure(FailedServer)          {}
 func (discardingLedger) Expire(time.Duration)                {}
 
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -20,6 +20,10 @@
 	Usages() []ServiceUsage
 	// ReportUsages records the second sends of a peer in the same data centre.
 	ReportUsages(instance string, usages []ServiceUsage)
+	// Rates returns this instance's estimates of how fast generations proceed.
+	Rates() []ServiceRate
+	// ReportRates records the estimates of a peer.
+	ReportRates(instance string, rates []ServiceRate)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -37,6 +38,10 @@
 			sent.FailedServers = append(sent.FailedServers, FailedServer{Server: id, DataCentre: "a", Age: time.Duration(i) * time.Millisecond, Down: i%2 == 0})
 			sent.LeavingServers = append(sent.LeavingServers, LeavingServer{Server: id, Address: "10.0.0.1:80", Incarnation: int64(i)})
 			sent.Usages = append(sent.Usages, ServiceUsage{Service: id, Usage: secondsends.Usage{Requests: i, SecondSends: 2 * i}})
+			sent.Rates = append(sent.Rates, ServiceRate{Service: id, Report: pace.Report{
+				Observed: i + 1, EventInterval: 42 * time.Millisecond, EventIntervalDeviation: time.Duration(i) * time.Millisecond, EventsPerToken: 0.25, EventsPerTokenDeviation: 0.5,
+				ReadTimePerToken: 125 * time.Microsecond, ReadTimeDeviation: time.Duration(i),
+			}})
 			sent.Members = append(sent.Members, addressOf(i))
 		}
 		payload := Encode(&sent)
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -47,6 +47,9 @@
 	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
 		s.options.Ledger.ReportUsages(digest.Instance, digest.Usages)
 	}
+	if len(digest.Rates) > 0 {
+		s.options.Ledger.ReportRates(digest.Instance, digest.Rates)
+	}
 	s.recordLeaving(digest.LeavingServers)
 	for _, failed := range digest.FailedServers {
 		s.options.Ledger.ReportFailure(failed)
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -14,7 +14,7 @@
 func (s *Service) round(now time.Time) {
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
-	usages := s.options.Ledger.Usages()
+	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
 	servers := s.options.Directory.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -51,6 +51,9 @@
 		digest.HasLoads, digest.Loads = true, needed
 		if local {
 			digest.Usages = usages
+			if rand.IntN(rateDigestSpacing) == 0 {
+				digest.Rates = rates
+			}
 		}
 		digest.Members = sampleAddresses(peers)
 		p.lastSentAt, p.sentLoadsHash = now, loadsHash
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -38,6 +38,9 @@
 	// storeHeadStart is how long a relay waits for a configuration from the store before it
 	// reads it from a peer.
 	storeHeadStart = 400 * time.Millisecond
+	// rateDigestSpacing is the mean number of digests to peers of the data centre of which one
+	// holds the rates of generations: these change slowly.
+	rateDigestSpacing = 6
 	// failureQueueCapacity is the maximum number of failed servers queued for a digest.
 	failureQueueCapacity = 128
 )
--- a/internal/moving/mean.go
+++ b/internal/moving/mean.go
@@ -34,5 +34,8 @@
 // Value returns the mean.
 func (m *Mean) Value() float64 { return m.value }
 
+// Deviation returns the mean deviation.
+func (m *Mean) Deviation() float64 { return m.deviation }
+
 // PlusDeviations returns the mean plus a number of mean deviations.
 func (m *Mean) PlusDeviations(deviations float64) float64 { return m.value + deviations*m.deviation }
