--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -221,9 +221,10 @@
 	r.reconnectServer = server
 }
 
-// resumableAt returns the server if the stream may resume there, else nil.
+// resumableAt returns the server if the stream may resume there, else nil. An address at which
+// a copy was kept may belong to another service by now.
 func (r *streamRun) resumableAt(server *directory.Server) *directory.Server {
-	if server == nil || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 {
+	if server == nil || server.Service != r.service.Name || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 {
 		return nil
 	}
 	return server
