--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -138,8 +138,9 @@
 }
 
 // holdBack reports whether an entry must wait for AdmitHeldBack, and keeps it until then: its
-// process, or a later one with its id, was removed in an earlier era, and the entry may come from the copy from which the
-// store came back. A second entry of that era shows that the process runs. mu is held.
+// process, or a later one with its id, was removed in an earlier era, and the entry may come
+// from the copy from which the store came back. A second entry of that era shows that the
+// process runs. mu is held.
 func (d *Directory) holdBack(server *Server) bool {
 	removed, found := d.removed[server.ID]
 	if !found || removed.mayReturn || removed.revision.Era() >= server.Revision.Era() || removed.server == nil {
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -288,8 +288,8 @@
 	}
 }
 
-// ExpectAgain removes servers that a peer's list of a later era doesn't hold, unless they are
-// listed again within missingEntryGrace.
+// ExpectAgain removes servers that a peer's complete list doesn't hold, unless they are listed
+// again within missingEntryGrace.
 func (f *Follower) ExpectAgain(servers []*directory.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
