--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -282,3 +282,24 @@
 	is.Equal(table.DeferToLocalRelay(later, own, servers, 0), servers)
 	is.True(table.DeferToLocalRelay(later, own, nil, 0) == nil)
 }
+
+// TestLaterEraIsTheSource guards against an instance that keeps the servers of an earlier era because
+// their revisions had higher numbers.
+func TestLaterEraIsTheSource(t *testing.T) {
+	is := is.New(t)
+	at := func(era, number uint64) revision.Revision {
+		made, err := revision.New(era, number)
+		is.NoErr(err)
+		return made
+	}
+	table := NewTable("own", addressOf(100), nil)
+	receiveDigest(table, begin, 1, func(d *Digest) { d.Relay, d.Revision, d.Servers = true, at(1, 900), 1 })
+	receiveDigest(table, begin, 2, func(d *Digest) { d.Relay, d.Revision, d.Servers = true, at(2, 10), 2 })
+	for _, relay := range []bool{false, true} {
+		_, servers := table.FetchSources(begin, LocalState{DataCentre: "a", Revision: at(1, 1000), Servers: 3, Relay: relay})
+		is.True(servers != nil)
+		is.Equal(servers.address, addressOf(2))
+	}
+	_, servers := table.FetchSources(begin, LocalState{DataCentre: "a", Revision: at(2, 12), Servers: 4})
+	is.True(servers == nil) // nobody has later changes
+}
