--- a/decision/pace/estimator.go
+++ b/decision/pace/estimator.go
@@ -95,27 +95,19 @@
 	}
 }
 
-// MinRemainingTime returns the minimum time that the events of a generation after
-// a position are expected to take; 0 before minGenerations generations of all instances.
-func (e *Estimator) MinRemainingTime(now time.Time, outputTokens int, position uint64) time.Duration {
+// MinTimeToEnd returns the minimum time that reading prompt tokens and then the events of a
+// generation after a position are expected to take; 0 before minGenerations generations of all
+// instances.
+func (e *Estimator) MinTimeToEnd(now time.Time, promptTokens, outputTokens int, position uint64) time.Duration {
 	combined := e.combined(now)
 	if combined.Observed < minGenerations {
 		return 0
 	}
+	readTimePerToken := lowEstimate(float64(combined.ReadTimePerToken), float64(combined.ReadTimeDeviation))
 	eventsPerToken := lowEstimate(combined.EventsPerToken, combined.EventsPerTokenDeviation)
 	eventInterval := lowEstimate(float64(combined.EventInterval), float64(combined.EventIntervalDeviation))
-	return time.Duration(max(0, eventsPerToken*float64(outputTokens)-float64(position)) * eventInterval)
-}
-
-// MinReadTime returns the minimum time that reading prompt tokens is expected to take; 0 before
-// minGenerations generations of all instances.
-func (e *Estimator) MinReadTime(now time.Time, promptTokens int) time.Duration {
-	combined := e.combined(now)
-	if combined.Observed < minGenerations {
-		return 0
-	}
-	perToken := lowEstimate(float64(combined.ReadTimePerToken), float64(combined.ReadTimeDeviation))
-	return time.Duration(float64(promptTokens) * perToken)
+	remainingEvents := max(0, eventsPerToken*float64(outputTokens)-float64(position))
+	return time.Duration(float64(promptTokens)*readTimePerToken) + time.Duration(remainingEvents*eventInterval)
 }
 
 // combined returns the estimate of all instances.
--- a/decision/pace/estimator_test.go
+++ b/decision/pace/estimator_test.go
@@ -38,9 +38,9 @@
 func TestNoEstimateBeforeEnoughGenerations(t *testing.T) {
 	is := is.New(t)
 	e := trainedEstimator(rand.New(rand.NewPCG(1, 1)), minGenerations-1)
-	is.Equal(e.MinRemainingTime(begin, 100_000, 0), time.Duration(0))
+	is.Equal(e.MinTimeToEnd(begin, 0, 100_000, 0), time.Duration(0))
 	e.Observe(CompletedGeneration{Events: 1, OutputTokens: 5, Duration: time.Second}) // a single event has no interval
-	is.Equal(e.MinRemainingTime(begin, 100_000, 0), time.Duration(0))
+	is.Equal(e.MinTimeToEnd(begin, 0, 100_000, 0), time.Duration(0))
 }
 
 // TestServableCallersAreNotRejected draws callers that resume after 18 s of
@@ -60,7 +60,7 @@
 		if needed > remaining {
 			unservable++
 		}
-		if e.MinRemainingTime(begin, tokens, uint64(position)) <= remaining {
+		if e.MinTimeToEnd(begin, 0, tokens, uint64(position)) <= remaining {
 			continue
 		}
 		rejected++
@@ -80,9 +80,9 @@
 		tokens := rapid.IntRange(0, 5000).Draw(t, "tokens")
 		before := rapid.Uint64Range(0, 2000).Draw(t, "position")
 		after := before + rapid.Uint64Range(0, 2000).Draw(t, "more")
-		is.True(e.MinRemainingTime(begin, tokens, after) <= e.MinRemainingTime(begin, tokens, before))
-		is.True(e.MinRemainingTime(begin, tokens, after) >= 0)
-		is.True(e.MinRemainingTime(begin, tokens+1, before) >= e.MinRemainingTime(begin, tokens, before))
+		is.True(e.MinTimeToEnd(begin, 0, tokens, after) <= e.MinTimeToEnd(begin, 0, tokens, before))
+		is.True(e.MinTimeToEnd(begin, 0, tokens, after) >= 0)
+		is.True(e.MinTimeToEnd(begin, 0, tokens+1, before) >= e.MinTimeToEnd(begin, 0, tokens, before))
 	})
 }
 
@@ -94,15 +94,15 @@
 	alone := &Estimator{}
 	own := trainedEstimator(random, 1)
 	for n := range 40 {
-		is.Equal(own.MinRemainingTime(begin, 600, 0) > 0, n+1 >= minGenerations)
+		is.Equal(own.MinTimeToEnd(begin, 0, 600, 0) > 0, n+1 >= minGenerations)
 		own.SetPeerReport(begin, strconv.Itoa(n), trainedEstimator(random, 1).Report())
 	}
 	for range 41 {
 		alone.Observe(CompletedGeneration{OutputTokens: 600, Events: 120, Duration: drawDuration(random, 120)})
 	}
-	together, single := own.MinRemainingTime(begin, 600, 0), alone.MinRemainingTime(begin, 600, 0)
+	together, single := own.MinTimeToEnd(begin, 0, 600, 0), alone.MinTimeToEnd(begin, 0, 600, 0)
 	is.True(together > single/2 && together < 2*single)
-	is.Equal(own.MinRemainingTime(begin.Add(2*peerReportLifetime), 600, 0), time.Duration(0)) // the reports are too old
+	is.Equal(own.MinTimeToEnd(begin.Add(2*peerReportLifetime), 0, 600, 0), time.Duration(0)) // the reports are too old
 }
 
 // TestReadTimeIsALowEstimate lets prompts wait before they are read, each up to twice its own time.
@@ -110,12 +110,12 @@
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(6, 7))
 	e := &Estimator{}
-	is.Equal(e.MinReadTime(begin, 8000), time.Duration(0))
+	is.Equal(e.MinTimeToEnd(begin, 8000, 0, 0), time.Duration(0))
 	for range 100 {
 		e.Observe(CompletedGeneration{OutputTokens: 600, Events: 120, Duration: 4 * time.Second, PromptTokens: 8000, ReadTime: time.Duration((1 + 2*random.Float64()) * float64(time.Second))})
 	}
-	is.True(e.MinReadTime(begin, 8000) > 500*time.Millisecond)
-	is.True(e.MinReadTime(begin, 8000) <= 1100*time.Millisecond)
+	is.True(e.MinTimeToEnd(begin, 8000, 0, 0) > 500*time.Millisecond)
+	is.True(e.MinTimeToEnd(begin, 8000, 0, 0) <= 1100*time.Millisecond)
 }
 
 func TestUnusableReportsAreIgnored(t *testing.T) {
@@ -127,5 +127,5 @@
 	} {
 		e.SetPeerReport(begin, strconv.Itoa(n), report)
 	}
-	is.Equal(e.MinRemainingTime(begin, 100_000, 0), time.Duration(0))
+	is.Equal(e.MinTimeToEnd(begin, 0, 100_000, 0), time.Duration(0))
 }
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -80,8 +80,7 @@
 	if err != nil {
 		return f.failedExchange(conn, result, err)
 	}
-	answer := f.protocol.ParseAnswer(response)
-	f.recordStatements(server, &answer)
+	answer := f.readAnswer(server, response)
 	body, err := conn.Body(response).ReadAll(maxAnswerBytes)
 	if err != nil {
 		return f.failedExchange(conn, result, err)
--- a/gateway/forward/generation_rate.go
+++ b/gateway/forward/generation_rate.go
@@ -14,20 +14,12 @@
 	s.rateEstimator(service).Observe(generation)
 }
 
-// minTimeToEnd returns the shortest time in which the events of a generation after
-// a position can be expected; 0 while there are too few observations.
-func (s *selector) minTimeToEnd(service string, outputTokens int, position uint64) time.Duration {
+// minTimeToEnd returns the shortest time in which prompt tokens can be expected to be read and the
+// events of a generation after a position to be sent; 0 while there are too few observations.
+func (s *selector) minTimeToEnd(service string, promptTokens, outputTokens int, position uint64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rateEstimator(service).MinRemainingTime(time.Now(), outputTokens, position)
-}
-
-// minReadTime returns the shortest time in which an engine can be expected to read prompt tokens;
-// 0 while there are too few observations.
-func (s *selector) minReadTime(service string, tokens int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rateEstimator(service).MinReadTime(time.Now(), tokens)
+	return s.rateEstimator(service).MinTimeToEnd(time.Now(), promptTokens, outputTokens, position)
 }
 
 // Rates implements peers.Ledger.
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -13,8 +13,12 @@
 
 // probe requests the load report at a server's address. It returns the report and
 // whether there was any answer. The answer doesn't identify the server that sent
-// it, so that it does not prove that this server runs.
+// it, so that it does not prove that this server runs. A server that refuses the requests of
+// this instance is not asked and counts as answering.
 func (f *Forwarder) probe(ctx context.Context, server *directory.Server) (message.Report, bool) {
+	if f.selector.refusing(server) > 0 {
+		return message.Report{}, true
+	}
 	f.meters.count("probes")
 	response, body, err := f.query(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
 	if err != nil {
@@ -54,8 +58,7 @@
 		conn.Close()
 		return nil, nil, conn.Reused, err
 	}
-	answer := f.protocol.ParseAnswer(response)
-	f.recordStatements(server, &answer)
+	f.readAnswer(server, response)
 	f.pool.Put(server.ID, conn, response)
 	return response, body, conn.Reused, nil
 }
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -73,9 +73,6 @@
 	f := a.run.f
 	f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(a.server.ID) })
 	if a.awaitsFirstEvent {
-		if f.selector.refusing(a.server) > 0 {
-			return true // it wants no probe either
-		}
 		if now.Sub(lastResponse) < timeout/2 && now.Sub(a.sentAt) < unansweredProbeDelay {
 			return true
 		}
@@ -91,9 +88,6 @@
 	if a.cacheCopyServer != nil {
 		return false
 	}
-	if f.selector.refusing(a.server) > 0 {
-		return true
-	}
 	_, answers := f.probe(ctx, a.server)
 	return answers
 }
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -4,8 +4,17 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
+// readAnswer reads the head of a server's answer and acts on what the server states there about
+// itself.
+func (f *Forwarder) readAnswer(server *directory.Server, head *http1.Response) message.Answer {
+	answer := f.protocol.ParseAnswer(head)
+	f.recordStatements(server, &answer)
+	return answer
+}
+
 // recordStatements acts on what a server states about itself in an answer: that it leaves, or
 // that it wants no request of this instance for a while. An answer of another server at the
 // same address says nothing about this one.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -132,7 +132,7 @@
 // fits reports whether the remaining tokens may arrive in the remaining time after a number of
 // prompt tokens was read.
 func (r *streamRun) fits(promptTokens int) bool {
-	return r.f.selector.minReadTime(r.j.service, promptTokens)+r.f.selector.minTimeToEnd(r.j.service, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
+	return r.f.selector.minTimeToEnd(r.j.service, promptTokens, r.j.request.OutputTokens, r.events.position) <= r.j.remaining()
 }
 
 // observeGeneration adds a generation that ran without an interruption to the
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -16,8 +16,7 @@
 // receive reads the answer from its head on and forwards it.
 func (a *streamAttempt) receive(ctx context.Context, response *http1.Response) streamResult {
 	r := a.run
-	answer := r.f.protocol.ParseAnswer(response)
-	r.f.recordStatements(a.server, &answer)
+	answer := r.f.readAnswer(a.server, response)
 	checked := callResult{server: a.server, response: response}
 	r.f.checkAnswer(&checked, r.j, answer)
 	if !checked.usable() {
--- a/gateway/peers/leaving.go
+++ b/gateway/peers/leaving.go
@@ -32,11 +32,7 @@
 	if excess := len(s.leavingServers) - maxLeavingServers; excess > 0 {
 		s.leavingServers = slices.Delete(s.leavingServers, 0, excess)
 	}
-	digest := s.digest()
-	payload := Encode(&digest)
-	for _, p := range samplePeers(s.table.Members(), s.options.DataCentre, maxLocalFailurePeers, maxRemoteFailurePeers, func(*peer) bool { return false }) {
-		s.send(p.address, payload)
-	}
+	s.sendToSample(nil)
 }
 
 // currentLeaving returns the leaving servers that a digest holds now; mu is held.
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -151,12 +151,16 @@
 		failed = append(failed, <-s.failedServers.Items())
 	}
 	s.mu.Lock()
-	peers := samplePeers(s.table.Members(), s.options.DataCentre, maxLocalFailurePeers, maxRemoteFailurePeers, func(*peer) bool { return false })
+	defer s.mu.Unlock()
+	s.sendToSample(failed)
+}
+
+// sendToSample sends a digest with failed servers, if any, to a sample of peers at once; mu is held.
+func (s *Service) sendToSample(failed []FailedServer) {
 	digest := s.digest()
-	s.mu.Unlock()
 	digest.FailedServers = failed
 	payload := Encode(&digest)
-	for _, p := range peers {
+	for _, p := range samplePeers(s.table.Members(), s.options.DataCentre, maxLocalFailurePeers, maxRemoteFailurePeers, func(*peer) bool { return false }) {
 		s.send(p.address, payload)
 	}
 }
