State in the log why an interrupted stream was not continued

Cause: request_broken holds the last attempt's failure, not why no other server was tried. The hypotheses of answers cut while a server is silent differ only in that.

Change: the steps that forbid another attempt return a reason, which request_broken and a counter for each reason state.

Conclusion: a log line now tells the attempts of the route, the bound on second sends, the remaining time and a missing server apart.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -6,7 +6,7 @@
 var (
 	RequestServed       = Definition{7000, "request_served", zerolog.InfoLevel, "a request got its backend server's answer", "none"}
 	RequestRejected     = Definition{7001, "request_rejected", zerolog.InfoLevel, "the instance answered a request itself, without a backend server's answer; code gives the reason, execution whether it may have run", "look the code up in docs/operations/errors.md"}
-	RequestBroken       = Definition{7002, "request_broken", zerolog.WarnLevel, "an answer was interrupted before its end", "look at the request's attempts in the log"}
+	RequestBroken       = Definition{7002, "request_broken", zerolog.WarnLevel, "an answer was interrupted before its end; reason tells why no other backend server continued it", "look at the request's attempts in the log"}
 	ClientDisconnected  = Definition{7003, "client_left", zerolog.InfoLevel, "a client disconnected before its answer ended; its attempts were cancelled", "none"}
 	AttemptFailed       = Definition{7004, "attempt_failed", zerolog.InfoLevel, "an attempt at one backend server failed; code gives the reason, the request's later events the consequence", "check the backend server if it is often the same one"}
 	StreamResumed       = Definition{7005, "stream_continued", zerolog.InfoLevel, "an interrupted stream was resumed at another backend server; copy tells whether from a KV cache copy", "none"}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -105,8 +105,8 @@
 		if !result.notRun {
 			run.mayHaveRunAt[result.server.ID] = true
 		}
-		if !run.prepareNextAttempt(&result) {
-			run.fail()
+		if reason := run.prepareNextAttempt(&result); reason != "" {
+			run.fail(reason)
 			return
 		}
 	}
@@ -169,17 +169,17 @@
 	return false
 }
 
-// prepareNextAttempt reports whether the stream continues with another attempt,
-// and updates the counters and the failed servers for it.
-func (r *streamRun) prepareNextAttempt(result *streamResult) bool {
+// prepareNextAttempt updates the counters and the failed servers for another attempt.
+// It returns why the stream does not continue with one, empty when it does.
+func (r *streamRun) prepareNextAttempt(result *streamResult) endReason {
 	if r.j.remaining() < minSendTime || !r.canEndInTime() {
-		return false
+		return endTooLittleTime
 	}
 	if !result.notRun && !r.j.route.Resumable {
-		return false
+		return endNotResumable
 	}
 	if len(r.mayHaveRunAt) >= r.j.route.Attempts && r.reconnectServer == nil {
-		return false
+		return endAttempts
 	}
 	if result.code == fault.UpstreamUnreachable {
 		// Nothing was sent, so that this takes no second send: the remaining time
@@ -187,10 +187,12 @@
 		r.unreachable++
 		r.j.sends--
 		if r.unreachable > maxUnreachableSends {
-			return false
+			return endUnreachable
 		}
-	} else if r.notRunExceeded(result) || !r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
-		return false
+	} else if r.notRunExceeded(result) {
+		return endNotRun
+	} else if !r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
+		return endSecondSends
 	}
 	if r.deliveredEvents > 0 || r.events.positionKnown {
 		r.resumes++
@@ -198,7 +200,7 @@
 	if result.server != nil && r.reconnectServer == nil {
 		r.j.failedServers = append(r.j.failedServers, result.server.ID)
 	}
-	return true
+	return ""
 }
 
 // notRunExceeded counts attempts that did not run and reports whether these are too many.
@@ -230,14 +232,15 @@
 	return server
 }
 
-// fail ends a stream for which no further attempt is made.
-func (r *streamRun) fail() {
+// fail ends a stream for which no further attempt is made, for the given reason.
+func (r *streamRun) fail(reason endReason) {
 	switch {
 	case r.j.exchange.Started():
 		r.j.exchange.Abort()
 		r.f.meters.count("requests.broken")
+		r.f.meters.count("requests.broken." + string(reason))
 		event.Log(r.f.logger, event.RequestBroken).Str("request", r.j.request.ID).Str("route", r.j.route.Name).
-			Str("code", string(r.lastResult.code)).Uint64("position", r.events.position).Int("sends", r.j.sends).
+			Str("reason", string(reason)).Str("code", string(r.lastResult.code)).Uint64("position", r.events.position).Int("sends", r.j.sends).
 			Dur("after_ms", time.Since(r.j.exchange.Received)).AnErr("cause", r.lastResult.err).Send()
 	case r.lastResult.finalAnswer != nil:
 		r.f.forwardAnswer(r.j, r.lastResult.finalAnswer)
@@ -261,7 +264,11 @@
 	if r.lastResult.code == "" {
 		r.lastResult = result
 	}
-	r.fail()
+	if result.code == fault.TooLittleTime {
+		r.fail(endTooLittleTime)
+		return
+	}
+	r.fail(endNoServer)
 }
 
 // cancelled ends a stream whose client disconnected or whose deadline has passed.
@@ -272,7 +279,7 @@
 	}
 	if r.j.exchange.Started() {
 		r.lastResult = streamResult{code: fault.UpstreamTimeout, err: ctx.Err()}
-		r.fail()
+		r.fail(endDeadline)
 		return
 	}
 	r.f.reject(r.j, localAnswer{status: 504, code: fault.UpstreamTimeout})
