Wait for a silent server when no other may continue its stream

Callers saw a request end with neither an answer nor a refusal while the backend server that worked on it was sound and only silent for a second.

Cause: a stream left its silent server first and looked for another one afterwards. Where the attempts of the route, the bound on second sends, the remaining time or a lack of servers forbade another, nothing was left to complete the answer and the connection was closed. The class of fault: a resource is given up before its successor is secured.

Change: a silent server is left only after its successor is chosen and the second send is taken. Without one the instance waits, checks again after each further silence, and ends the answer only when the connection fails or the deadline passes. The same holds for the head of an answer and for the body of one that is not a stream. A timeout of the transport is told apart from a read deadline, so that a server whose machine is gone still fails.

Conclusion: silence alone no longer ends an answer.

--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -27,8 +27,9 @@
 	maxWakeDelay = 60 * time.Millisecond
 )
 
-// awaitData calls read until it receives data, the attempt counts as failed, or
-// the context ends. It must be possible to call read again after a timeout.
+// awaitData calls read until it receives data, the connection fails, the stream
+// leaves the silent server for another one, or the context ends. It must be possible
+// to call read again after a timeout.
 func (a *streamAttempt) awaitData(ctx context.Context, read func() error) error {
 	for {
 		timeout := firstEventCheckInterval
@@ -49,10 +50,10 @@
 			a.receivedAt = now
 			return nil
 		}
-		if !upstream.IsTimeout(err) || ctx.Err() != nil {
+		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return err
 		}
-		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) {
+		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && a.leave(err) {
 			return err
 		}
 	}
@@ -100,8 +101,8 @@
 }
 
 const (
-	// maxSilence is the silence after which the attempt of a running stream
-	// ends even though the server runs.
+	// maxSilence is the silence after which a running stream leaves its server
+	// even though the server runs, if another one may take over.
 	maxSilence = 1500 * time.Millisecond
 	// unansweredProbeDelay is the time after which a server that has not begun to
 	// answer is always probed, and its load report can show that the answer was
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -31,6 +31,9 @@
 	// were tried again in this way.
 	reconnectServer *directory.Server
 	reconnected     map[string]bool
+	// reserved is the destination of the next attempt, for which a second send was taken
+	// before the silent server was left; nil for none.
+	reserved *destination
 	// mayHaveRunAt holds the ids of the servers that may have run the request;
 	// notRunAttempts counts the attempts that certainly did not run.
 	mayHaveRunAt    map[string]bool
@@ -172,6 +175,22 @@
 // prepareNextAttempt updates the counters and the failed servers for another attempt.
 // It returns why the stream does not continue with one, empty when it does.
 func (r *streamRun) prepareNextAttempt(result *streamResult) endReason {
+	if r.reserved == nil {
+		if reason := r.takeAttempt(result); reason != "" {
+			return reason
+		}
+	}
+	if r.deliveredEvents > 0 || r.events.positionKnown {
+		r.resumes++
+	}
+	if result.server != nil && r.reconnectServer == nil {
+		r.j.failedServers = append(r.j.failedServers, result.server.ID)
+	}
+	return ""
+}
+
+// takeAttempt counts another attempt, or returns why there is none.
+func (r *streamRun) takeAttempt(result *streamResult) endReason {
 	if r.j.remaining() < minSendTime || !r.canEndInTime() {
 		return endTooLittleTime
 	}
@@ -194,12 +213,6 @@
 	} else if !r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
 		return endSecondSends
 	}
-	if r.deliveredEvents > 0 || r.events.positionKnown {
-		r.resumes++
-	}
-	if result.server != nil && r.reconnectServer == nil {
-		r.j.failedServers = append(r.j.failedServers, result.server.ID)
-	}
 	return ""
 }
 
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // streamAttempt is one attempt of a stream at one server.
@@ -32,33 +33,21 @@
 	eventIntervals suspicion.IntervalEstimator
 	// awaitsFirstEvent is set until the first event.
 	awaitsFirstEvent bool
+	// waiting is set once the server was silent and no other could take over.
+	waiting bool
 	load             placement.Load
 }
 
-var errTooLate = fault.New(fault.TooLittleTime, "the prompt can't be read and the rest sent in the remaining time")
-
 var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not read the answer")
 
 // attempt sends the request to a server and forwards its events; found is false if
 // there is none, or none at which the stream can end in time.
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
-	a := &streamAttempt{run: r, awaitsFirstEvent: true}
-	fromCopy := r.reconnectServer == nil && r.cacheCopyServer != nil
-	var choice placement.Choice
-	switch {
-	case r.reconnectServer != nil:
-		a.server, r.reconnectServer, a.reconnecting = r.reconnectServer, nil, true
-	case fromCopy:
-		a.server, r.cacheCopyServer = r.cacheCopyServer, nil
-	default:
-		a.server, choice = r.f.selector.chooseForGeneration(r.service, r.size, r.j.hasFailed)
-		if a.server == nil {
-			return streamResult{code: fault.NoServer}, false
-		}
-		if !r.fits(choice.MinReadTokens) {
-			return streamResult{code: fault.TooLittleTime, err: errTooLate}, false
-		}
+	to, failure := r.nextDestination()
+	if to.server == nil {
+		return failure, false
 	}
+	a := &streamAttempt{run: r, server: to.server, reconnecting: to.reconnecting, awaitsFirstEvent: true}
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
 	case a.reconnecting && r.cacheCopyServer != nil:
@@ -67,13 +56,13 @@
 		a.cacheCopyServer = r.f.selector.chooseForCopy(r.service, r.size, a.server)
 	}
 	r.j.sends++
-	a.logSent(choice, fromCopy)
-	a.addLoad(fromCopy)
+	a.logSent(to)
+	a.addLoad(to.fromCopy)
 	defer a.removeLoad()
-	result = a.exchange(ctx, fromCopy)
+	result = a.exchange(ctx, to.fromCopy)
 	result.server = a.server
 	if !result.complete && result.finalAnswer == nil && ctx.Err() == nil {
-		a.handleFailure(&result, fromCopy)
+		a.handleFailure(&result, to.fromCopy)
 	}
 	return result, true
 }
@@ -108,10 +97,8 @@
 // KV cache copy that it made is used next; there is none before the first event.
 func (a *streamAttempt) handleFailure(result *streamResult, fromCopy bool) {
 	r := a.run
-	if !result.notRun && r.deliveredEvents > 0 && a.cacheCopyServer != nil {
-		// The copy goes to an address: a server that restarted there under another id gets
-		// it anew.
-		r.cacheCopyServer = r.resumableAt(r.f.directory.Snapshot().FindByAddress(a.cacheCopyServer.Address))
+	if !result.notRun {
+		r.cacheCopyServer = a.copyHolder()
 	}
 	if a.connectionBroke(result) {
 		r.allowReconnect(a.server)
@@ -166,16 +153,26 @@
 	if err := a.awaitData(ctx, conn.WaitHead); err != nil {
 		return streamResult{code: failureCode(err), err: err}
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
-		return streamResult{code: fault.UpstreamBroken, err: err}
-	}
-	response, err := conn.ReadHead(r.j.exchange.Head.Method)
+	response, err := a.readHead(ctx)
 	if err != nil {
 		return streamResult{code: failureCode(err), err: err}
 	}
 	return a.receive(ctx, response)
 }
 
+// readHead reads the head of the answer, whose first bytes were received.
+func (a *streamAttempt) readHead(ctx context.Context) (*http1.Response, error) {
+	for {
+		if err := a.conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+			return nil, err
+		}
+		response, err := a.conn.ReadHead(a.run.j.exchange.Head.Method)
+		if !upstream.IsReadTimeout(err) || ctx.Err() != nil || a.leave(err) {
+			return response, err
+		}
+	}
+}
+
 // connectionBroke reports whether the attempt ended because its connection was
 // reset or closed, without another sign that the server failed.
 func (a *streamAttempt) connectionBroke(result *streamResult) bool {
@@ -186,7 +183,8 @@
 // broke: it has just sent a reset, so that it answers at once or not at all.
 const reconnectTimeout = 150 * time.Millisecond
 
-// headTimeout bounds the time from the first byte of an answer's head to its end.
+// headTimeout is the time from the first byte of an answer's head to its end after which the
+// stream goes to another server, if one may take over.
 const headTimeout = time.Second
 
 // failureCode returns UpstreamTimeout for an expired read deadline, otherwise
@@ -199,10 +197,10 @@
 }
 
 // logSent logs the server of an attempt and the values that led to its choice.
-func (a *streamAttempt) logSent(choice placement.Choice, fromCopy bool) {
-	r := a.run
-	line := r.f.requestSentEvent(r.j, a.server).Bool("from_copy", fromCopy)
-	if !fromCopy {
+func (a *streamAttempt) logSent(to destination) {
+	r, choice := a.run, to.choice
+	line := r.f.requestSentEvent(r.j, a.server).Bool("from_copy", to.fromCopy)
+	if !to.fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.PrefillTokens).Int("memory_tokens", choice.Load.MemoryTokens).
 			Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -26,7 +26,7 @@
 	}
 	a.recordResponse()
 	if response.Status != 200 {
-		return a.receiveWhole(response, checked)
+		return a.receiveWhole(ctx, response, checked)
 	}
 	if !strings.HasPrefix(response.Fields.Get("Content-Type"), "text/event-stream") {
 		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
@@ -45,18 +45,41 @@
 
 // receiveWhole reads an answer that is not a stream. It can be forwarded only if
 // no part of a stream was sent to the client.
-func (a *streamAttempt) receiveWhole(response *http1.Response, checked callResult) streamResult {
-	body, err := a.conn.Body(response).ReadAll(maxAnswerBytes)
+func (a *streamAttempt) receiveWhole(ctx context.Context, response *http1.Response, checked callResult) streamResult {
+	if a.run.j.exchange.Started() {
+		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
+	}
+	body, err := a.readWhole(ctx, a.conn.Body(response))
 	if err != nil {
 		return streamResult{code: failureCode(err), err: err}
 	}
 	checked.body = body
-	if a.run.j.exchange.Started() {
-		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
-	}
 	return streamResult{finalAnswer: &checked, code: fault.UpstreamBroken, err: errNoStream}
 }
 
+// readWhole reads the rest of an answer's body.
+func (a *streamAttempt) readWhole(ctx context.Context, body *http1.Body) (whole []byte, err error) {
+	for {
+		var data []byte
+		err := a.awaitData(ctx, func() (err error) {
+			data, err = body.Next()
+			return err
+		})
+		if errors.Is(err, io.EOF) && body.Ended() {
+			return whole, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(whole)+len(data) > maxAnswerBytes {
+			return nil, errAnswerTooLong
+		}
+		whole = append(whole, data...)
+	}
+}
+
+var errAnswerTooLong = fault.New(fault.UpstreamBroken, "the answer is too long")
+
 // forwardEvents forwards events until the stream ends.
 func (a *streamAttempt) forwardEvents(ctx context.Context, body *http1.Body) streamResult {
 	r := a.run
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -119,7 +120,12 @@
 	}
 }
 
-// IsTimeout reports whether a read ended because of its deadline.
+// IsReadTimeout reports whether a read ended because of its deadline. The connection may still
+// be sound, unlike after a timeout of the transport.
+func IsReadTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// IsTimeout reports whether an operation ended because of its deadline or a timeout of the
+// transport.
 func IsTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
