--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -35,7 +35,7 @@
 	awaitsFirstEvent bool
 	// waiting is set once the server was silent and no other could take over.
 	waiting bool
-	load             placement.Load
+	load    placement.Load
 }
 
 var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not read the answer")
