--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -17,7 +17,10 @@
 	// Address is "ip:port"; it may belong to another server later.
 	Address    string
 	DataCentre string
-	Slots      int
+	// SoftwareVersion is the version of the server's software, not of the model's weights; empty
+	// when unknown.
+	SoftwareVersion string
+	Slots           int
 	// Draining servers take no new requests.
 	Draining bool
 	// DrainingSince is when this instance received the draining entry.
