Continue a stream only at the software version that began it

Cause: the software version of a server was no part of any decision. The next server, the KV cache copy and the server at a copy's address were chosen without it, and an instance at which a client resumed a stream had no record of where it began. The class of fault: state that a caller carries between instances is trusted to fit any server of a service.

Change: a stream is bound to the version of the server that sent its first event; until then any version may run it. The next server, the copy, the server at the copy's address and the engine that keeps the prompt must have that version. Each instance records the version by the client attempt that brought the first event (decision/streamversion) and passes the record to eight peers, ranked by rendezvous, in the digests that it sends anyway. An instance at which a client resumes a stream looks at its records, then asks those peers; where nothing is recorded it uses the only version of the service, or the one whose engines have read the whole prompt. Otherwise it rejects the request at once: software_version_unknown, or software_version_unavailable when no server of that version takes requests. A restarted server that is adopted has its predecessor's version, and none when that was leaving.

Conclusion: versions are kept within one answer and over a client's attempts, as long as one of eight instances that have the record runs.

--- /dev/null
+++ b/decision/streamversion/record.go
@@ -0,0 +1,15 @@
+package streamversion
+
+import "github.com/cespare/xxhash/v2"
+
+// Key identifies a stream by the client attempt that brought its first event.
+type Key uint64
+
+// KeyOf returns the key of the client attempt with an id.
+func KeyOf(attempt string) Key { return Key(xxhash.Sum64String(attempt)) }
+
+// Record states which software version began a stream.
+type Record struct {
+	Key     Key
+	Version string
+}
--- /dev/null
+++ b/decision/streamversion/table_test.go
@@ -0,0 +1,52 @@
+package streamversion_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
+)
+
+var begin = time.Unix(1_700_000_000, 0)
+
+func TestVersionOfAStreamNeverChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, first, lastPut, now := streamversion.NewTable(), map[streamversion.Key]string{}, map[streamversion.Key]time.Time{}, begin
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			key := streamversion.Key(rapid.IntRange(0, 5).Draw(t, "stream"))
+			version := "v" + strconv.Itoa(rapid.IntRange(1, 3).Draw(t, "version"))
+			known, found := table.Version(key)
+			recent := !lastPut[key].IsZero() && now.Sub(lastPut[key]) <= streamversion.Lifetime
+			if recent && (!found || known != first[key]) {
+				t.Fatalf("stream %d of %s is %s, known %v", key, first[key], known, found)
+			}
+			if table.Put(now, streamversion.Record{Key: key, Version: version}) {
+				first[key] = version
+			}
+			lastPut[key] = now
+		}
+	})
+}
+
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := streamversion.NewTable()
+	const streams = 200_000
+	for n := range streams {
+		table.Put(begin, streamversion.Record{Key: streamversion.Key(n), Version: "v1"})
+	}
+	kept := 0
+	for n := range streams {
+		if _, known := table.Version(streamversion.Key(n)); known {
+			kept++
+		}
+	}
+	is.True(kept <= 1<<16)
+	_, known := table.Version(streams - 1)
+	is.True(known) // the newest ones stay
+}
--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -15,6 +15,7 @@
 	ServerSuspected     = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server if it repeats"}
 	ServerAdopted       = Definition{7012, "server_adopted", zerolog.InfoLevel, "a restarted backend server was found at its address before the store listed it", "none"}
 	SilentServerAwaited = Definition{7017, "silent_server_awaited", zerolog.InfoLevel, "a stream waits for its silent backend server; reason tells why no other one may continue it", "check the server if it repeats"}
+	StreamVersionFound  = Definition{7018, "stream_version_found", zerolog.InfoLevel, "a client resumes a stream; source tells where the software version that began it was found: record, single (the service has no other), prompt (the engines that keep its prompt) or unknown", "none; if unknown repeats, look for instances that fail together"}
 	SecondSendDenied    = Definition{7013, "second_send_denied", zerolog.InfoLevel, "a request was not sent to another backend server because the limit of second sends is reached; the fields give its use by this instance and by its data centre", "look for the servers that fail"}
 	AnswerFieldInvalid  = Definition{7014, "answer_field_invalid", zerolog.WarnLevel, "a header field of a backend server's answer could not be read and has no effect", "check the server"}
 	ServerLeaving       = Definition{7015, "server_leaving", zerolog.InfoLevel, "a backend server stated in an answer that it leaves: it gets no new requests", "none"}
@@ -38,6 +39,6 @@
 
 var forwardingEvents = []Definition{
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
-	ServerSuspected, SecondSendDenied, SilentServerAwaited, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
+	ServerSuspected, SecondSendDenied, SilentServerAwaited, StreamVersionFound, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
 }
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -195,7 +195,8 @@
 
 // Adopt replaces a server by the process with the given ID that was found at its address
 // and whose own entry has not been received. It returns nil when the old server isn't
-// listed any more or the new ID is listed already.
+// listed any more or the new ID is listed already. The software version is that of the old server,
+// or unknown if that was leaving, since it may have made way for another version.
 func (d *Directory) Adopt(old *Server, id string) *Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -204,6 +205,9 @@
 	}
 	adopted := *old
 	adopted.ID, adopted.Incarnation, adopted.Draining, adopted.Leaving, adopted.Adopted = id, 0, false, false, true
+	if listed := d.servers[old.ID]; listed.Draining || old.Draining {
+		adopted.SoftwareVersion = ""
+	}
 	d.removeLocked(old.ID, old.Revision)
 	d.servers[id] = &adopted
 	d.changed.Store(true)
--- a/gateway/directory/directory_test.go
+++ b/gateway/directory/directory_test.go
@@ -78,6 +78,22 @@
 	is.True(d.Snapshot().Find("old") == nil)
 }
 
+// Guards against ORDER: streams go on at the successor of a server that left for another version.
+func TestAdoptedServerHasTheVersionOfACrashedOneOnly(t *testing.T) {
+	is := is.New(t)
+	for _, draining := range []bool{false, true} {
+		d := New()
+		old := server("old", 7)
+		old.SoftwareVersion, old.Draining = "v1", draining
+		is.True(d.Put(old))
+		is.Equal(d.Adopt(old, "new").SoftwareVersion, map[bool]string{false: "v1", true: ""}[draining])
+		entry := server("new", 9)
+		entry.SoftwareVersion = "v2"
+		is.True(d.Put(entry))
+		is.Equal(d.Snapshot().Find("new").SoftwareVersion, "v2")
+	}
+}
+
 func TestAdoptedServerIsReplacedByItsEntry(t *testing.T) {
 	is := is.New(t)
 	d := New()
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -29,7 +30,10 @@
 	prompts         *promptFinder
 	logger          zerolog.Logger
 	meters          *meters
+	versions        *streamVersions
 	onLeaving       func(server *directory.Server)
+	onStreamBegun   func(record streamversion.Record)
+	askPeers        func(key streamversion.Key) bool
 	streamDurations streamDuration
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -45,7 +49,8 @@
 		pool:      upstream.NewPool(),
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
-		onLeaving: options.OnLeaving,
+		versions:  newStreamVersions(),
+		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers,
 	}
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
--- a/gateway/forward/ledger.go
+++ b/gateway/forward/ledger.go
@@ -10,6 +10,9 @@
 // Ledger returns the state of servers and budgets that is exchanged with peers.
 func (f *Forwarder) Ledger() peers.Ledger { return f.selector }
 
+// StreamVersions returns the records of streams that are exchanged with peers.
+func (f *Forwarder) StreamVersions() peers.StreamVersions { return f.versions }
+
 // Loads implements peers.Ledger.
 func (s *selector) Loads() []peers.ServerLoad {
 	s.mu.Lock()
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
@@ -27,6 +28,10 @@
 	// OnUnreachable is called with each server that could not be reached; down is
 	// set when it refused the connection.
 	OnUnreachable func(server *directory.Server, down bool)
+	// OnStreamBegun is called with the software version that began a stream.
+	OnStreamBegun func(record streamversion.Record)
+	// AskPeers asks peers for the record of a stream and reports whether there are any.
+	AskPeers func(key streamversion.Key) bool
 	// OnLeaving is called with each server that stated for the first time that it leaves.
 	OnLeaving func(server *directory.Server)
 	Logger    zerolog.Logger
--- a/gateway/forward/prompt_finder.go
+++ b/gateway/forward/prompt_finder.go
@@ -45,18 +45,22 @@
 	// changed is closed and replaced after each answer, pending counts those that are missing.
 	changed   chan struct{}
 	pending   int
-	locations map[string]promptLocation
+	locations map[string][]promptLocation
+	// unanswered holds the software versions of the engines that did not answer.
+	unanswered map[string]bool
+	// partial is set when not all engines were asked.
+	partial bool
 }
 
-// find returns an engine of the service that keeps the prompt with a key, and the tokens that it
-// keeps; the zero location when none is found in time.
-func (p *promptFinder) find(ctx context.Context, service *route.Service, key string) promptLocation {
+// find returns an engine of the service that keeps the prompt with a key and that the binding admits,
+// and the tokens that it keeps; the zero location when none is found in time.
+func (p *promptFinder) find(ctx context.Context, service *route.Service, key string, binding versionBinding) promptLocation {
 	ctx, cancel := context.WithTimeout(ctx, promptFindTimeout)
 	defer cancel()
 	sweep := p.sweep(service)
 	for {
-		location, pending, changed := sweep.lookUp(key)
-		if location.server != nil || pending == 0 {
+		locations, pending, changed := sweep.lookUp(key)
+		if location := longest(locations, binding); location.server != nil || pending == 0 {
 			return location
 		}
 		select {
@@ -67,6 +71,61 @@
 	}
 }
 
+// longest returns the location of most tokens among those that the binding admits.
+func longest(locations []promptLocation, binding versionBinding) (best promptLocation) {
+	for _, location := range locations {
+		if binding.admits(location.server) && location.tokens > best.tokens {
+			best = location
+		}
+	}
+	return best
+}
+
+// versionOf returns the software version of the engines that have read the whole prompt with a key
+// and a size in tokens. It is empty when they have several versions, or when an engine of another
+// version did not answer in time.
+func (p *promptFinder) versionOf(ctx context.Context, service *route.Service, key string, size int) string {
+	ctx, cancel := context.WithTimeout(ctx, promptFindTimeout)
+	defer cancel()
+	sweep := p.sweep(service)
+	for {
+		_, pending, changed := sweep.lookUp(key)
+		if pending == 0 {
+			return sweep.versionOf(key, size)
+		}
+		select {
+		case <-ctx.Done():
+			return ""
+		case <-changed:
+		}
+	}
+}
+
+// versionOf is promptFinder.versionOf after all engines have answered or failed to.
+func (s *promptSweep) versionOf(key string, size int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := ""
+	for _, location := range s.locations[key] {
+		if location.tokens < max(1, size) {
+			continue
+		}
+		if version != "" && location.server.SoftwareVersion != version {
+			return ""
+		}
+		version = location.server.SoftwareVersion
+	}
+	for other := range s.unanswered {
+		if other != version {
+			return ""
+		}
+	}
+	if s.partial {
+		return ""
+	}
+	return version
+}
+
 // sweep returns the current sweep of a service, and starts one unless there is a recent one.
 func (p *promptFinder) sweep(service *route.Service) *promptSweep {
 	p.mu.Lock()
@@ -74,8 +133,11 @@
 	if current := p.sweeps[service.Name]; current != nil && time.Since(current.started) < promptSweepLifetime {
 		return current
 	}
-	servers := p.f.selector.sweepTargets(service.Name)
-	started := &promptSweep{started: time.Now(), changed: make(chan struct{}), pending: len(servers), locations: make(map[string]promptLocation)}
+	servers, partial := p.f.selector.sweepTargets(service.Name)
+	started := &promptSweep{
+		started: time.Now(), changed: make(chan struct{}), pending: len(servers), partial: partial,
+		locations: make(map[string][]promptLocation), unanswered: make(map[string]bool),
+	}
 	p.sweeps[service.Name] = started
 	for _, server := range servers {
 		go p.ask(started, server)
@@ -94,19 +156,22 @@
 	report, err := p.f.protocol.ParseCacheReport(body)
 	if err != nil {
 		event.Log(p.f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
+		sweep.add(server, nil)
+		return
 	}
 	sweep.add(server, report.TokensByPrompt)
 }
 
-// add adds the answer of an engine; of several that keep a prompt the one with most tokens counts.
+// add adds the answer of an engine, nil when it did not answer.
 func (s *promptSweep) add(server *directory.Server, tokensByPrompt map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
+	if tokensByPrompt == nil {
+		s.unanswered[server.SoftwareVersion] = true
+	}
 	for key, tokens := range tokensByPrompt {
-		if tokens > s.locations[key].tokens {
-			s.locations[key] = promptLocation{server: server, tokens: tokens}
-		}
+		s.locations[key] = append(s.locations[key], promptLocation{server: server, tokens: tokens})
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -114,19 +179,22 @@
 
 // lookUp returns where a prompt is kept, the number of missing answers, and a channel that is closed
 // after the next one.
-func (s *promptSweep) lookUp(key string) (location promptLocation, pending int, changed <-chan struct{}) {
+func (s *promptSweep) lookUp(key string) (locations []promptLocation, pending int, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.locations[key], s.pending, s.changed
 }
 
 // sweepTargets returns the engines of a service that a sweep asks: those of the instance's data
-// centre first, then others in random order.
-func (s *selector) sweepTargets(service string) []*directory.Server {
+// centre first, then others in random order. partial is set when there are more that take requests
+// or refuse them.
+func (s *selector) sweepTargets(service string) (targets []*directory.Server, partial bool) {
 	var local, others []*directory.Server
 	for _, server := range s.directory.Snapshot().ForService(service) {
 		switch {
-		case server.Draining || s.refusing(server) > 0:
+		case server.Draining:
+		case s.refusing(server) > 0:
+			partial = true
 		case server.DataCentre == s.place.DataCentre:
 			local = append(local, server)
 		default:
@@ -134,6 +202,9 @@
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	targets := append(local, others...)
-	return targets[:min(len(targets), maxSweptEngines)]
+	targets = append(local, others...)
+	if len(targets) > maxSweptEngines {
+		return targets[:maxSweptEngines], true
+	}
+	return targets, partial
 }
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -60,14 +60,14 @@
 	}
 }
 
-// candidates returns the servers of a service that take new requests, those for
-// which skip returns true only when there are no others. The caller holds mu.
-func (s *selector) candidates(service *route.Service, skip func(id string) bool) []placement.Candidate {
+// candidates returns the servers of a service that take new requests and that the binding admits,
+// those for which skip returns true only when there are no others. The caller holds mu.
+func (s *selector) candidates(service *route.Service, binding versionBinding, skip func(id string) bool) []placement.Candidate {
 	servers := s.directory.Snapshot().ForService(service.Name)
 	candidates := make([]placement.Candidate, 0, len(servers))
 	skipped := 0
 	for _, server := range servers {
-		if server.Draining {
+		if server.Draining || !binding.admits(server) {
 			continue
 		}
 		s.trackProcess(server)
@@ -122,19 +122,19 @@
 func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, skip))
+	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, versionBinding{}, skip))
 	if !found {
 		return nil
 	}
 	return s.directory.Snapshot().Find(id)
 }
 
-// chooseForGeneration chooses the server of a generation; nil when there is none.
-func (s *selector) chooseForGeneration(service *route.Service, size placement.Generation, skip func(string) bool) (*directory.Server, placement.Choice) {
+// chooseForGeneration chooses the server of a generation that the binding admits; nil when there is none.
+func (s *selector) chooseForGeneration(service *route.Service, size placement.Generation, binding versionBinding, skip func(string) bool) (*directory.Server, placement.Choice) {
 	peerGroup := s.peerGroup()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, skip)
+	candidates := s.candidates(service, binding, skip)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
@@ -144,12 +144,12 @@
 }
 
 // chooseForCopy chooses the server that holds the KV cache copy of a generation
-// that runs at another; nil when no server has enough free memory.
+// that runs at another; nil when no server of the same software version has enough free memory.
 func (s *selector) chooseForCopy(service *route.Service, size placement.Generation, running *directory.Server) *directory.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := placement.Candidate{ID: running.ID, Place: placement.Place{DataCentre: running.DataCentre, Region: s.regions[running.DataCentre]}}
-	id, found := s.ledger.ChooseCopy(time.Now(), size, at, s.candidates(service, func(id string) bool { return id == running.ID }))
+	id, found := s.ledger.ChooseCopy(time.Now(), size, at, s.candidates(service, bindTo(running), func(id string) bool { return id == running.ID }))
 	if !found {
 		return nil
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -34,6 +34,10 @@
 	// reserved is the destination of the next attempt, for which a second send was taken
 	// before the silent server was left; nil for none.
 	reserved *destination
+	// binding is the software version at which the stream continues.
+	binding versionBinding
+	// recordedAt is when the software version of the stream was last recorded.
+	recordedAt time.Time
 	// mayHaveRunAt holds the ids of the servers that may have run the request;
 	// notRunAttempts counts the attempts that certainly did not run.
 	mayHaveRunAt    map[string]bool
@@ -90,6 +94,10 @@
 		f.reject(j, localAnswer{status: 503, code: fault.TooLittleTime, retryAfter: tooLittleTimeRetryAfter})
 		return
 	}
+	if !run.bindResumed(ctx) {
+		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown})
+		return
+	}
 	run.findPrompt(ctx)
 	for {
 		result, found := run.attempt(ctx)
@@ -124,7 +132,7 @@
 	if r.j.request.Position == 0 && r.fits(r.size.PromptTokens) {
 		return
 	}
-	if location := r.f.prompts.find(ctx, r.service, r.size.PromptKey); location.server != nil {
+	if location := r.f.prompts.find(ctx, r.service, r.size.PromptKey, r.binding); location.server != nil {
 		r.size.CachedAt, r.size.CachedTokens = location.server.ID, min(location.tokens, r.size.PromptTokens)
 	}
 }
@@ -236,7 +244,7 @@
 	r.reconnectServer = server
 }
 
-// resumableAt returns the server if the stream may resume there, else nil. An address at which
+// resumableAt returns the server if it takes streams that resume, else nil. An address at which
 // a copy was kept may belong to another service by now.
 func (r *streamRun) resumableAt(server *directory.Server) *directory.Server {
 	if server == nil || server.Service != r.service.Name || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 {
@@ -245,6 +253,15 @@
 	return server
 }
 
+// continuableAt is resumableAt for a server that has not run the stream: it must also have the
+// software version that began it.
+func (r *streamRun) continuableAt(server *directory.Server) *directory.Server {
+	if server = r.resumableAt(server); server == nil || !r.binding.admits(server) {
+		return nil
+	}
+	return server
+}
+
 // fail ends a stream for which no further attempt is made, for the given reason.
 func (r *streamRun) fail(reason endReason) {
 	switch {
@@ -268,7 +285,7 @@
 func (r *streamRun) noServer(result streamResult) {
 	if r.j.sends == 0 {
 		retryAfter := tooLittleTimeRetryAfter
-		if result.code == fault.NoServer {
+		if result.code != fault.TooLittleTime {
 			retryAfter = r.f.selector.untilServer(r.j.service)
 		}
 		r.f.reject(r.j, localAnswer{status: 503, code: result.code, retryAfter: retryAfter})
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -44,7 +44,10 @@
 // chooseDestination chooses a server by cost; one for which skip returns true only when there are
 // no others.
 func (r *streamRun) chooseDestination(skip func(id string) bool) (destination, streamResult) {
-	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, skip)
+	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.binding, skip)
+	if server == nil && r.binding.bound {
+		return destination{}, streamResult{code: fault.SoftwareVersionUnavailable}
+	}
 	if server == nil {
 		return destination{}, streamResult{code: fault.NoServer}
 	}
@@ -112,5 +115,5 @@
 	if a.run.deliveredEvents == 0 || a.cacheCopyServer == nil {
 		return nil
 	}
-	return a.run.resumableAt(a.run.f.directory.Snapshot().FindByAddress(a.cacheCopyServer.Address))
+	return a.run.continuableAt(a.run.f.directory.Snapshot().FindByAddress(a.cacheCopyServer.Address))
 }
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -116,6 +116,7 @@
 func (a *streamAttempt) recordEvents(count int) {
 	r := a.run
 	r.deliveredEvents += count
+	r.recordVersion(a)
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = time.Now()
 		r.f.meters.latency(r.j.route.Kind, r.firstEventAt.Sub(r.j.exchange.Received))
--- /dev/null
+++ b/gateway/forward/stream_versions.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
+)
+
+// streamVersions holds the records of which software version began each stream, this instance's and
+// those of peers. It is safe for concurrent use.
+type streamVersions struct {
+	mu    sync.Mutex
+	table *streamversion.Table
+	// learned is closed and replaced when peers have sent records.
+	learned chan struct{}
+}
+
+func newStreamVersions() *streamVersions {
+	return &streamVersions{table: streamversion.NewTable(), learned: make(chan struct{})}
+}
+
+// put adds a record of this instance, or keeps a known one for longer.
+func (s *streamVersions) put(record streamversion.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Put(time.Now(), record)
+}
+
+// Learn implements peers.StreamVersions.
+func (s *streamVersions) Learn(records []streamversion.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, record := range records {
+		s.table.Put(now, record)
+	}
+	close(s.learned)
+	s.learned = make(chan struct{})
+}
+
+// Known implements peers.StreamVersions.
+func (s *streamVersions) Known(keys []streamversion.Key) []streamversion.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var known []streamversion.Record
+	for _, key := range keys {
+		if version, found := s.table.Version(key); found {
+			known = append(known, streamversion.Record{Key: key, Version: version})
+		}
+	}
+	return known
+}
+
+// lookUp returns the version that began a stream, whether it is known, and a channel that is closed
+// when peers have sent more records.
+func (s *streamVersions) lookUp(key streamversion.Key) (version string, known bool, learned <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, known = s.table.Version(key)
+	return version, known, s.learned
+}
+
+// await waits until the version that began a stream is known or the context ends.
+func (s *streamVersions) await(ctx context.Context, key streamversion.Key) (version string, known bool) {
+	for {
+		version, known, learned := s.lookUp(key)
+		if known {
+			return version, true
+		}
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-learned:
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -73,6 +74,8 @@
 		Group:             func() peers.Group { return g.peers.Group() },
 		OnUnreachable:     func(server *directory.Server, down bool) { g.peers.AnnounceFailure(server, down) },
 		OnLeaving:         func(server *directory.Server) { g.peers.AnnounceLeaving(server) },
+		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
+		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
 		Logger:            logger,
 		Metrics:           g.metrics,
 	})
@@ -125,7 +128,8 @@
 	return peers.Options{
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
-		Decode: g.adapters.Decode, Logger: g.logger,
+		StreamVersions: g.forwarder.StreamVersions(),
+		Decode:         g.adapters.Decode, Logger: g.logger,
 	}
 }
 
--- a/gateway/message/request.go
+++ b/gateway/message/request.go
@@ -12,6 +12,9 @@
 	Key string
 	// Position is the id of the last event that the client has received.
 	Position uint64
+	// FirstAttempt is the id of the client attempt that brought the first event of the stream
+	// that the client resumes; empty when not given.
+	FirstAttempt string
 	// PromptTokens and OutputTokens are the sizes of a generation's prompt and
 	// maximum output in tokens; 0 when unknown.
 	PromptTokens int
@@ -19,4 +22,6 @@
 	// PromptKey identifies the part of the prompt that belongs only to this
 	// request or its conversation; empty when unknown.
 	PromptKey string
+	// PromptKeyTokens is the size of that part in tokens; 0 when unknown.
+	PromptKeyTokens int
 }
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -28,6 +28,8 @@
 	tagUsage
 	tagLeavingServer
 	tagRate
+	tagStreamRecords
+	tagWantedStreams
 )
 
 // Bits of a digest's flags field.
@@ -52,7 +54,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// failed servers are written first, then leaving ones, usages, rates, loads and peer addresses.
+// failed servers are written first, then records of streams, leaving servers, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -65,6 +67,10 @@
 	for i := range digest.FailedServers {
 		b = appendIfFits(b, tagFailedServer, encodeFailedServer(&digest.FailedServers[i]))
 	}
+	if len(digest.WantedStreams) > 0 {
+		b = appendIfFits(b, tagWantedStreams, encodeKeys(digest.WantedStreams))
+	}
+	b = appendStreamRecords(b, digest.StreamRecords)
 	for i := range digest.LeavingServers {
 		b = appendIfFits(b, tagLeavingServer, encodeLeavingServer(&digest.LeavingServers[i]))
 	}
@@ -186,6 +192,12 @@
 			return digest.decodeUsage(text)
 		case tagRate:
 			return digest.decodeRate(text)
+		case tagStreamRecords:
+			return digest.decodeStreamRecords(text)
+		case tagWantedStreams:
+			keys, err := decodeKeys(text)
+			digest.WantedStreams = append(digest.WantedStreams, keys...)
+			return err
 		case tagFailedServer:
 			return digest.decodeFailedServer(text)
 		case tagLeavingServer:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
@@ -46,6 +47,10 @@
 	// Rates are the sender's estimates of how fast generations proceed. Only some digests to
 	// instances of the same data centre hold them.
 	Rates []ServiceRate
+	// StreamRecords state which software versions began streams at the sender, or those that the
+	// receiver has asked for. WantedStreams are the keys of records that the sender asks for.
+	StreamRecords []streamversion.Record
+	WantedStreams []streamversion.Key
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -4,7 +4,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
+	"github.com/wisteriahaven/wisteriahaven/rendezvous"
 )
 
 // peer is another instance, as described by its last digest.
@@ -27,6 +29,10 @@
 	// the loads in that digest.
 	lastSentAt    time.Time
 	sentLoadsHash uint64
+	// nameDigest is the digest of instance, for the ranking of owners.
+	nameDigest rendezvous.Digest
+	// pendingRecords are the records of streams that the peer gets with the next digests.
+	pendingRecords []streamversion.Record
 	// fetchFailedAt is when a fetch from the peer last failed.
 	fetchFailedAt time.Time
 	// fetchedFingerprint is the fingerprint of the servers that were last fetched from the peer.
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -41,6 +41,8 @@
 	Directory *directory.Directory
 	Follower  *discovery.Follower
 	Ledger    Ledger
+	// StreamVersions holds the records of streams of this instance and its peers.
+	StreamVersions StreamVersions
 	// Decode parses a configuration document.
 	Decode func(document []byte) (*discovery.Configuration, error)
 	Logger zerolog.Logger
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
@@ -43,6 +44,8 @@
 				ReadTimePerToken: 125 * time.Microsecond, ReadTimeDeviation: time.Duration(i),
 			}})
 			sent.Members = append(sent.Members, addressOf(i))
+			sent.StreamRecords = append(sent.StreamRecords, streamversion.Record{Key: streamversion.Key(rapid.Uint64().Draw(t, "stream")), Version: "v1"})
+			sent.WantedStreams = append(sent.WantedStreams, streamversion.Key(rapid.Uint64().Draw(t, "wanted")))
 		}
 		payload := Encode(&sent)
 		received, err := Decode(payload)
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -38,6 +38,12 @@
 	if answer != nil {
 		s.sendBy(transport, address, answer)
 	}
+	if answer := s.answerWanted(digest.WantedStreams); answer != nil {
+		s.sendBy(transport, address, answer)
+	}
+	if len(digest.StreamRecords) > 0 {
+		s.options.StreamVersions.Learn(digest.StreamRecords)
+	}
 	if !recorded {
 		return
 	}
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -42,7 +42,7 @@
 		if !needsDigest(now, p, local, s.options.Follower.Following(), intervals, loadsHash) {
 			continue
 		}
-		if !local && len(needed) == 0 && loadsHash == p.sentLoadsHash {
+		if !local && len(needed) == 0 && loadsHash == p.sentLoadsHash && len(p.pendingRecords) == 0 {
 			if idleRemote++; idleRemote > maxIdleRemoteDigests {
 				continue
 			}
@@ -55,6 +55,7 @@
 				digest.Rates = rates
 			}
 		}
+		digest.StreamRecords = p.takePendingRecords()
 		digest.Members = sampleAddresses(peers)
 		p.lastSentAt, p.sentLoadsHash = now, loadsHash
 		s.send(p.address, Encode(&digest))
@@ -62,17 +63,18 @@
 }
 
 // needsDigest reports whether a peer gets a digest now: after the refresh time, or earlier
-// when the loads have changed since the last digest. loadsHash is the fingerprint of the
+// when the loads have changed since the last digest or records of streams wait. loadsHash is the fingerprint of the
 // loads; relay says whether this instance is a relay.
 func needsDigest(now time.Time, p *peer, local, relay bool, intervals sendIntervals, loadsHash uint64) bool {
 	since := now.Sub(p.lastSentAt)
 	if local && relay && since >= relayRefresh {
 		return true
 	}
+	changed := loadsHash != p.sentLoadsHash || len(p.pendingRecords) > 0
 	if local {
-		return since >= max(localRefresh, intervals.local) || (loadsHash != p.sentLoadsHash && since >= intervals.local)
+		return since >= max(localRefresh, intervals.local) || (changed && since >= intervals.local)
 	}
-	return since >= max(remoteRefresh, intervals.remote) || (loadsHash != p.sentLoadsHash && since >= intervals.remote)
+	return since >= max(remoteRefresh, intervals.remote) || (changed && since >= intervals.remote)
 }
 
 // sampleAddresses returns random addresses of peers; an address may occur twice.
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -67,7 +67,7 @@
 	}
 	p := t.peers[from]
 	if p == nil || p.instance != digest.Instance {
-		p = &peer{instance: digest.Instance, address: from}
+		p = &peer{instance: digest.Instance, address: from, nameDigest: rendezvous.DigestOf(digest.Instance)}
 		t.peers[from] = p
 	}
 	delete(t.unconfirmed, from)
