Leave a silent server only when its successor has taken the stream

Callers could still see an answer cut beside a server that was only silent: the successor turned the request away for lack of room or because it had no copy, and the silent server's connection was closed by then.

Cause: the successor was chosen before the silent server was left, but not asked. After its rejection the stream needed a further second send, and was ended when there was none.

Change: the request is sent to the successor while the silent server keeps its own. The server is left when the successor begins to answer, or has not rejected the request for 300 ms; before that a rejection or a broken connection leaves the stream where it is, and the next check follows after 400 ms. A server that rejected the stream is not asked again.

A successor that rejects later than 300 ms after it got the request can still end it.

--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -19,6 +19,8 @@
 	// firstEventCheckInterval is the time between two checks of a server that has
 	// not sent the first event yet.
 	firstEventCheckInterval = 400 * time.Millisecond
+	// waitingCheckInterval is the minimum time between two checks of a silent server that is waited for.
+	waitingCheckInterval = 400 * time.Millisecond
 	// probeTimeout bounds one check: a new connection and an answer over two
 	// round trips between regions.
 	probeTimeout = 250 * time.Millisecond
@@ -36,6 +38,9 @@
 		if !a.awaitsFirstEvent {
 			timeout = a.eventIntervals.SilenceTimeout(silencePolicy)
 		}
+		if a.waiting {
+			timeout = max(timeout, waitingCheckInterval)
+		}
 		deadline := time.Now().Add(timeout)
 		if err := a.conn.SetReadDeadline(deadline); err != nil {
 			return err
@@ -53,7 +58,7 @@
 		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return err
 		}
-		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && a.leave(err) {
+		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && a.leave(ctx, err) {
 			return err
 		}
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -31,9 +31,8 @@
 	// were tried again in this way.
 	reconnectServer *directory.Server
 	reconnected     map[string]bool
-	// reserved is the destination of the next attempt, for which a second send was taken
-	// before the silent server was left; nil for none.
-	reserved *destination
+	// successor is the attempt that has taken the stream over from a silent server; nil for none.
+	successor *streamAttempt
 	// binding is the software version at which the stream continues.
 	binding versionBinding
 	// recordedAt is when the software version of the stream was last recorded.
@@ -183,7 +182,7 @@
 // prepareNextAttempt updates the counters and the failed servers for another attempt.
 // It returns why the stream does not continue with one, empty when it does.
 func (r *streamRun) prepareNextAttempt(result *streamResult) endReason {
-	if r.reserved == nil {
+	if r.successor == nil {
 		if reason := r.takeAttempt(result); reason != "" {
 			return reason
 		}
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -20,12 +20,18 @@
 type streamAttempt struct {
 	run    *streamRun
 	server *directory.Server
+	// fromCopy is set when the stream resumes from the server's KV cache copy.
+	fromCopy bool
 	// reconnecting is set when the server ran this stream before and only the
 	// connection broke.
 	reconnecting bool
 	// cacheCopyServer holds the KV cache copy of this attempt; nil for none.
 	cacheCopyServer *directory.Server
-	conn            *upstream.Conn
+	// conn is nil until it is open; stopClosing ends its closing with the request's context.
+	conn        *upstream.Conn
+	stopClosing func() bool
+	// response is the head of an answer that can be forwarded, nil until it was received.
+	response *http1.Response
 	// sentAt is when the request was sent, receivedAt when data was last received
 	// from the server, at first the end of the connection attempt.
 	sentAt         time.Time
@@ -41,13 +47,27 @@
 var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not read the answer")
 
 // attempt sends the request to a server and forwards its events; found is false if
-// there is none, or none at which the stream can end in time.
+// there is none, or none at which the stream can end in time. A successor that has
+// taken the stream over already is continued with.
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
-	to, failure := r.nextDestination()
-	if to.server == nil {
-		return failure, false
+	a := r.successor
+	r.successor = nil
+	if a == nil {
+		to, failure := r.nextDestination()
+		if to.server == nil {
+			return failure, false
+		}
+		a = r.newAttempt(to)
+		if failure := a.start(ctx); failure != nil {
+			return a.end(ctx, *failure), true
+		}
 	}
-	a := &streamAttempt{run: r, server: to.server, reconnecting: to.reconnecting, awaitsFirstEvent: true}
+	return a.end(ctx, a.proceed(ctx)), true
+}
+
+// newAttempt returns an attempt at a server, and counts it.
+func (r *streamRun) newAttempt(to destination) *streamAttempt {
+	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting, awaitsFirstEvent: true}
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
 	case a.reconnecting && r.cacheCopyServer != nil:
@@ -57,23 +77,31 @@
 	}
 	r.j.sends++
 	a.logSent(to)
-	a.addLoad(to.fromCopy)
-	defer a.removeLoad()
-	result = a.exchange(ctx, to.fromCopy)
+	a.addLoad()
+	return a
+}
+
+// end closes the connection of an attempt, and handles its failure. It returns its result.
+func (a *streamAttempt) end(ctx context.Context, result streamResult) streamResult {
+	if a.conn != nil {
+		a.stopClosing()
+		a.conn.Close()
+	}
+	a.removeLoad()
 	result.server = a.server
 	if !result.complete && result.finalAnswer == nil && ctx.Err() == nil {
-		a.handleFailure(&result, to.fromCopy)
+		a.handleFailure(&result)
 	}
-	return result, true
+	return result
 }
 
 // addLoad adds the attempt to the load of its servers.
-func (a *streamAttempt) addLoad(fromCopy bool) {
+func (a *streamAttempt) addLoad() {
 	a.load = placement.Load{Requests: 1, PrefillTokens: a.run.size.PromptTokens, MemoryTokens: a.run.size.MemoryTokens}
 	if a.server.ID == a.run.size.CachedAt {
 		a.load.PrefillTokens -= a.run.size.CachedTokens
 	}
-	if fromCopy || a.reconnecting {
+	if a.fromCopy || a.reconnecting {
 		a.load.PrefillTokens = 0
 	}
 	a.run.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) {
@@ -95,7 +123,7 @@
 
 // handleFailure handles an attempt that did not reach the end of the stream. The
 // KV cache copy that it made is used next; there is none before the first event.
-func (a *streamAttempt) handleFailure(result *streamResult, fromCopy bool) {
+func (a *streamAttempt) handleFailure(result *streamResult) {
 	r := a.run
 	if !result.notRun {
 		r.cacheCopyServer = a.copyHolder()
@@ -112,13 +140,13 @@
 		r.f.recordUnreachable(a.server, result.err)
 	}
 	r.f.meters.attemptFailed(result.code)
-	r.f.attemptFailedEvent(r.j, a.server, result.code, result.notRun, result.err).Bool("from_copy", fromCopy).
+	r.f.attemptFailedEvent(r.j, a.server, result.code, result.notRun, result.err).Bool("from_copy", a.fromCopy).
 		Uint64("position", r.events.position).Bool("has_copy", r.cacheCopyServer != nil).
 		Dur("silent_ms", time.Since(a.receivedAt)).Dur("after_ms", time.Since(r.j.exchange.Received)).Send()
 }
 
-// exchange sends the request and reads the answer.
-func (a *streamAttempt) exchange(ctx context.Context, fromCopy bool) streamResult {
+// start sends the request. It returns the result of an attempt that failed, else nil.
+func (a *streamAttempt) start(ctx context.Context) *streamResult {
 	r := a.run
 	timeout := connectTimeout
 	if a.reconnecting {
@@ -127,37 +155,44 @@
 	conn, err := r.f.pool.Open(ctx, a.server.ID, a.server.Address, timeout, false)
 	a.receivedAt = time.Now()
 	if err != nil {
-		return streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
+		return &streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
 	}
-	a.conn = conn
-	defer conn.Close()
-	stopClosing := context.AfterFunc(ctx, conn.Close)
-	defer stopClosing()
+	a.conn, a.stopClosing = conn, context.AfterFunc(ctx, conn.Close)
 	dispatch := message.Dispatch{
 		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
 		Position: r.events.position, Resume: r.j.sends > 1,
 		// Where the prefill is repeated, the pause exceeds the target anyway.
-		LowPriority: r.events.positionKnown && !fromCopy && !a.reconnecting && a.server.ID != r.size.CachedAt,
+		LowPriority: r.events.positionKnown && !a.fromCopy && !a.reconnecting && a.server.ID != r.size.CachedAt,
 	}
 	if a.cacheCopyServer != nil {
 		dispatch.CopyTo = a.cacheCopyServer.Address
 	}
-	if fromCopy {
+	if a.fromCopy {
 		dispatch.CopyAt = a.server.Address
 	}
 	head := r.f.protocol.AppendRequest(make([]byte, 0, 1024), r.j.exchange.Head, len(r.j.exchange.Body), dispatch)
 	a.sentAt = time.Now()
 	if sent, err := conn.Send(head, r.j.exchange.Body); err != nil {
-		return streamResult{notRun: !sent, code: fault.UpstreamBroken, err: err}
+		return &streamResult{notRun: !sent, code: fault.UpstreamBroken, err: err}
 	}
-	if err := a.awaitData(ctx, conn.WaitHead); err != nil {
-		return streamResult{code: failureCode(err), err: err}
-	}
-	response, err := a.readHead(ctx)
-	if err != nil {
-		return streamResult{code: failureCode(err), err: err}
+	return nil
+}
+
+// proceed reads the answer and forwards it.
+func (a *streamAttempt) proceed(ctx context.Context) streamResult {
+	if a.response == nil {
+		if err := a.awaitData(ctx, a.conn.WaitHead); err != nil {
+			return streamResult{code: failureCode(err), err: err}
+		}
+		response, err := a.readHead(ctx)
+		if err != nil {
+			return streamResult{code: failureCode(err), err: err}
+		}
+		if failure := a.check(response); failure != nil {
+			return *failure
+		}
 	}
-	return a.receive(ctx, response)
+	return a.receive(ctx)
 }
 
 // readHead reads the head of the answer, whose first bytes were received.
@@ -167,7 +202,7 @@
 			return nil, err
 		}
 		response, err := a.conn.ReadHead(a.run.j.exchange.Head.Method)
-		if !upstream.IsReadTimeout(err) || ctx.Err() != nil || a.leave(err) {
+		if !upstream.IsReadTimeout(err) || ctx.Err() != nil || a.leave(ctx, err) {
 			return response, err
 		}
 	}
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -13,20 +13,28 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
-// receive reads the answer from its head on and forwards it.
-func (a *streamAttempt) receive(ctx context.Context, response *http1.Response) streamResult {
+// check keeps the head of an answer that can be forwarded. It returns the result of an attempt whose
+// answer can't be, else nil.
+func (a *streamAttempt) check(response *http1.Response) *streamResult {
 	r := a.run
 	answer := r.f.readAnswer(a.server, response)
 	checked := callResult{server: a.server, response: response}
 	r.f.checkAnswer(&checked, r.j, answer)
 	if !checked.usable() {
-		return streamResult{
+		return &streamResult{
 			notRun: checked.notRun, wrongServer: answer.WrongServer, answeredBy: answer.Server, code: checked.code, err: checked.err,
 		}
 	}
+	a.response = response
 	a.recordResponse()
+	return nil
+}
+
+// receive forwards the answer, whose head was received.
+func (a *streamAttempt) receive(ctx context.Context) streamResult {
+	r, response := a.run, a.response
 	if response.Status != 200 {
-		return a.receiveWhole(ctx, response, checked)
+		return a.receiveWhole(ctx)
 	}
 	if !strings.HasPrefix(response.Fields.Get("Content-Type"), "text/event-stream") {
 		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
@@ -45,16 +53,16 @@
 
 // receiveWhole reads an answer that is not a stream. It can be forwarded only if
 // no part of a stream was sent to the client.
-func (a *streamAttempt) receiveWhole(ctx context.Context, response *http1.Response, checked callResult) streamResult {
+func (a *streamAttempt) receiveWhole(ctx context.Context) streamResult {
 	if a.run.j.exchange.Started() {
 		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
 	}
-	body, err := a.readWhole(ctx, a.conn.Body(response))
+	body, err := a.readWhole(ctx, a.conn.Body(a.response))
 	if err != nil {
 		return streamResult{code: failureCode(err), err: err}
 	}
-	checked.body = body
-	return streamResult{finalAnswer: &checked, code: fault.UpstreamBroken, err: errNoStream}
+	answer := &callResult{server: a.server, response: a.response, body: body}
+	return streamResult{finalAnswer: answer, code: fault.UpstreamBroken, err: errNoStream}
 }
 
 // readWhole reads the rest of an answer's body.
--- /dev/null
+++ b/gateway/forward/succession.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+)
+
+// successionTimeout is how long a silent server keeps its request beside a successor that has not
+// rejected it. Servers that have no room reject at once; the others may begin to run it.
+const successionTimeout = 300 * time.Millisecond
+
+// leave reports whether another server has taken the stream of a silent one over. Otherwise the
+// silent server is waited for until its connection fails or the request's deadline passes: it
+// may continue, and nothing else completes the answer.
+func (a *streamAttempt) leave(ctx context.Context, cause error) bool {
+	to, reason := a.chooseSuccessor()
+	if reason != "" {
+		a.await(cause, reason)
+		return false
+	}
+	r := a.run
+	next := r.newAttempt(to)
+	failure := next.takeOver(ctx)
+	if failure == nil {
+		r.successor = next
+		return true
+	}
+	result := next.end(ctx, *failure)
+	r.j.failedServers = append(r.j.failedServers, to.server.ID)
+	if !result.notRun {
+		r.mayHaveRunAt[to.server.ID] = true
+	}
+	if ctx.Err() == nil {
+		a.await(cause, endNotRun)
+	}
+	return false
+}
+
+// await logs that a silent server is waited for, and avoids it for other requests.
+func (a *streamAttempt) await(cause error, reason endReason) {
+	if a.waiting {
+		return
+	}
+	a.waiting = true
+	a.run.f.recordUnreachable(a.server, cause)
+	event.Log(a.run.f.logger, event.SilentServerAwaited).Str("request", a.run.j.request.ID).Str("server", a.server.ID).
+		Str("reason", string(reason)).Uint64("position", a.run.events.position).Dur("silent_ms", time.Since(a.receivedAt)).Send()
+}
+
+// takeOver sends the request and waits until the server begins to answer, or has not rejected it for
+// successionTimeout. It returns the result of an attempt that failed, else nil.
+func (a *streamAttempt) takeOver(ctx context.Context) *streamResult {
+	if failure := a.start(ctx); failure != nil {
+		return failure
+	}
+	if err := a.conn.SetReadDeadline(time.Now().Add(successionTimeout)); err != nil {
+		return &streamResult{code: failureCode(err), err: err}
+	}
+	response, err := a.conn.ReadHead(a.run.j.exchange.Head.Method)
+	if upstream.IsReadTimeout(err) {
+		return nil
+	}
+	if err != nil {
+		return &streamResult{code: failureCode(err), err: err}
+	}
+	return a.check(response)
+}
+
+// chooseSuccessor returns the server that is to take the stream of a silent one over, after taking a
+// second send for it, or the reason why there is none.
+func (a *streamAttempt) chooseSuccessor() (destination, endReason) {
+	r := a.run
+	ranElsewhere := len(r.mayHaveRunAt)
+	if r.mayHaveRunAt[a.server.ID] {
+		ranElsewhere--
+	}
+	switch {
+	case r.j.remaining() < minSendTime || !r.canEndInTime():
+		return destination{}, endTooLittleTime
+	case !r.j.route.Resumable:
+		return destination{}, endNotResumable
+	case ranElsewhere+1 >= r.j.route.Attempts:
+		return destination{}, endAttempts
+	}
+	to := destination{server: a.copyHolder(), fromCopy: true}
+	if to.server == nil || a.unfit(to.server) {
+		chosen, failure := r.chooseDestination(func(id string) bool { return id == a.server.ID || r.j.hasFailed(id) })
+		if errors.Is(failure.err, errTooLate) {
+			return destination{}, endTooLittleTime
+		}
+		if chosen.server == nil || a.unfit(chosen.server) {
+			return destination{}, endNoServer
+		}
+		to = chosen
+	}
+	if !r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
+		return destination{}, endSecondSends
+	}
+	return to, ""
+}
+
+// unfit reports whether a server can't take the stream over: it is the silent one, or has failed the
+// stream.
+func (a *streamAttempt) unfit(server *directory.Server) bool {
+	return server.ID == a.server.ID || a.run.j.hasFailed(server.ID)
+}
