Suspect no server because its caller has left

Other callers avoided a sound server, here and at peers, because one caller left while the server was probed.

Cause: the probe of a silent server ends with the request's context, and the silence was handled as before afterwards: the server was recorded as unreachable, or a second send was taken for a request that had ended.

Change: a request that has ended takes no further step after a probe.

Conclusion: only requests that still run judge a server.

--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -58,7 +58,7 @@
 		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return err
 		}
-		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && a.leave(ctx, err) {
+		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && (ctx.Err() != nil || a.leave(ctx, err)) {
 			return err
 		}
 	}
