Keep the connection to a server that has not read a long body yet

Callers saw an answer cut while its server was sending it: the server answers before it has read a long body, reads on later, or falls silent meanwhile.

Cause: TCP_USER_TIMEOUT of 2 s also ends a connection whose peer has not read for that long, though it acknowledges every probe; the write timeout of 5 s ended the sending of the body, unnoticed until the end of the request.

Change: the user timeout is 6 s, above the silence of a sound server, and the write timeout is longer than it. A server whose machine is gone is found by the silence of its streams and by deadlines, as before, or after 6 s.

Conclusion: a server that reads late is sound for 6 s. What it does not cover: one that reads nothing for longer.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -18,8 +18,9 @@
 	// connection. A larger request is written concurrently with reading its
 	// answer, because a server may answer before it has read the request.
 	maxInlineBytes = 4 << 10
-	// writeTimeout bounds the sending of one request.
-	writeTimeout = 5 * time.Second
+	// writeTimeout bounds the sending of one request. It is longer than userTimeout, which ends a
+	// connection whose server does not read.
+	writeTimeout = 30 * time.Second
 )
 
 // ErrExtraBytes means that a server sent bytes that belong to no answer.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection fails: servers behind a network partition send nothing.
-	userTimeout = 2 * time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged, or a server may not read,
+	// before the connection fails: servers behind a network partition send nothing. Sound ones
+	// may answer before they read a long body, and fall silent for seconds.
+	userTimeout = 6 * time.Second
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 2
 	// defaultIdleTimeout is how long a server is assumed to keep an idle
