Keep a stream at its silent server while the others are silent too

Callers waited longer than needed when several servers were silent at once: their stream was sent to one after another, and its prompt read anew at each.

Cause: the successor of a silent server could be one that is avoided, because the choice falls back to avoided servers when there is no other.

Measured: TestStreamStaysAtItsSilentServerWhileTheOthersAreSilent failed in three of three runs (the stream was sent to the second silent server), and passes in three of three.

Conclusion: what is known of a silent server keeps other streams away from it. Streams of which each is the first to notice still move once each.

--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -167,6 +167,14 @@
 		Dur("avoid_ms", time.Until(until)).AnErr("cause", cause).Send()
 }
 
+// avoided reports whether a server is avoided now because it or its data centre failed.
+func (s *selector) avoided(server *directory.Server) (avoided bool) {
+	s.withLedger(func(ledger *placement.Ledger, now time.Time) {
+		avoided = ledger.Avoided(now, server.ID, server.DataCentre)
+	})
+	return avoided
+}
+
 // recordRefusal records that a server wants no request of this instance for a time.
 func (s *selector) recordRefusal(server *directory.Server, retryAfter time.Duration) {
 	s.withLedger(func(ledger *placement.Ledger, now time.Time) { ledger.Refuses(now.Add(retryAfter), server.ID) })
--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -104,8 +104,11 @@
 	return to, ""
 }
 
-// unfit reports whether a server can't take the stream over: it is the silent one, or has failed the
-// stream.
+// unfit reports whether a server can't take the stream over: it is the silent one, has failed the
+// stream, or is avoided, as one is that is silent as well. After maxSilence an avoided one will do.
 func (a *streamAttempt) unfit(server *directory.Server) bool {
-	return server.ID == a.server.ID || a.run.j.hasFailed(server.ID)
+	if server.ID == a.server.ID || a.run.j.hasFailed(server.ID) {
+		return true
+	}
+	return time.Since(a.receivedAt) < maxSilence && a.run.f.selector.avoided(server)
 }
