Keep the versions of streams in the store while several serve

Callers whose stream was interrupted when all instances were lost could not resume it while several software versions served, or resumed it at the only version that was left although another had begun it.

Cause: the records of which version began a stream are in the memory of instances alone.

Change: while a service has servers of several versions, and a minute after, the primary relay of a data centre writes the records of the last seconds to the platform's store once a second, in eight objects that it reuses (gateway/streamarchive); a restarted one goes on after its newest object. An instance that finds no record, here or at its peers, reads them. Where the store holds recent ones, a single version that is left is not taken for that of every stream; the engines that have read the whole prompt still show it. While a service has a single version nothing is written, and a read is shared for a second.

At the size designed for, the writing relay sends more than the share of control traffic of a node while several versions serve.

--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -12,6 +12,7 @@
 	TooLittleTime              Code = "too_little_time"
 	SoftwareVersionUnknown     Code = "software_version_unknown"
 	SoftwareVersionUnavailable Code = "software_version_unavailable"
+	StreamRecordsInvalid       Code = "stream_records_invalid"
 	BodyMemoryFull             Code = "bodies_full"
 	UpstreamUnreachable        Code = "upstream_unreachable"
 	UpstreamRejected           Code = "upstream_rejected"
@@ -31,6 +32,7 @@
 	TooLittleTime:              {http.StatusServiceUnavailable, "the remaining time is too short for a generation of that length: the request was not sent", "retry with a later deadline"},
 	SoftwareVersionUnknown:     {http.StatusServiceUnavailable, "the stream can't be resumed, because the software version that began it is unknown: the request was not sent", "request the generation from its start"},
 	SoftwareVersionUnavailable: {http.StatusServiceUnavailable, "no backend server has the software version that began the stream: the request was not sent", "retry after the time given, or request the generation from its start"},
+	StreamRecordsInvalid:       {http.StatusServiceUnavailable, "records of streams in the store can't be read and are ignored", "check what wrote them"},
 	BodyMemoryFull:             {http.StatusServiceUnavailable, "the bodies of other requests use up the memory for bodies: the request was not sent", "retry after the time given; check memory_mb"},
 	UpstreamUnreachable:        {http.StatusServiceUnavailable, "no backend server could be reached: the request was not sent", "retry later; check the link and the servers"},
 	UpstreamRejected:           {http.StatusServiceUnavailable, "the backend servers rejected the request without running it", "retry after the time given"},
--- a/gateway/adapters.go
+++ b/gateway/adapters.go
@@ -3,11 +3,13 @@
 import (
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
+	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 )
 
 // Adapters holds the adapters to the platform around the instance.
 type Adapters struct {
 	Feed     discovery.Feed
+	Streams  streamarchive.Store
 	Protocol Protocol
 	// Decode parses a configuration document that another instance sent.
 	Decode func(document []byte) (*discovery.Configuration, error)
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -34,6 +34,7 @@
 	onLeaving       func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	askPeers        func(key streamversion.Key) bool
+	loadStreams     func(ctx context.Context) (recent bool, err error)
 	streamDurations streamDuration
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -49,8 +50,8 @@
 		pool:      upstream.NewPool(),
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
-		versions:  newStreamVersions(),
-		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers,
+		versions:  newStreamVersions(options.ArchiveStream),
+		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
 	}
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,6 +31,10 @@
 	OnUnreachable func(server *directory.Server, down bool)
 	// OnStreamBegun is called with the software version that began a stream.
 	OnStreamBegun func(record streamversion.Record)
+	// ArchiveStream is called with each new record of a stream, of this instance or of peers. LoadStreams
+	// passes the records in the store to StreamVersions, and reports whether there are recent ones.
+	ArchiveStream func(record streamversion.Record)
+	LoadStreams   func(ctx context.Context) (recent bool, err error)
 	// AskPeers asks peers for the record of a stream and reports whether there are any.
 	AskPeers func(key streamversion.Key) bool
 	// OnLeaving is called with each server that stated for the first time that it leaves.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if !run.bindResumed(ctx) {
-		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown})
+		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown, retryAfter: noServerRetryAfter})
 		return
 	}
 	run.findPrompt(ctx)
--- a/gateway/forward/stream_version.go
+++ b/gateway/forward/stream_version.go
@@ -8,6 +8,9 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 )
 
+// loadStreamsTimeout bounds the reading of records from the store.
+const loadStreamsTimeout = 500 * time.Millisecond
+
 // askPeersTimeout bounds the wait for the answers of peers: a round trip between regions takes 60 ms.
 const askPeersTimeout = 150 * time.Millisecond
 
@@ -29,12 +32,17 @@
 }
 
 // findVersion returns the software version that began a stream, empty when unknown, and where
-// it was found: in the records of this instance or its peers, because the service has a single
-// version, or by the engines that keep the prompt.
+// it was found: in the records of this instance or its peers, in those in the store, because the
+// service has a single version, or by the engines that keep the prompt.
 func (r *streamRun) findVersion(ctx context.Context) (version, source string) {
 	if version, known := r.recordedVersion(ctx); known {
 		return version, "record"
 	}
+	version, known, severalRecently := r.archivedVersion(ctx)
+	if known {
+		return version, "archive"
+	}
+	version = ""
 	versions := make(map[string]bool)
 	for _, server := range r.f.directory.Snapshot().ForService(r.service.Name) {
 		if server.SoftwareVersion != "" {
@@ -42,10 +50,10 @@
 			version = server.SoftwareVersion
 		}
 	}
-	if len(versions) == 1 {
+	if len(versions) == 1 && !severalRecently {
 		return version, "single"
 	}
-	if len(versions) > 1 && r.size.PromptKey != "" && r.service.Engine != nil {
+	if len(versions) > 0 && r.size.PromptKey != "" && r.service.Engine != nil {
 		if version := r.f.prompts.versionOf(ctx, r.service, r.size.PromptKey, r.j.request.PromptKeyTokens); version != "" {
 			return version, "prompt"
 		}
@@ -74,6 +82,19 @@
 	return r.f.versions.await(ctx, key)
 }
 
+// archivedVersion returns the version that the records in the store state. several reports
+// whether several versions served in the last minutes.
+func (r *streamRun) archivedVersion(ctx context.Context) (version string, known, several bool) {
+	ctx, cancel := context.WithTimeout(ctx, loadStreamsTimeout)
+	defer cancel()
+	several, err := r.f.loadStreams(ctx)
+	if err != nil || r.j.request.FirstAttempt == "" {
+		return "", false, several
+	}
+	version, known, _ = r.f.versions.lookUp(streamversion.KeyOf(r.j.request.FirstAttempt))
+	return version, known, several
+}
+
 // recordVersion binds a stream to the version of the server that began it, and records the version
 // for this instance and its peers. A stream that runs for long is recorded again.
 func (r *streamRun) recordVersion(a *streamAttempt) {
--- a/gateway/forward/stream_versions.go
+++ b/gateway/forward/stream_versions.go
@@ -15,17 +15,21 @@
 	table *streamversion.Table
 	// learned is closed and replaced when peers have sent records.
 	learned chan struct{}
+	// archive is called with each new record.
+	archive func(record streamversion.Record)
 }
 
-func newStreamVersions() *streamVersions {
-	return &streamVersions{table: streamversion.NewTable(), learned: make(chan struct{})}
+func newStreamVersions(archive func(record streamversion.Record)) *streamVersions {
+	return &streamVersions{table: streamversion.NewTable(), learned: make(chan struct{}), archive: archive}
 }
 
 // put adds a record of this instance, or keeps a known one for longer.
 func (s *streamVersions) put(record streamversion.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Put(time.Now(), record)
+	if s.table.Put(time.Now(), record) {
+		s.archive(record)
+	}
 }
 
 // Learn implements peers.StreamVersions.
@@ -34,7 +38,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	for _, record := range records {
-		s.table.Put(now, record)
+		if s.table.Put(now, record) {
+			s.archive(record)
+		}
 	}
 	close(s.learned)
 	s.learned = make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 )
 
@@ -39,6 +40,7 @@
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
 	peers     *peers.Service
+	archive   *streamarchive.Archive
 	monitor   *monitor
 	listeners []net.Listener
 	// stopTime is the time, a time.Duration, that a planned stop may take.
@@ -75,6 +77,8 @@
 		OnUnreachable:     func(server *directory.Server, down bool) { g.peers.AnnounceFailure(server, down) },
 		OnLeaving:         func(server *directory.Server) { g.peers.AnnounceLeaving(server) },
 		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
+		ArchiveStream:     func(record streamversion.Record) { g.archive.Add(record) },
+		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
 		Logger:            logger,
 		Metrics:           g.metrics,
@@ -82,6 +86,11 @@
 	g.ingress = ingress.NewServer(g.forwarder, clientLimits(gatewaySettings), logger)
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
 	g.peers = peers.New(g.peerOptions())
+	g.archive = streamarchive.New(streamarchive.Options{
+		Instance: s.Instance, Store: adapters.Streams, Directory: g.directory, Logger: logger,
+		Writes: func() bool { return g.peers.RelayRole() == discovery.Primary },
+		Learn:  g.forwarder.StreamVersions().Learn,
+	})
 	g.monitor = newMonitor(g)
 	return g
 }
@@ -104,6 +113,7 @@
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
+	g.duties.Go("stream records", g.archive.Run)
 	g.duties.Go("housekeeping", g.runMaintenance)
 	g.duties.Go("clients", func(context.Context) { g.ingress.Serve(clients) })
 	event.Log(g.logger, event.ProcessStarted).Str("clients", gatewaySettings.Clients).Str("readiness", gatewaySettings.Readiness).
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -30,7 +30,7 @@
 func (s *Service) RecordStream(record streamversion.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.table.owners(record.Key) {
+	for _, p := range s.table.recipients(record.Key, s.options.DataCentre) {
 		p.pendingRecords = append(p.pendingRecords, record)
 		if excess := len(p.pendingRecords) - maxPendingRecords; excess > 0 {
 			p.pendingRecords = slices.Delete(p.pendingRecords, 0, excess)
@@ -80,6 +80,18 @@
 	return members[:recordOwners]
 }
 
+// recipients returns the owners of a stream's record and the relays of the data centre, which write
+// records to the store.
+func (t *Table) recipients(key streamversion.Key, dataCentre string) []*peer {
+	recipients := t.owners(key)
+	for _, p := range t.peers {
+		if p.relay && p.dataCentre == dataCentre && !slices.Contains(recipients, p) {
+			recipients = append(recipients, p)
+		}
+	}
+	return recipients
+}
+
 // takePendingRecords returns the records for the next digest to a peer and removes them.
 func (p *peer) takePendingRecords() []streamversion.Record {
 	count := min(len(p.pendingRecords), maxRecordsPerDigest)
