Don't return to a successor of another software version

Callers could get events of two software versions in one answer: a stream without events stayed at its silent server after its successor had broken the connection, began there, and went on at the successor when its own server was lost.

Cause: the broken connection of a successor that has not taken the stream over was kept as the one to open again, and neither that nor a kept copy's server was compared with the version to which the stream was bound since.

Change: a successor that did not take the stream over is not returned to, and both are compared when they are used.

Conclusion: every next server is checked at the time at which it is used.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -35,6 +35,8 @@
 	successor *streamAttempt
 	// binding is the software version at which the stream continues.
 	binding versionBinding
+	// deliveredBy is the id of the server that delivered the last event.
+	deliveredBy string
 	// recordedAt is when the software version of the stream was last recorded.
 	recordedAt time.Time
 	// mayHaveRunAt holds the ids of the servers that may have run the request;
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -23,17 +23,26 @@
 // nextDestination returns the server of the next attempt. Without one, the result holds the reason.
 func (r *streamRun) nextDestination() (destination, streamResult) {
 	reconnect, holder := r.reconnectServer, r.cacheCopyServer
+	r.reconnectServer = nil
 	switch {
-	case reconnect != nil:
-		r.reconnectServer = nil
+	case reconnect != nil && r.ranAt(reconnect):
 		return destination{server: reconnect, reconnecting: true}, streamResult{}
 	case holder != nil:
 		r.cacheCopyServer = nil
+		if !r.binding.admits(holder) {
+			break
+		}
 		return destination{server: holder, fromCopy: true}, streamResult{}
 	}
 	return r.chooseDestination(r.j.hasFailed)
 }
 
+// ranAt reports whether the stream may go on at a server whose connection broke: the binding admits
+// it, or it delivered the last event.
+func (r *streamRun) ranAt(server *directory.Server) bool {
+	return r.binding.admits(server) || r.deliveredBy == server.ID
+}
+
 // chooseDestination chooses a server by cost; one for which skip returns true only when there are
 // no others.
 func (r *streamRun) chooseDestination(skip func(id string) bool) (destination, streamResult) {
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -124,6 +124,7 @@
 func (a *streamAttempt) recordEvents(count int) {
 	r := a.run
 	r.deliveredEvents += count
+	r.deliveredBy = a.server.ID
 	r.recordVersion(a)
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = time.Now()
