Guess no software version that an incomplete view suggests

Callers could get events of two versions after the loss of all records of their stream.

Cause: the prompts kept by engines were taken for complete although an engine had dropped a part of its statements, draining engines were not asked, and an instance that had just started took the only version that was left for that of all streams, although others may have left or its list may be seconds old.

Change: an engine that states a gap counts as one that may keep the prompt; draining engines are asked too, but get no stream for it; a server of unknown version means that there are several. In the first four seconds of an instance the single version counts only with the whole prompt kept there, for clients that name their first attempt; the rejection says when to come back.

Measured: TestEngineThatLostEventsLeavesTheSoftwareVersionUnknown, TestDrainingEngineThatKeepsThePromptLeavesTheSoftwareVersionUnknown and TestStreamOfAVersionThatIsGoneDoesNotGoOnAtTheOnlyOneLeft failed (200 instead of 503) and pass.

Conclusion: a guess needs evidence that doesn't depend on what an instance has not seen yet.

--- a/gateway/forward/prompt_finder.go
+++ b/gateway/forward/prompt_finder.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
 
@@ -46,8 +48,9 @@
 	changed   chan struct{}
 	pending   int
 	locations map[string][]promptLocation
-	// unanswered holds the software versions of the engines that did not answer.
-	unanswered map[string]bool
+	// uncertain holds the software versions of the engines that may keep more than was stated: those
+	// that did not answer, or only in part.
+	uncertain map[string]bool
 	// partial is set when not all engines were asked.
 	partial bool
 }
@@ -74,7 +77,7 @@
 // longest returns the location of most tokens among those that the binding admits.
 func longest(locations []promptLocation, binding versionBinding) (best promptLocation) {
 	for _, location := range locations {
-		if binding.admits(location.server) && location.tokens > best.tokens {
+		if binding.admits(location.server) && !location.server.Draining && location.tokens > best.tokens {
 			best = location
 		}
 	}
@@ -83,7 +86,7 @@
 
 // versionOf returns the software version of the engines that have read the whole prompt with a key
 // and a size in tokens. It is empty when they have several versions, or when an engine of another
-// version did not answer in time.
+// version did not answer in time, or may keep more than it stated.
 func (p *promptFinder) versionOf(ctx context.Context, service *route.Service, key string, size int) string {
 	ctx, cancel := context.WithTimeout(ctx, promptFindTimeout)
 	defer cancel()
@@ -105,17 +108,18 @@
 func (s *promptSweep) versionOf(key string, size int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	versions := make(map[string]bool)
 	version := ""
 	for _, location := range s.locations[key] {
-		if location.tokens < max(1, size) {
-			continue
+		if location.tokens >= max(1, size) {
+			version = location.server.SoftwareVersion
+			versions[version] = true
 		}
-		if version != "" && location.server.SoftwareVersion != version {
-			return ""
-		}
-		version = location.server.SoftwareVersion
 	}
-	for other := range s.unanswered {
+	if len(versions) != 1 {
+		return ""
+	}
+	for other := range s.uncertain {
 		if other != version {
 			return ""
 		}
@@ -136,7 +140,7 @@
 	servers, partial := p.f.selector.sweepTargets(service.Name)
 	started := &promptSweep{
 		started: time.Now(), changed: make(chan struct{}), pending: len(servers), partial: partial,
-		locations: make(map[string][]promptLocation), unanswered: make(map[string]bool),
+		locations: make(map[string][]promptLocation), uncertain: make(map[string]bool),
 	}
 	p.sweeps[service.Name] = started
 	for _, server := range servers {
@@ -150,27 +154,27 @@
 	p.f.meters.count("probes")
 	response, body, err := p.f.query(context.Background(), server, p.f.protocol.CacheReportRequest(server.Address), promptQueryTimeout)
 	if err != nil || response.Status != 200 {
-		sweep.add(server, nil)
+		sweep.add(server, message.CacheReport{Partial: true})
 		return
 	}
 	report, err := p.f.protocol.ParseCacheReport(body)
 	if err != nil {
 		event.Log(p.f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
-		sweep.add(server, nil)
+		sweep.add(server, message.CacheReport{Partial: true})
 		return
 	}
-	sweep.add(server, report.TokensByPrompt)
+	sweep.add(server, report)
 }
 
-// add adds the answer of an engine, nil when it did not answer.
-func (s *promptSweep) add(server *directory.Server, tokensByPrompt map[string]int) {
+// add adds the answer of an engine, an empty partial one when it did not answer.
+func (s *promptSweep) add(server *directory.Server, report message.CacheReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending--
-	if tokensByPrompt == nil {
-		s.unanswered[server.SoftwareVersion] = true
+	if report.Partial {
+		s.uncertain[server.SoftwareVersion] = true
 	}
-	for key, tokens := range tokensByPrompt {
+	for key, tokens := range report.TokensByPrompt {
 		s.locations[key] = append(s.locations[key], promptLocation{server: server, tokens: tokens})
 	}
 	close(s.changed)
@@ -186,15 +190,16 @@
 }
 
 // sweepTargets returns the engines of a service that a sweep asks: those of the instance's data
-// centre first, then others in random order. partial is set when there are more that take requests
-// or refuse them.
+// centre first, then others in random order, and draining ones last. partial is set when there are
+// more, or some that refuse requests.
 func (s *selector) sweepTargets(service string) (targets []*directory.Server, partial bool) {
-	var local, others []*directory.Server
+	var local, others, draining []*directory.Server
 	for _, server := range s.directory.Snapshot().ForService(service) {
 		switch {
-		case server.Draining:
 		case s.refusing(server) > 0:
 			partial = true
+		case server.Draining:
+			draining = append(draining, server)
 		case server.DataCentre == s.place.DataCentre:
 			local = append(local, server)
 		default:
@@ -202,7 +207,7 @@
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	targets = append(local, others...)
+	targets = slices.Concat(local, others, draining)
 	if len(targets) > maxSweptEngines {
 		return targets[:maxSweptEngines], true
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -96,7 +96,7 @@
 		return
 	}
 	if !run.bindResumed(ctx) {
-		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown, retryAfter: noServerRetryAfter})
+		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown, retryAfter: max(noServerRetryAfter, f.untilListTrusted())})
 		return
 	}
 	run.findPrompt(ctx)
--- a/gateway/forward/stream_version.go
+++ b/gateway/forward/stream_version.go
@@ -42,18 +42,12 @@
 	if known {
 		return version, "archive"
 	}
-	version = ""
-	versions := make(map[string]bool)
-	for _, server := range r.f.directory.Snapshot().ForService(r.service.Name) {
-		if server.SoftwareVersion != "" {
-			versions[server.SoftwareVersion] = true
-			version = server.SoftwareVersion
-		}
-	}
-	if len(versions) == 1 && !severalRecently {
+	// A client that doesn't name its first attempt is not looked up anywhere, so that waiting tells nothing.
+	trusted := r.f.untilListTrusted() == 0 || r.j.request.FirstAttempt == ""
+	if version = r.f.onlyVersion(r.service.Name); version != "" && !severalRecently && trusted {
 		return version, "single"
 	}
-	if len(versions) > 0 && r.size.PromptKey != "" && r.service.Engine != nil {
+	if r.size.PromptKey != "" && r.service.Engine != nil {
 		if version := r.f.prompts.versionOf(ctx, r.service, r.size.PromptKey, r.j.request.PromptKeyTokens); version != "" {
 			return version, "prompt"
 		}
@@ -61,6 +55,28 @@
 	return "", "unknown"
 }
 
+// onlyVersion returns the software version of all servers of a service, empty when there are several
+// or one is unknown.
+func (f *Forwarder) onlyVersion(service string) string {
+	version := ""
+	for _, server := range f.directory.Snapshot().ForService(service) {
+		if server.SoftwareVersion == "" || (version != "" && server.SoftwareVersion != version) {
+			return ""
+		}
+		version = server.SoftwareVersion
+	}
+	return version
+}
+
+// listTrustDelay is the time after the start in which the list of servers may be some seconds old, and
+// servers may have left that began streams before the start.
+const listTrustDelay = 4 * time.Second
+
+// untilListTrusted returns when the list of servers shows which versions served lately, 0 if it does.
+func (f *Forwarder) untilListTrusted() time.Duration {
+	return max(0, listTrustDelay-time.Since(f.selector.started))
+}
+
 // recordedVersion returns the recorded version of a resumed stream. It asks peers when this instance
 // has no record; meanwhile the engines are asked for the prompt.
 func (r *streamRun) recordedVersion(ctx context.Context) (version string, known bool) {
