Tell instances that start of the streams that run, and let them ask at once

Callers whose stream was interrupted could not resume it at an instance that had just started although others knew its version, and later, when those were lost, at none.

Cause: an instance without confirmed peers asked nobody, and a record was sent once, at a stream's first event, so that a process that started afterwards never got it.

Change: an instance also asks the addresses at which peers may be.

--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -31,6 +31,8 @@
 	sentLoadsHash uint64
 	// nameDigest is the digest of instance, for the ranking of owners.
 	nameDigest rendezvous.Digest
+	// started is set when the peer's process is new.
+	started bool
 	// pendingRecords are the records of streams that the peer gets with the next digests.
 	pendingRecords []streamversion.Record
 	// fetchFailedAt is when a fetch from the peer last failed.
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -24,6 +24,7 @@
 		digest.Probe = true
 		s.send(address, Encode(&digest))
 	}
+	s.queueRecent()
 	peers := s.table.Members()
 	intervals := sendIntervalsFor(peers, s.options.DataCentre)
 	s.options.Ledger.Expire(intervals.loadLifetime())
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/ring"
@@ -62,6 +63,8 @@
 	lastAnnounced LocalState
 	// leavingServers are announced in digests, oldest first.
 	leavingServers []announcedLeaving
+	// recentRecords are the newest records of streams that began here, for peers that restart.
+	recentRecords []streamversion.Record
 	// completeListAt is when a complete list of servers was last fetched.
 	completeListAt time.Time
 }
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
@@ -30,26 +31,72 @@
 func (s *Service) RecordStream(record streamversion.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recentRecords = append(s.recentRecords, record)
+	if excess := len(s.recentRecords) - maxPendingRecords; excess > 0 {
+		s.recentRecords = slices.Delete(s.recentRecords, 0, excess)
+	}
 	for _, p := range s.table.recipients(record.Key, s.options.DataCentre) {
-		p.pendingRecords = append(p.pendingRecords, record)
-		if excess := len(p.pendingRecords) - maxPendingRecords; excess > 0 {
-			p.pendingRecords = slices.Delete(p.pendingRecords, 0, excess)
+		p.addPending(record)
+	}
+}
+
+// queueRecent queues the recent records of this instance for the peers among their recipients whose
+// process is new; mu is held.
+func (s *Service) queueRecent() {
+	started := s.table.takeStarted()
+	if len(started) == 0 {
+		return
+	}
+	for _, record := range s.recentRecords {
+		for _, p := range s.table.recipients(record.Key, s.options.DataCentre) {
+			if slices.Contains(started, p) {
+				p.addPending(record)
+			}
+		}
+	}
+}
+
+// takeStarted returns the peers whose process is new since the last call.
+func (t *Table) takeStarted() []*peer {
+	var started []*peer
+	for _, p := range t.peers {
+		if p.started {
+			p.started = false
+			started = append(started, p)
 		}
 	}
+	return started
+}
+
+// addPending queues a record for the next digests to a peer.
+func (p *peer) addPending(record streamversion.Record) {
+	p.pendingRecords = append(p.pendingRecords, record)
+	if excess := len(p.pendingRecords) - maxPendingRecords; excess > 0 {
+		p.pendingRecords = slices.Delete(p.pendingRecords, 0, excess)
+	}
 }
 
-// AskStream asks the owners of a stream's record for it, and reports whether there are any. Answers
-// are passed to Learn.
+// AskStream asks the owners of a stream's record for it, and reports whether there are any. An instance
+// that has just started asks addresses at which peers may be, too. Answers are passed to Learn.
 func (s *Service) AskStream(key streamversion.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	owners := s.table.owners(key)
-	for _, p := range owners {
+	var asked []netip.Addr
+	for _, p := range s.table.owners(key) {
+		asked = append(asked, p.address)
+	}
+	for address := range s.table.unconfirmed {
+		if len(asked) >= recordOwners {
+			break
+		}
+		asked = append(asked, address)
+	}
+	for _, address := range asked {
 		digest := s.digest()
 		digest.WantedStreams = []streamversion.Key{key}
-		s.send(p.address, Encode(&digest))
+		s.send(address, Encode(&digest))
 	}
-	return len(owners) > 0
+	return len(asked) > 0
 }
 
 // answerWanted returns a digest with the records that a peer asks for; nil when none is known.
--- a/gateway/peers/stream_versions_test.go
+++ b/gateway/peers/stream_versions_test.go
@@ -68,6 +68,24 @@
 	is.Equal(len(p.takePendingRecords()), 0)
 }
 
+// Guards against LOST: a restarted peer is not told of the streams that began before.
+func TestRestartedPeersGetTheRecentRecords(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("own", addressOf(100), nil)
+	receiveDigest(table, begin, 1, nil)
+	receiveDigest(table, begin, 2, nil)
+	s := &Service{table: table}
+	is.Equal(len(table.takeStarted()), 2)
+	s.RecordStream(streamversion.Record{Key: 1, Version: "v1"})
+	for _, p := range table.peers {
+		is.Equal(len(p.takePendingRecords()), 1)
+	}
+	receiveDigest(table, begin.Add(time.Second), 2, func(d *Digest) { d.Incarnation = 2 })
+	s.queueRecent()
+	is.Equal(len(table.peers[addressOf(1)].pendingRecords), 0)
+	is.Equal(len(table.peers[addressOf(2)].pendingRecords), 1)
+}
+
 func TestMalformedStreamRecordsAreErrors(t *testing.T) {
 	is := is.New(t)
 	keys := func(b []byte, packed string) []byte {
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -79,7 +79,7 @@
 	case p.previousIncarnation:
 		return false // a late digest of the previous process
 	default:
-		p.previousIncarnation = p.incarnation
+		p.previousIncarnation, p.started = p.incarnation, true
 	}
 	p.dataCentre, p.leaving, p.lastDigestAt = digest.DataCentre, digest.Leaving, now
 	p.incarnation, p.sequence = digest.Incarnation, digest.Sequence
