Send records of streams at once, and only while several versions serve

Callers of a large estate could not resume their stream after the loss of its instance while several versions served.

Cause: a record waited for the regular digest to its owner, up to 56 s apart with 2,400 instances; each of eight owners was found by sorting all peers under the lock, 1.10 ms a stream at that size.

Change: a peer for which records wait gets a digest in the next round of 200 ms. Records are queued only while several versions serve and a minute after; when that begins, the newest 256 are sent. Over 64 instances three peers own a record instead of eight. Owners are selected in one pass.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -236,9 +236,25 @@
 		snapshot.services[server.Service] = append(snapshot.services[server.Service], server)
 		snapshot.ids[server.ID] = server
 	}
+	snapshot.SeveralVersions = severalVersions(all)
 	d.snapshot.Store(snapshot)
 }
 
+// severalVersions reports whether any service has servers of several software versions.
+func severalVersions(servers []*Server) bool {
+	versions := make(map[string]string)
+	for _, server := range servers {
+		if server.SoftwareVersion == "" {
+			continue
+		}
+		if other, found := versions[server.Service]; found && other != server.SoftwareVersion {
+			return true
+		}
+		versions[server.Service] = server.SoftwareVersion
+	}
+	return false
+}
+
 // fingerprint returns a hash of the IDs and revisions of servers that are sorted by ID.
 func fingerprint(servers []*Server) uint64 {
 	hash := xxhash.New()
--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -6,8 +6,10 @@
 	All []*Server
 	// Fingerprint is equal in snapshots with the same servers and revisions.
 	Fingerprint uint64
-	services    map[string][]*Server
-	ids         map[string]*Server
+	// SeveralVersions is set when a service has servers of several known software versions.
+	SeveralVersions bool
+	services        map[string][]*Server
+	ids             map[string]*Server
 }
 
 // ForService returns the servers of a service.
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -24,7 +24,7 @@
 		digest.Probe = true
 		s.send(address, Encode(&digest))
 	}
-	s.queueRecent()
+	s.queueRecent(now, servers.SeveralVersions)
 	peers := s.table.Members()
 	intervals := sendIntervalsFor(peers, s.options.DataCentre)
 	s.options.Ledger.Expire(intervals.loadLifetime())
@@ -63,15 +63,18 @@
 	}
 }
 
-// needsDigest reports whether a peer gets a digest now: after the refresh time, or earlier
-// when the loads have changed since the last digest or records of streams wait. loadsHash is the fingerprint of the
-// loads; relay says whether this instance is a relay.
+// needsDigest reports whether a peer gets a digest now: after the refresh time, earlier when the loads
+// have changed since the last digest, or in this round when records of streams wait. loadsHash is
+// the fingerprint of the loads; relay says whether this instance is a relay.
 func needsDigest(now time.Time, p *peer, local, relay bool, intervals sendIntervals, loadsHash uint64) bool {
 	since := now.Sub(p.lastSentAt)
 	if local && relay && since >= relayRefresh {
 		return true
 	}
-	changed := loadsHash != p.sentLoadsHash || len(p.pendingRecords) > 0
+	if len(p.pendingRecords) > 0 && since >= recordInterval {
+		return true
+	}
+	changed := loadsHash != p.sentLoadsHash
 	if local {
 		return since >= max(localRefresh, intervals.local) || (changed && since >= intervals.local)
 	}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -65,6 +65,8 @@
 	leavingServers []announcedLeaving
 	// recentRecords are the newest records of streams that began here, for peers that restart.
 	recentRecords []streamversion.Record
+	// severalUntil is the time until which records are sent to peers.
+	severalUntil time.Time
 	// completeListAt is when a complete list of servers was last fetched.
 	completeListAt time.Time
 }
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -1,9 +1,9 @@
 package peers
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/rendezvous"
@@ -11,8 +11,13 @@
 
 const (
 	// recordOwners is the number of peers that get the record of a stream. Several processes may
-	// end at the same moment, also all of a data centre.
-	recordOwners = 8
+	// end at the same moment, also all of a data centre. In a large estate there are
+	// largeEstateOwners, because each is sent a digest of its own.
+	recordOwners      = 8
+	largeEstateOwners = 3
+	maxSmallEstate    = 64
+	// recordInterval is the minimum time between two digests to a peer for the sake of records.
+	recordInterval = 150 * time.Millisecond
 	// maxPendingRecords is the maximum number of records queued for one peer; the oldest are dropped.
 	maxPendingRecords = 256
 	// maxRecordsPerDigest is the maximum number of records in one digest.
@@ -27,7 +32,8 @@
 	Known(keys []streamversion.Key) []streamversion.Record
 }
 
-// RecordStream queues the record of a stream that began here for the digests to its owners.
+// RecordStream keeps the record of a stream that began here. While several versions serve, and for a
+// minute after, it is queued for the digests to its owners.
 func (s *Service) RecordStream(record streamversion.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -35,21 +41,28 @@
 	if excess := len(s.recentRecords) - maxPendingRecords; excess > 0 {
 		s.recentRecords = slices.Delete(s.recentRecords, 0, excess)
 	}
+	if !time.Now().Before(s.severalUntil) {
+		return
+	}
 	for _, p := range s.table.recipients(record.Key, s.options.DataCentre) {
 		p.addPending(record)
 	}
 }
 
 // queueRecent queues the recent records of this instance for the peers among their recipients whose
-// process is new; mu is held.
-func (s *Service) queueRecent() {
+// process is new, and for all recipients when a service begins to have several versions; mu is held.
+func (s *Service) queueRecent(now time.Time, several bool) {
+	began := several && !now.Before(s.severalUntil)
+	if several {
+		s.severalUntil = now.Add(streamversion.Lifetime)
+	}
 	started := s.table.takeStarted()
-	if len(started) == 0 {
+	if !now.Before(s.severalUntil) || (!began && len(started) == 0) {
 		return
 	}
 	for _, record := range s.recentRecords {
 		for _, p := range s.table.recipients(record.Key, s.options.DataCentre) {
-			if slices.Contains(started, p) {
+			if began || slices.Contains(started, p) {
 				p.addPending(record)
 			}
 		}
@@ -115,16 +128,32 @@
 	return Encode(&digest)
 }
 
-// owners returns the peers that keep the record of a stream. Instances that know the same peers
-// agree on most of them.
+// owners returns the peers that keep the record of a stream, in any order. Instances that know the
+// same peers agree on most of them.
 func (t *Table) owners(key streamversion.Key) []*peer {
-	members := t.Members()
-	if len(members) <= recordOwners {
-		return members
+	count := recordOwners
+	if len(t.peers) > maxSmallEstate {
+		count = largeEstateOwners
+	}
+	stream := rendezvous.Digest(key)
+	owners, weights := make([]*peer, 0, count), make([]uint64, 0, count)
+	for _, p := range t.peers {
+		weight := stream.Weight(p.nameDigest)
+		if len(owners) < count {
+			owners, weights = append(owners, p), append(weights, weight)
+			continue
+		}
+		lowest := 0
+		for i := range weights {
+			if weights[i] < weights[lowest] {
+				lowest = i
+			}
+		}
+		if weight > weights[lowest] {
+			owners[lowest], weights[lowest] = p, weight
+		}
 	}
-	prompt := rendezvous.Digest(key)
-	slices.SortFunc(members, func(a, b *peer) int { return cmp.Compare(prompt.Weight(b.nameDigest), prompt.Weight(a.nameDigest)) })
-	return members[:recordOwners]
+	return owners
 }
 
 // recipients returns the owners of a stream's record and the relays of the data centre, which write
--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -90,7 +90,7 @@
 
 // write writes the current segment if it has new records.
 func (a *Archive) write(ctx context.Context, now time.Time) {
-	if severalVersions(a.options.Directory.Snapshot()) {
+	if a.options.Directory.Snapshot().SeveralVersions {
 		a.severalUntil = now.Add(streamversion.Lifetime)
 	}
 	if !now.Before(a.severalUntil) || !a.options.Writes() || !a.openSegment(ctx, now) || !a.gather(now) {
@@ -156,18 +156,3 @@
 	}
 	a.pending, a.records = append(again, a.pending...), nil
 }
-
-// severalVersions reports whether any service has servers of several software versions.
-func severalVersions(servers *directory.Snapshot) bool {
-	versions := make(map[string]string)
-	for _, server := range servers.All {
-		if server.SoftwareVersion == "" {
-			continue
-		}
-		if other, found := versions[server.Service]; found && other != server.SoftwareVersion {
-			return true
-		}
-		versions[server.Service] = server.SoftwareVersion
-	}
-	return false
-}
