Resume a stream at servers of its version that have just begun to drain

Callers were told that no server has the version of their stream while all of its servers still served: a release had just told them to leave.

Cause: the choice of a server leaves out draining servers, also for a stream that may continue only there; the time in which such a server takes streams that resume was used for copies and reconnects alone.

Change: if no server of its version is ready, a bound stream takes one that has drained for less than a second and has not stated itself that it leaves.

Measured: TestResumedStreamGoesOnAtAServerThatHasJustBegunToDrain failed (503) and passes; the tests of draining, leaving servers and copies pass.

Conclusion: the end of a version's servers rejects its streams a second later.

--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -60,16 +61,12 @@
 	}
 }
 
-// candidates returns the servers of a service that take new requests and that the binding admits,
-// those for which skip returns true only when there are no others. The caller holds mu.
-func (s *selector) candidates(service *route.Service, binding versionBinding, skip func(id string) bool) []placement.Candidate {
-	servers := s.directory.Snapshot().ForService(service.Name)
+// candidates returns servers of a service as candidates, those for which skip returns true only when
+// there are no others. The caller holds mu.
+func (s *selector) candidates(service *route.Service, servers []*directory.Server, skip func(id string) bool) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(servers))
 	skipped := 0
 	for _, server := range servers {
-		if server.Draining || !binding.admits(server) {
-			continue
-		}
 		s.trackProcess(server)
 		candidate := placement.Candidate{
 			ID:    server.ID,
@@ -93,6 +90,25 @@
 	return candidates
 }
 
+// ready returns the servers of a service that take new requests and that the binding admits.
+func (s *selector) ready(service *route.Service, binding versionBinding) []*directory.Server {
+	return slices.DeleteFunc(slices.Clone(s.directory.Snapshot().ForService(service.Name)), func(server *directory.Server) bool {
+		return server.Draining || !binding.admits(server)
+	})
+}
+
+// resumable returns the servers that may continue a stream with a binding: if none is ready, those that
+// have just begun to drain.
+func (s *selector) resumable(service *route.Service, binding versionBinding) []*directory.Server {
+	if ready := s.ready(service, binding); len(ready) > 0 || !binding.bound {
+		return ready
+	}
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(s.directory.Snapshot().ForService(service.Name)), func(server *directory.Server) bool {
+		return server.Leaving || !server.AcceptsResumption(now) || !binding.admits(server)
+	})
+}
+
 // trackProcess records the process behind a server's id, and drops the ledger's
 // record of an earlier process with the same id.
 func (s *selector) trackProcess(server *directory.Server) {
@@ -122,7 +138,7 @@
 func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, versionBinding{}, skip))
+	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, s.ready(service, versionBinding{}), skip))
 	if !found {
 		return nil
 	}
@@ -134,7 +150,7 @@
 	peerGroup := s.peerGroup()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, binding, skip)
+	candidates := s.candidates(service, s.resumable(service, binding), skip)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
@@ -149,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := placement.Candidate{ID: running.ID, Place: placement.Place{DataCentre: running.DataCentre, Region: s.regions[running.DataCentre]}}
-	id, found := s.ledger.ChooseCopy(time.Now(), size, at, s.candidates(service, bindTo(running), func(id string) bool { return id == running.ID }))
+	id, found := s.ledger.ChooseCopy(time.Now(), size, at, s.candidates(service, s.ready(service, bindTo(running)), func(id string) bool { return id == running.ID }))
 	if !found {
 		return nil
 	}
