Resume a stream at the service that began it

Callers whose route divides its requests among services could not resume their stream: the service was drawn again, and the other one had no server of the version that began the stream, or had one by chance.

Cause: the record of a stream held the version alone.

Change: a record holds the service as well (streamversion.Origin).

Conclusion: a stream stays in its service.

--- a/decision/streamversion/table_test.go
+++ b/decision/streamversion/table_test.go
@@ -20,12 +20,12 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
 			key := streamversion.Key(rapid.IntRange(0, 5).Draw(t, "stream"))
 			version := "v" + strconv.Itoa(rapid.IntRange(1, 3).Draw(t, "version"))
-			known, found := table.Version(key)
+			known, found := table.Origin(key)
 			recent := !lastPut[key].IsZero() && now.Sub(lastPut[key]) <= streamversion.Lifetime
-			if recent && (!found || known != first[key]) {
-				t.Fatalf("stream %d of %s is %s, known %v", key, first[key], known, found)
+			if recent && (!found || known.Version != first[key]) {
+				t.Fatalf("stream %d of %s is %s, known %v", key, first[key], known.Version, found)
 			}
-			if table.Put(now, streamversion.Record{Key: key, Version: version}) {
+			if table.Put(now, streamversion.Record{Key: key, Origin: streamversion.Origin{Service: "s", Version: version}}) {
 				first[key] = version
 			}
 			lastPut[key] = now
@@ -38,15 +38,15 @@
 	table := streamversion.NewTable()
 	const streams = 200_000
 	for n := range streams {
-		table.Put(begin, streamversion.Record{Key: streamversion.Key(n), Version: "v1"})
+		table.Put(begin, streamversion.Record{Key: streamversion.Key(n)})
 	}
 	kept := 0
 	for n := range streams {
-		if _, known := table.Version(streamversion.Key(n)); known {
+		if _, known := table.Origin(streamversion.Key(n)); known {
 			kept++
 		}
 	}
 	is.True(kept <= 1<<16)
-	_, known := table.Version(streams - 1)
+	_, known := table.Origin(streams - 1)
 	is.True(known) // the newest ones stay
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -163,6 +163,13 @@
 	}
 	j.deadline = j.exchange.Received.Add(timeout - answerMargin)
 	j.service = j.route.ChooseService(rand.Float64())
+	if j.origin = f.findOrigin(ctx, j); j.origin.source != "" {
+		j.service = j.origin.Service
+	}
+	if j.origin.source != "" && !j.route.Offers(j.service) {
+		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnavailable, retryAfter: noServerRetryAfter})
+		return
+	}
 	service := j.table.Service(j.service)
 	if service == nil {
 		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetryAfter})
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -16,6 +16,8 @@
 	route    *route.Route
 	service  string
 	account  string
+	// origin is what is recorded about a stream that the client resumes.
+	origin recordedOrigin
 	// deadline is the latest time of the final answer: the earlier one of the
 	// client's and the route's deadline.
 	deadline time.Time
--- a/gateway/forward/stream_versions.go
+++ b/gateway/forward/stream_versions.go
@@ -8,7 +8,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 )
 
-// streamVersions holds the records of which software version began each stream, this instance's and
+// streamVersions holds the records of where each stream began, this instance's and
 // those of peers. It is safe for concurrent use.
 type streamVersions struct {
 	mu    sync.Mutex
@@ -52,32 +52,32 @@
 	defer s.mu.Unlock()
 	var known []streamversion.Record
 	for _, key := range keys {
-		if version, found := s.table.Version(key); found {
-			known = append(known, streamversion.Record{Key: key, Version: version})
+		if origin, found := s.table.Origin(key); found {
+			known = append(known, streamversion.Record{Key: key, Origin: origin})
 		}
 	}
 	return known
 }
 
-// lookUp returns the version that began a stream, whether it is known, and a channel that is closed
-// when peers have sent more records.
-func (s *streamVersions) lookUp(key streamversion.Key) (version string, known bool, learned <-chan struct{}) {
+// lookUp returns where a stream began, whether that is known, and a channel that is closed when peers
+// have sent more records.
+func (s *streamVersions) lookUp(key streamversion.Key) (origin streamversion.Origin, known bool, learned <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	version, known = s.table.Version(key)
-	return version, known, s.learned
+	origin, known = s.table.Origin(key)
+	return origin, known, s.learned
 }
 
-// await waits until the version that began a stream is known or the context ends.
-func (s *streamVersions) await(ctx context.Context, key streamversion.Key) (version string, known bool) {
+// await waits until it is known where a stream began, or the context ends.
+func (s *streamVersions) await(ctx context.Context, key streamversion.Key) (origin streamversion.Origin, known bool) {
 	for {
-		version, known, learned := s.lookUp(key)
+		origin, known, learned := s.lookUp(key)
 		if known {
-			return version, true
+			return origin, true
 		}
 		select {
 		case <-ctx.Done():
-			return "", false
+			return streamversion.Origin{}, false
 		case <-learned:
 		}
 	}
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -44,7 +44,7 @@
 				ReadTimePerToken: 125 * time.Microsecond, ReadTimeDeviation: time.Duration(i),
 			}})
 			sent.Members = append(sent.Members, addressOf(i))
-			sent.StreamRecords = append(sent.StreamRecords, streamversion.Record{Key: streamversion.Key(rapid.Uint64().Draw(t, "stream")), Version: "v1"})
+			sent.StreamRecords = append(sent.StreamRecords, streamversion.Record{Key: streamversion.Key(rapid.Uint64().Draw(t, "stream")), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 			sent.WantedStreams = append(sent.WantedStreams, streamversion.Key(rapid.Uint64().Draw(t, "wanted")))
 		}
 		payload := Encode(&sent)
--- a/gateway/peers/stream_codec.go
+++ b/gateway/peers/stream_codec.go
@@ -9,34 +9,35 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
-// Protobuf field numbers of a group of stream records with the same version.
+// Protobuf field numbers of a group of stream records with the same origin.
 const (
 	tagGroupVersion protowire.Number = iota + 1
 	tagGroupKeys
+	tagGroupService
 )
 
 // keyBytes is the size of an encoded stream key.
 const keyBytes = 8
 
-// maxVersionBytes bounds the software version in a stream record.
-const maxVersionBytes = 128
+// maxOriginBytes bounds the service and the software version in a stream record, each.
+const maxOriginBytes = 128
 
-// appendStreamRecords appends records in groups of the same version.
+// appendStreamRecords appends records in groups of the same origin.
 func appendStreamRecords(b []byte, records []streamversion.Record) []byte {
-	groups := make(map[string][]streamversion.Key)
-	var versions []string
+	groups := make(map[streamversion.Origin][]streamversion.Key)
+	var origins []streamversion.Origin
 	for _, record := range records {
-		if len(record.Version) > maxVersionBytes {
+		if len(record.Service) > maxOriginBytes || len(record.Version) > maxOriginBytes {
 			continue
 		}
-		if groups[record.Version] == nil {
-			versions = append(versions, record.Version)
+		if groups[record.Origin] == nil {
+			origins = append(origins, record.Origin)
 		}
-		groups[record.Version] = append(groups[record.Version], record.Key)
+		groups[record.Origin] = append(groups[record.Origin], record.Key)
 	}
-	for _, version := range versions {
-		group := appendText(nil, tagGroupVersion, version)
-		group = protowire.AppendBytes(protowire.AppendTag(group, tagGroupKeys, protowire.BytesType), encodeKeys(groups[version]))
+	for _, origin := range origins {
+		group := appendText(appendText(nil, tagGroupService, origin.Service), tagGroupVersion, origin.Version)
+		group = protowire.AppendBytes(protowire.AppendTag(group, tagGroupKeys, protowire.BytesType), encodeKeys(groups[origin]))
 		b = appendIfFits(b, tagStreamRecords, group)
 	}
 	return b
@@ -63,24 +64,29 @@
 }
 
 func (d *Digest) decodeStreamRecords(group []byte) error {
-	version, keys := "", []streamversion.Key(nil)
+	var origin streamversion.Origin
+	var keys []streamversion.Key
 	err := eachField(group, func(tag protowire.Number, _ uint64, text []byte) (err error) {
 		switch tag {
+		case tagGroupService:
+			origin.Service = string(text)
 		case tagGroupVersion:
-			version = string(text)
+			origin.Version = string(text)
 		case tagGroupKeys:
 			keys, err = decodeKeys(text)
 		}
 		return err
 	})
-	if err == nil && (version == "" || len(version) > maxVersionBytes) {
-		err = fault.New(fault.PeerMessage, "stream records: the software version is missing or too long")
-	}
 	if err != nil {
 		return err
 	}
+	for _, text := range []string{origin.Service, origin.Version} {
+		if text == "" || len(text) > maxOriginBytes {
+			return fault.New(fault.PeerMessage, "stream records: the service or the software version is missing or too long")
+		}
+	}
 	for _, key := range keys {
-		d.StreamRecords = append(d.StreamRecords, streamversion.Record{Key: key, Version: version})
+		d.StreamRecords = append(d.StreamRecords, streamversion.Record{Key: key, Origin: origin})
 	}
 	return nil
 }
--- a/gateway/peers/stream_versions_scale_test.go
+++ b/gateway/peers/stream_versions_scale_test.go
@@ -47,7 +47,7 @@
 				has, hasSurvivor := false, false
 				for _, p := range owners {
 					due := *p
-					due.pendingRecords = []streamversion.Record{{Key: 1, Version: "v1"}}
+					due.pendingRecords = []streamversion.Record{{Key: 1, Origin: streamversion.Origin{Service: "s", Version: "v1"}}}
 					if needsDigest(begin.Add(age), &due, p.dataCentre == "0", false, intervals, 0) {
 						has = true
 						hasSurvivor = hasSurvivor || !killed[p]
--- a/gateway/peers/stream_versions_test.go
+++ b/gateway/peers/stream_versions_test.go
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	p := &peer{}
 	for n := range maxRecordsPerDigest + 5 {
-		p.pendingRecords = append(p.pendingRecords, streamversion.Record{Key: streamversion.Key(n), Version: "v1"})
+		p.pendingRecords = append(p.pendingRecords, streamversion.Record{Key: streamversion.Key(n), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 	}
 	is.True(needsDigest(begin.Add(time.Second), &peer{lastSentAt: begin, pendingRecords: p.pendingRecords}, true, false, sendIntervals{local: roundPeriod}, 0))
 	first, second := p.takePendingRecords(), p.takePendingRecords()
@@ -76,7 +76,7 @@
 	receiveDigest(table, begin, 2, nil)
 	s := &Service{table: table, severalUntil: time.Now().Add(time.Minute)}
 	is.Equal(len(table.takeStarted()), 2)
-	s.RecordStream(streamversion.Record{Key: 1, Version: "v1"})
+	s.RecordStream(streamversion.Record{Key: 1, Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 	for _, p := range table.peers {
 		is.Equal(len(p.takePendingRecords()), 1)
 	}
@@ -95,11 +95,11 @@
 	pending := func() int { return len(table.peers[addressOf(1)].takePendingRecords()) }
 	now := time.Now()
 	s.queueRecent(now, false)
-	s.RecordStream(streamversion.Record{Key: 1, Version: "v1"})
+	s.RecordStream(streamversion.Record{Key: 1, Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 	is.Equal(pending(), 0)
 	s.queueRecent(now, true)
 	is.Equal(pending(), 1) // the stream that began before
-	s.RecordStream(streamversion.Record{Key: 2, Version: "v2"})
+	s.RecordStream(streamversion.Record{Key: 2, Origin: streamversion.Origin{Service: "s", Version: "v2"}})
 	is.Equal(pending(), 1)
 	s.queueRecent(now.Add(time.Second), true)
 	is.Equal(pending(), 0)
@@ -111,9 +111,11 @@
 		return protowire.AppendString(protowire.AppendTag(b, tagGroupKeys, protowire.BytesType), packed)
 	}
 	for _, part := range [][]byte{
-		keys(appendText(nil, tagGroupVersion, "v1"), "1234567"),
+		keys(appendText(appendText(nil, tagGroupService, "s"), tagGroupVersion, "v1"), "1234567"),
 		keys(nil, "12345678"),
-		keys(appendText(nil, tagGroupVersion, string(make([]byte, maxVersionBytes+1))), "12345678"),
+		keys(appendText(nil, tagGroupService, "s"), "12345678"),
+		keys(appendText(nil, tagGroupVersion, "v1"), "12345678"),
+		keys(appendText(appendText(nil, tagGroupService, "s"), tagGroupVersion, string(make([]byte, maxOriginBytes+1))), "12345678"),
 	} {
 		payload := protowire.AppendBytes(protowire.AppendTag(appendText(nil, tagInstance, "i"), tagStreamRecords, protowire.BytesType), part)
 		_, err := Decode(payload)
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Route describes the requests of one host and path prefix: the services that
 // serve them, how long they may take, and whether they may be repeated.
@@ -37,6 +40,11 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// Offers reports whether the route sends requests to a service.
+func (r *Route) Offers(service string) bool {
+	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // ChooseService returns the service for a random number in [0, 1), in proportion
 // to the weights of the split.
 func (r *Route) ChooseService(draw float64) string {
--- a/gateway/streamarchive/archive_test.go
+++ b/gateway/streamarchive/archive_test.go
@@ -80,7 +80,7 @@
 		close(done)
 	}()
 	for n := range count {
-		r.Add(streamversion.Record{Key: streamversion.Key(first + n), Version: "v1"})
+		r.Add(streamversion.Record{Key: streamversion.Key(first + n), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(1500 * time.Millisecond)
