Avoid a silent server for as long as a stream waits for it

Other streams were sent to a server that was silent already.

Cause: a server was avoided for 0.3 s when a stream began to wait for it, and not again while it stayed silent. TestStreamStaysAtItsSilentServerWhileTheOthersAreSilent failed once, in a run of the whole package beside load: its stream looked for a successor after that time.

Change: each further check of a silent server that is waited for avoids it again, for longer each time.

Measured: not shown by a test that fails each time; the test passes eight of eight times alone on the code before, and eight of eight after. A second case of it, with 1.3 s of silence before, passes three of three on both.

Conclusion: the cause is found by reading and fits the failure; it is not proved by a run.

--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
@@ -42,9 +43,12 @@
 	return false
 }
 
-// await logs that a silent server is waited for, and avoids it for other requests.
+// await logs that a silent server is waited for, and avoids it for other requests while it is silent.
 func (a *streamAttempt) await(cause error, reason endReason) {
 	if a.waiting {
+		a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) {
+			ledger.Unreachable(now, a.server.ID, a.server.DataCentre, false)
+		})
 		return
 	}
 	a.waiting = true
