Make sound backend servers silent in the soak and demand an answer

Callers saw answers cut while a sound backend server was silent for a second or so. The soak could not find that: its servers were never silent with their connections intact, and it excused every request that got no answer, because some fault always might have taken it.

Change: two faults make one backend server, or all of a service, silent for 0.3 to 2.2 s; they are drawn with the others. Then each request must get a whole answer or a refusal, and no failure of the instance before its deadline (LOST: a server's silence is no reason to end an answer sooner). Excused are the deadline, a request that no server received and whose connection ended within 200 ms, and the last sixth of the stop time for a request sent up to 3 s after the signal. Clients open connections to a stopping instance for 2 s, as the balancer makes them do. A violation names the request, what its client saw and the last line of the instance's log about it.

--- a/cmd/wisteriahaven-bench/soak.go
+++ b/cmd/wisteriahaven-bench/soak.go
@@ -20,6 +20,7 @@
 	Faults    time.Duration `arg:"--faults" default:"12s" help:"time in which faults are injected"`
 	Instances int           `arg:"--instances" default:"4" help:"number of entry instances"`
 	Clients   int           `arg:"--clients" default:"16" help:"number of clients"`
+	SoundOnly bool          `arg:"--sound-only" help:"only faults in which nothing fails: silent backend servers, changes of the configuration and of settings, planned stops; each request must be answered"`
 	Verbose   bool          `arg:"--verbose" help:"print the faults of every seed"`
 }
 
@@ -49,7 +50,7 @@
 			return false, err
 		}
 	}
-	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients})
+	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly})
 	if err != nil {
 		return false, err
 	}
