Bound the framing and the interim answers that a server sends

Cause: a trailer, chunk extensions and interim answers (1xx) were each bounded by the line or the head, not in their number. A call read them until its deadline, at the full speed of the server.

Change: the chunk lines and trailer lines of a body may exceed 16 bytes for each byte of data by 8 KB at most; interim answers to one request may have 32 KB. Beyond, the answer is broken and the connection is closed.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -8,11 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const (
-	// maxHeadBytes bounds the head of an answer in bytes.
+	// maxHeadBytes bounds the head of an answer in bytes, and all interim answers before it.
 	maxHeadBytes = 32 << 10
 	// maxInlineBytes is the size of a request that fits into the buffers of a
 	// connection. A larger request is written concurrently with reading its
@@ -26,6 +27,9 @@
 // ErrExtraBytes means that a server sent bytes that belong to no answer.
 var ErrExtraBytes = errors.New("upstream: received bytes without a request")
 
+// errInterimAnswers means that a server sent interim answers of more than maxHeadBytes.
+var errInterimAnswers = fault.New(fault.UpstreamBroken, "too many interim answers")
+
 // Conn is one connection to a backend server. It carries one request at a
 // time.
 type Conn struct {
@@ -37,8 +41,10 @@
 	// writeResult receives the result of writing a request concurrently; nil when
 	// the request was written inline.
 	writeResult chan error
-	idleUntil   time.Time
-	closed      atomic.Bool
+	// interimBytes is the size of the interim answers to the current request.
+	interimBytes int
+	idleUntil    time.Time
+	closed       atomic.Bool
 }
 
 // Send writes a request. sent is false when no byte of it can have reached the
@@ -47,6 +53,7 @@
 	if c.reader.Buffered() > 0 {
 		return false, ErrExtraBytes
 	}
+	c.interimBytes = 0
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false, err
 	}
@@ -67,7 +74,7 @@
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.conn.SetReadDeadline(at) }
 
 // ReadHead reads the head of the answer to a request of the given method.
-// Interim answers are skipped.
+// Interim answers are skipped; those over maxHeadBytes in total are a failure.
 func (c *Conn) ReadHead(method string) (*http1.Response, error) {
 	for {
 		head, err := c.reader.Head(maxHeadBytes)
@@ -81,6 +88,9 @@
 		if response.Status >= 200 {
 			return response, nil
 		}
+		if c.interimBytes += len(head); c.interimBytes > maxHeadBytes {
+			return nil, errInterimAnswers
+		}
 	}
 }
 
--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -12,6 +12,10 @@
 	maxChunkLineBytes = 256
 	// maxTrailerLineBytes is the largest size in bytes of a field line after the last chunk.
 	maxTrailerLineBytes = 4096
+	// maxFramingBytes is the largest size in bytes of chunk lines and trailer lines beyond
+	// framingPerByte for each byte of data.
+	maxFramingBytes = 8 << 10
+	framingPerByte  = 16
 	// maxBodyBufferBytes is the largest size in bytes of the buffer for a body.
 	maxBodyBufferBytes = 32 << 10
 	// maxChunkDigits is the largest number of digits of a chunk size, to fit in 32 bits.
@@ -27,6 +31,9 @@
 	inChunk   bool
 	inTrailer bool
 	ended     bool
+	// framingBytes is the size of the chunk lines and trailer lines, less framingPerByte for each
+	// byte of data; at least 0.
+	framingBytes int
 }
 
 // Body returns the body that follows a head with the given framing.
@@ -70,6 +77,7 @@
 	size := min(int64(b.reader.Buffered()), b.remaining)
 	data := b.consume(int(size))
 	b.remaining -= size
+	b.framingBytes = max(0, b.framingBytes-framingPerByte*int(size))
 	if b.remaining == 0 && b.framing.Kind == FramingLength {
 		b.ended = true
 	}
@@ -154,6 +162,9 @@
 		data := b.reader.buffer[b.reader.start:b.reader.end]
 		if index := bytes.IndexByte(data[searched:], '\n'); index >= 0 {
 			line := b.consume(searched + index + 1)
+			if b.framingBytes += len(line); b.framingBytes > maxFramingBytes {
+				return nil, malformed("chunk", "more framing than data")
+			}
 			if len(line) < 2 || line[len(line)-2] != '\r' || bytes.IndexByte(line[:len(line)-2], '\r') >= 0 {
 				return nil, malformed("chunk", "a line does not end with CR LF")
 			}
--- a/transport/http1/reader.go
+++ b/transport/http1/reader.go
@@ -19,6 +19,8 @@
 	buffer []byte
 	start  int
 	end    int
+	// received counts all bytes that were received.
+	received int64
 }
 
 // NewReader returns a reader for a connection.
@@ -29,6 +31,9 @@
 // Buffered returns the number of received bytes that have not been read yet.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
+// Received returns the number of bytes that were received so far.
+func (r *Reader) Received() int64 { return r.received }
+
 // Fill reads from the connection into the buffer once. The buffer grows up to limit bytes; at
 // the limit Fill returns ErrBufferFull. Other errors are those of the connection.
 func (r *Reader) Fill(limit int) error {
@@ -42,6 +47,7 @@
 	}
 	n, err := r.source.Read(r.buffer[r.end:])
 	r.end += n
+	r.received += int64(n)
 	if n > 0 {
 		return nil
 	}
