Don't wait for the body of an answer that can't be forwarded

Cause: a call read the whole body of an answer before it looked at the head. A body without end, or one that dripped, kept it until the deadline although the head already said that the server did not run the request, that the answer belongs to another request or that it isn't signed. An unsafe call lost the promise of the head that way: the failed body made it one that may have run.

Change: the head is checked first. The rest of an answer that can't be forwarded is read for 20 ms and 16 KB at most, so that the connection can be kept; otherwise it is closed.

Conclusion: the next attempt depends on the head alone.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -81,21 +81,46 @@
 		return f.failedExchange(conn, result, err)
 	}
 	answer := f.readAnswer(server, response)
-	body, err := conn.Body(response).ReadAll(maxAnswerBytes)
+	checked := result
+	checked.response = response
+	f.checkAnswer(&checked, j, answer)
+	if !checked.usable() {
+		f.endUnusable(ctx, conn, &checked, answer)
+		return checked
+	}
+	checked.body, err = conn.Body(response).ReadAll(maxAnswerBytes)
 	if err != nil {
 		return f.failedExchange(conn, result, err)
 	}
-	result.response, result.body = response, body
-	f.checkAnswer(&result, j, answer)
-	if answer.WrongServer {
-		f.adopter.handleReplacement(server, answer.Server)
-	}
-	if answer.WrongServer || errors.Is(result.err, errForeignAnswer) || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		conn.Close()
 	} else {
 		f.pool.Put(server.ID, conn, response)
 	}
-	return result
+	return checked
+}
+
+const (
+	// discardTime and discardBytes bound the rest of an answer that can't be forwarded: the connection
+	// is kept if the rest is there already, but the next attempt doesn't wait for it.
+	discardTime  = 20 * time.Millisecond
+	discardBytes = 16 << 10
+)
+
+// endUnusable ends the exchange of an answer that can't be forwarded, as its head shows.
+func (f *Forwarder) endUnusable(ctx context.Context, conn *upstream.Conn, result *callResult, answer message.Answer) {
+	if answer.WrongServer {
+		f.adopter.handleReplacement(result.server, answer.Server)
+	}
+	if answer.WrongServer || errors.Is(result.err, errForeignAnswer) || ctx.Err() != nil || conn.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		conn.Close()
+		return
+	}
+	if _, err := conn.Body(result.response).ReadAll(discardBytes); err != nil {
+		conn.Close()
+		return
+	}
+	f.pool.Put(result.server.ID, conn, result.response)
 }
 
 // checkAnswer sets the failure of a result whose answer can't be forwarded. A
