Don't reuse a connection over which bytes came without a request

Cause: a kept connection was checked for extra bytes only at the moment when it was put back. Bytes that came later stayed in the socket and were read as the head of the next answer. Junk made the call go again over a new connection; a complete answer to another request failed the call with 502.

Change: before a kept connection is used, the socket is checked without blocking. One that has bytes, or that the server closed, is closed.

Measured: with a server that sends answers to other requests without end after its own, and no second sends, calls failed in both timings (at once, and 5 ms later).

Conclusion: extra bytes cost a new connection, not an answer. Bytes that arrive after the check still fail the attempt: the id of the answer identifies them.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -76,7 +76,7 @@
 		last := kept[len(kept)-1]
 		kept = kept[:len(kept)-1]
 		p.idle[server] = kept
-		if last.address == address && time.Now().Before(last.idleUntil) {
+		if last.address == address && time.Now().Before(last.idleUntil) && last.isQuiet() {
 			last.Reused = true
 			return last
 		}
