Leave a server that sends bytes without completing an event

Cause: any byte counted as progress of a stream. A server that sent a part of an event, chunk framing, comments, events without an id or events that the client had, was never checked, and its stream ran to the deadline. What completed a block was forwarded, so that the client got comments and events without an id without end. An event in pieces was searched from its start with each piece: chunks of one byte took the CPU for 10 s. The head went to the client before the first event, so that a stream without any could only be cut.

Change: only the head and a new event are progress. Bytes don't postpone the check of the server; if bytes come at checks over 1 s without an event, or for 1 s without completing a head, the attempt fails and the stream goes on elsewhere or ends, also where a silent server would be waited for. An event has 64 KB at most, with the comments and events without an id before it, which are kept back until the next event with an id; events that the client has may be repeated for 1 MB. An event's end is searched from where the last search stopped. The head is sent with the first event, so that a stream that fails before it is served whole by another server or gets 502.

A server that pauses for 1.9 s within an event is still waited for.

Conclusion: a silent server may be sound, one that sends bytes without events is not.

--- a/gateway/forward/event_reader.go
+++ b/gateway/forward/event_reader.go
@@ -12,60 +12,86 @@
 	errEventMissing = fault.New(fault.UpstreamBroken, "an event is missing from the stream")
 	errPartialEvent = fault.New(fault.UpstreamBroken, "the stream ends within an event")
 	errEventTooLong = fault.New(fault.UpstreamBroken, "an event is too long")
+	errRepeated     = fault.New(fault.UpstreamBroken, "the stream repeats too many events")
 )
 
-// maxEventBytes bounds one event in bytes.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event in bytes, with the comments and events without an id before it.
+	maxEventBytes = 64 << 10
+	// maxRepeatedBytes bounds the events in bytes that the client has and that a server sends before
+	// the next new one.
+	maxRepeatedBytes = 1 << 20
+)
 
-// eventReader splits a stream into events and drops those that the client has.
+// eventReader splits a stream into events and drops those that the client has. Comments and events
+// without an id are no progress of the stream: they are kept back until the next event with an id.
 type eventReader struct {
 	// position is the id of the last event that was forwarded.
 	position uint64
 	// positionKnown is set once position is known, so that the next event's id
 	// can be checked against it.
 	positionKnown bool
-	partial       []byte
+	// partial holds the bytes after the last event with an id. Its first held bytes are comments and
+	// events without an id; no event ends in its first searched bytes after those.
+	partial        []byte
+	held, searched int
+	// repeated is the size in bytes of the events that were dropped since the last new one.
+	repeated int
 }
 
 // restart drops a partial event before another attempt's stream is read.
-func (r *eventReader) restart() { r.partial = r.partial[:0] }
+func (r *eventReader) restart() {
+	r.partial, r.held, r.searched, r.repeated = r.partial[:0], 0, 0, 0
+}
 
 // push adds bytes of the stream and returns the complete events that the client
 // still needs, and their number. The events are stored in into and are valid
 // until the next call that uses it.
 func (r *eventReader) push(data, into []byte) (events []byte, count int, err error) {
 	r.partial = append(r.partial, data...)
-	rest := r.partial
 	events = into[:0]
+	start, block, searched := 0, r.held, r.searched
 	for {
-		size := eventSize(rest)
+		size := eventSize(r.partial[block:], searched-block)
 		if size == 0 {
 			break
 		}
-		wanted, err := r.accept(rest[:size])
+		begin := block
+		block += size
+		searched = block
+		id, found := eventID(r.partial[begin:block])
+		if !found {
+			continue
+		}
+		wanted, err := r.accept(id)
 		if err != nil {
 			return events, count, err
 		}
 		if wanted {
-			events = append(events, rest[:size]...)
+			events = append(events, r.partial[start:block]...)
 			count++
+			r.repeated = 0
+		} else {
+			r.repeated += block - start
 		}
-		rest = rest[size:]
+		start = block
 	}
-	if len(rest) > maxEventBytes {
+	r.partial = append(r.partial[:0], r.partial[start:]...)
+	r.held = block - start
+	// The line ends of an event's last line and of the empty line after it may arrive separately.
+	r.searched = max(r.held, len(r.partial)-len("\n\r"))
+	if len(r.partial) > maxEventBytes {
 		return events, count, errEventTooLong
 	}
-	r.partial = append(r.partial[:0], rest...)
+	if r.repeated > maxRepeatedBytes {
+		return events, count, errRepeated
+	}
 	return events, count, nil
 }
 
-// accept reports whether the client still needs an event, and advances the
+// accept reports whether the client still needs the event with an id, and advances the
 // position past it. It returns errEventMissing when ids are skipped.
-func (r *eventReader) accept(event []byte) (bool, error) {
-	id, found := eventID(event)
-	if !found {
-		return true, nil
-	}
+func (r *eventReader) accept(id uint64) (bool, error) {
 	if r.positionKnown {
 		if id <= r.position {
 			return false, nil
@@ -80,15 +106,19 @@
 
 // complete returns an error when the stream ended within an event.
 func (r *eventReader) complete() error {
-	if len(bytes.TrimSpace(r.partial)) > 0 {
+	if len(bytes.TrimSpace(r.partial[r.held:])) > 0 {
 		return errPartialEvent
 	}
 	return nil
 }
 
-// eventSize returns the size of the first complete event in bytes, 0 for none.
-func eventSize(data []byte) int {
-	for start := 0; ; {
+// rest returns the comments and events without an id at the end of a complete stream.
+func (r *eventReader) rest() []byte { return r.partial[:r.held] }
+
+// eventSize returns the size of the first complete event in bytes, 0 for none. No line that starts
+// before the offset from ends an event.
+func eventSize(data []byte, from int) int {
+	for start := max(0, from); ; {
 		index := bytes.IndexByte(data[start:], '\n')
 		if index < 0 {
 			return 0
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/suspicion"
+	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
@@ -31,39 +32,72 @@
 
 // awaitData calls read until it receives data, the connection fails, the stream
 // leaves the silent server for another one, or the context ends. It must be possible
-// to call read again after a timeout.
+// to call read again after a timeout. Bytes that complete no event are no sign of a sound server:
+// the time of the next check stays, and errNoEvent is returned when they come for maxFragmentTime.
 func (a *streamAttempt) awaitData(ctx context.Context, read func() error) error {
 	for {
-		timeout := firstEventCheckInterval
-		if !a.awaitsFirstEvent {
-			timeout = a.eventIntervals.SilenceTimeout(silencePolicy)
+		timeout := a.checkInterval()
+		if a.checkAt.IsZero() {
+			a.checkAt = time.Now().Add(timeout)
 		}
-		if a.waiting {
-			timeout = max(timeout, waitingCheckInterval)
-		}
-		deadline := time.Now().Add(timeout)
-		if err := a.conn.SetReadDeadline(deadline); err != nil {
+		if err := a.conn.SetReadDeadline(a.checkAt); err != nil {
 			return err
 		}
 		err := read()
+		if err == nil || !upstream.IsReadTimeout(err) || ctx.Err() != nil {
+			return err
+		}
 		now := time.Now()
-		if err == nil {
-			if !a.awaitsFirstEvent {
-				a.eventIntervals.Observe(now.Sub(a.receivedAt))
-				a.recordResponse()
-			}
-			a.receivedAt = now
-			return nil
+		late := now.Sub(a.checkAt) >= maxWakeDelay
+		a.checkAt = time.Time{}
+		if late {
+			continue
 		}
-		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
-			return err
+		if a.sendsNoEvent(now) {
+			return errNoEvent
 		}
-		if now.Sub(deadline) < maxWakeDelay && !a.mayContinue(ctx, now, timeout) && (ctx.Err() != nil || a.leave(ctx, err)) {
+		if !a.mayContinue(ctx, now, timeout) && (ctx.Err() != nil || a.leave(ctx, err)) {
 			return err
 		}
 	}
 }
 
+// checkInterval returns the time after an event, or after a check, until the server is checked.
+func (a *streamAttempt) checkInterval() time.Duration {
+	if a.awaitsFirstEvent {
+		return firstEventCheckInterval
+	}
+	timeout := a.eventIntervals.SilenceTimeout(silencePolicy)
+	if a.waiting {
+		return max(timeout, waitingCheckInterval)
+	}
+	return timeout
+}
+
+// progressed records that the server sent the head of its answer or an event.
+func (a *streamAttempt) progressed(now time.Time) {
+	a.receivedAt = now
+	a.checkAt, a.fragmentsSince = time.Time{}, time.Time{}
+	a.checkedBytes = a.conn.Received()
+}
+
+// sendsNoEvent reports, at a check, whether the server has sent bytes without completing an event
+// for maxFragmentTime. A server that sends a part and is then silent is not meant.
+func (a *streamAttempt) sendsNoEvent(now time.Time) bool {
+	received := a.conn.Received()
+	if received == a.checkedBytes {
+		return false
+	}
+	a.checkedBytes = received
+	if a.fragmentsSince.IsZero() {
+		a.fragmentsSince = now
+	}
+	return now.Sub(a.fragmentsSince) >= maxFragmentTime
+}
+
+// errNoEvent means that a server sends bytes but neither a head nor an event.
+var errNoEvent = fault.New(fault.UpstreamBroken, "the server sends bytes without completing an event")
+
 // recordResponse records in the ledger that the server itself responded: with the
 // head of an answer that it signed, or with a part of the body.
 func (a *streamAttempt) recordResponse() {
@@ -109,6 +143,10 @@
 	// maxSilence is the silence after which a running stream leaves its server
 	// even though the server runs, if another one may take over.
 	maxSilence = 1500 * time.Millisecond
+	// maxFragmentTime is the time between the first and the last check that find bytes without an
+	// event, after which the server is not sound. With the checks before and after it, callers that
+	// abandon a stream after a gap of two seconds get an end or the next event before.
+	maxFragmentTime = time.Second
 	// unansweredProbeDelay is the time after which a server that has not begun to
 	// answer is always probed, and its load report can show that the answer was
 	// lost. The reports are some 200 ms old.
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -32,11 +32,17 @@
 	stopClosing func() bool
 	// response is the head of an answer that can be forwarded, nil until it was received.
 	response *http1.Response
-	// sentAt is when the request was sent, receivedAt when data was last received
-	// from the server, at first the end of the connection attempt.
+	// sentAt is when the request was sent, receivedAt when the head or an event was last
+	// received from the server, at first the end of the connection attempt.
 	sentAt         time.Time
 	receivedAt     time.Time
 	eventIntervals suspicion.IntervalEstimator
+	// checkAt is when the server is checked unless it sends an event before; zero when not set yet.
+	checkAt time.Time
+	// checkedBytes is the number of received bytes at the last event or check, fragmentsSince the
+	// first check that found bytes without an event; zero for none.
+	checkedBytes   int64
+	fragmentsSince time.Time
 	// awaitsFirstEvent is set until the first event.
 	awaitsFirstEvent bool
 	// waiting is set once the server was silent and no other could take over.
@@ -158,6 +164,7 @@
 		return &streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
 	}
 	a.conn, a.stopClosing = conn, context.AfterFunc(ctx, conn.Close)
+	a.checkedBytes = conn.Received()
 	dispatch := message.Dispatch{
 		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
 		Position: r.events.position, Resume: r.j.sends > 1,
@@ -195,16 +202,24 @@
 	return a.receive(ctx)
 }
 
-// readHead reads the head of the answer, whose first bytes were received.
+// readHead reads the head of the answer, whose first bytes were received. It returns errNoEvent
+// when bytes come for headTimeout without completing the head.
 func (a *streamAttempt) readHead(ctx context.Context) (*http1.Response, error) {
 	for {
+		received := a.conn.Received()
 		if err := a.conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
 			return nil, err
 		}
 		response, err := a.conn.ReadHead(a.run.j.exchange.Head.Method)
-		if !upstream.IsReadTimeout(err) || ctx.Err() != nil || a.leave(ctx, err) {
+		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return response, err
 		}
+		if a.conn.Received() > received {
+			return nil, errNoEvent
+		}
+		if a.leave(ctx, err) {
+			return nil, err
+		}
 	}
 }
 
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -27,6 +27,7 @@
 	}
 	a.response = response
 	a.recordResponse()
+	a.progressed(time.Now())
 	return nil
 }
 
@@ -39,14 +40,11 @@
 	if !strings.HasPrefix(response.Fields.Get("Content-Type"), "text/event-stream") {
 		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
 	}
-	if err := r.begin(response); err != nil {
-		return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
-	}
 	if r.resumes > 0 {
 		event.Log(r.f.logger, event.StreamResumed).Str("request", r.j.request.ID).Str("server", a.server.ID).
 			Uint64("position", r.events.position).Int("sends", r.j.sends).Dur("after_ms", time.Since(a.sentAt)).Send()
 	}
-	return a.forwardEvents(ctx, a.conn.Body(response))
+	return a.forwardEvents(ctx, response)
 }
 
 var errNoStream = fault.New(fault.UpstreamBroken, "the answer is not an event stream")
@@ -88,9 +86,10 @@
 
 var errAnswerTooLong = fault.New(fault.UpstreamBroken, "the answer is too long")
 
-// forwardEvents forwards events until the stream ends.
-func (a *streamAttempt) forwardEvents(ctx context.Context, body *http1.Body) streamResult {
-	r := a.run
+// forwardEvents forwards events until the stream ends. The client gets the head with the first of
+// them, so that another server's answer can replace one that has none.
+func (a *streamAttempt) forwardEvents(ctx context.Context, response *http1.Response) streamResult {
+	r, body := a.run, a.conn.Body(response)
 	r.events.restart()
 	for {
 		var data []byte
@@ -99,8 +98,7 @@
 			return err
 		})
 		if errors.Is(err, io.EOF) && body.Ended() {
-			err := r.events.complete()
-			return streamResult{complete: err == nil, code: fault.UpstreamBroken, err: err}
+			return a.completeStream(response)
 		}
 		if err != nil {
 			return streamResult{code: failureCode(err), err: err}
@@ -109,8 +107,8 @@
 		r.buffer = events
 		if count > 0 {
 			a.recordEvents(count)
-			if err := r.j.exchange.Write(events); err != nil {
-				return streamResult{code: fault.UpstreamBroken, err: errors.Join(errClientWrite, err)}
+			if err := r.write(response, events); err != nil {
+				return streamResult{code: fault.UpstreamBroken, err: err}
 			}
 		}
 		if err != nil {
@@ -119,10 +117,39 @@
 	}
 }
 
+// completeStream ends the stream unless it ended within an event.
+func (a *streamAttempt) completeStream(response *http1.Response) streamResult {
+	r := a.run
+	err := r.events.complete()
+	if err == nil {
+		err = r.write(response, r.events.rest())
+	}
+	return streamResult{complete: err == nil, code: fault.UpstreamBroken, err: err}
+}
+
+// write sends a part of the stream to the client, after its head if it was not sent yet. Errors are
+// errClientWrite.
+func (r *streamRun) write(response *http1.Response, part []byte) error {
+	err := r.begin(response)
+	if err == nil {
+		err = r.j.exchange.Write(part)
+	}
+	if err != nil {
+		return errors.Join(errClientWrite, err)
+	}
+	return nil
+}
+
 // recordEvents records the arrival of events. With the first one the prompt no
 // longer counts as waiting in the load of the server.
 func (a *streamAttempt) recordEvents(count int) {
 	r := a.run
+	now := time.Now()
+	if !a.awaitsFirstEvent {
+		a.eventIntervals.Observe(now.Sub(a.receivedAt))
+		a.recordResponse()
+	}
+	a.progressed(now)
 	r.deliveredEvents += count
 	r.deliveredBy = a.server.ID
 	r.recordVersion(a)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// Received returns the number of bytes that were received over the connection so far.
+func (c *Conn) Received() int64 { return c.reader.Received() }
+
 // WaitHead waits for the first bytes of the answer's head. If the read deadline
 // expires before, no data is lost and the call can be repeated.
 func (c *Conn) WaitHead() error {
