Bound the memory of all buffered answers together

Cause: each answer to a call, each answer to a stream that is not one, and each answer to a probe could be 4 MB, without a bound on all of them. An instance has 128 MB, of which its heap may use 77.

Change: buffered answers take their memory from a budget of an eighth of the instance's memory (16 MB), which is returned when an attempt fails and when the request ends. An attempt that finds no room fails as answers_full: a safe call may be sent again, otherwise the client gets 502, since the request may have run. Load reports and ids are bounded to 256 KB, cache reports to 1 MB; both and parts of events count too. A body over 16 KB is no longer copied to be sent behind its head.

Conclusion: endless answers cost an instance a bounded part of its memory, and the calls that they belong to.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -23,6 +23,9 @@
 	// together may use: less than half of the heap, because they are copied when
 	// they are sent.
 	bodyFraction = 0.25
+	// answerFraction is the fraction of the process's memory that all buffered answers together may
+	// use: their buffers are up to twice as large, and are copied when they grow.
+	answerFraction = 0.125
 )
 
 // Apply applies changed settings to the running instance. Its name, data centre,
@@ -73,6 +76,7 @@
 			Window:         gatewaySettings.SecondSends.Window(),
 		},
 		AddressReuse: gatewaySettings.AddressReuse(),
+		AnswerBytes:  int64(answerFraction * gatewaySettings.MemoryMB * (1 << 20)),
 	}
 }
 
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		a.f.meters.count("probes")
-		response, _, err := a.f.query(ctx, server, request, adoptProbeTimeout)
+		response, _, err := a.f.query(ctx, server, request, maxReportBytes, adoptProbeTimeout)
 		if err != nil || ctx.Err() != nil {
 			continue // No answer yet: the address is probed again until the deadline.
 		}
--- a/gateway/forward/apply.go
+++ b/gateway/forward/apply.go
@@ -16,11 +16,14 @@
 	// AddressReuse is the time for which the address of a stopped server is not
 	// given to another; 0 when unknown.
 	AddressReuse time.Duration
+	// AnswerBytes is the maximum size of all buffered answers together.
+	AnswerBytes int64
 }
 
 // Apply replaces options of a running forwarder.
 func (f *Forwarder) Apply(options ReloadableOptions) {
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
+	f.answers.limit.Store(options.AnswerBytes)
 	f.selector.apply(options)
 }
 
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -142,7 +142,11 @@
 	case r.failedAnswer != nil:
 		r.f.forwardAnswer(r.j, r.failedAnswer)
 	case r.mayHaveRun:
-		r.f.reject(r.j, localAnswer{status: 502, code: fault.UpstreamBroken, cause: r.lastFailure.err})
+		code := fault.UpstreamBroken
+		if r.lastFailure.code == fault.AnswerMemoryFull {
+			code = fault.AnswerMemoryFull
+		}
+		r.f.reject(r.j, localAnswer{status: 502, code: code, cause: r.lastFailure.err})
 	default:
 		r.f.reject(r.j, localAnswer{status: 503, code: r.lastFailure.code, cause: r.lastFailure.err, retryAfter: busyRetryAfter})
 	}
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -88,8 +88,10 @@
 		f.endUnusable(ctx, conn, &checked, answer)
 		return checked
 	}
-	checked.body, err = conn.Body(response).ReadAll(maxAnswerBytes)
+	memory := j.answers.part()
+	checked.body, err = conn.Body(response).ReadAllReserving(maxAnswerBytes, memory.grow)
 	if err != nil {
+		memory.release()
 		return f.failedExchange(conn, result, err)
 	}
 	if ctx.Err() != nil {
@@ -149,6 +151,9 @@
 	if upstream.IsTimeout(err) {
 		result.code = fault.UpstreamTimeout
 	}
+	if errors.Is(err, errAnswersFull) {
+		result.code = fault.AnswerMemoryFull
+	}
 	if result.notRun {
 		result.code = fault.UpstreamUnreachable
 	}
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -36,6 +36,8 @@
 	askPeers        func(key streamversion.Key) bool
 	loadStreams     func(ctx context.Context) (recent bool, err error)
 	streamDurations streamDuration
+	// answers bounds the memory of all buffered answers.
+	answers answerBudget
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
 }
@@ -56,6 +58,7 @@
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
+	f.answers.limit.Store(options.AnswerBytes)
 	return f
 }
 
@@ -180,6 +183,8 @@
 		return
 	}
 	f.selector.recordRequest(j.service)
+	j.answers.budget = &f.answers
+	defer j.answers.close()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if j.route.Kind == route.Stream {
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -23,6 +23,8 @@
 	deadline time.Time
 	// sends counts the attempts to send the request to a backend server.
 	sends int
+	// answers is the memory of the buffered answers.
+	answers answerMemory
 	// failedServers holds the ids of the servers that failed the request.
 	failedServers []string
 }
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -20,7 +20,7 @@
 		return message.Report{}, true
 	}
 	f.meters.count("probes")
-	response, body, err := f.query(ctx, server, f.protocol.LoadRequest(server.Address), probeTimeout)
+	response, body, err := f.query(ctx, server, f.protocol.LoadRequest(server.Address), maxReportBytes, probeTimeout)
 	if err != nil {
 		return message.Report{}, false
 	}
@@ -34,26 +34,35 @@
 	return report, true
 }
 
-// query sends a request of the instance itself to a server and returns its answer.
+const (
+	// maxReportBytes bounds a load report or a server's id in bytes, maxCacheReportBytes a report of
+	// an engine's cache.
+	maxReportBytes      = 256 << 10
+	maxCacheReportBytes = 1 << 20
+)
+
+// query sends a request of the instance itself to a server and returns its answer of at most limit bytes.
 // It tries once more over a new connection when a reused one fails, because the
 // server may have closed it while it was idle.
-func (f *Forwarder) query(ctx context.Context, server *directory.Server, request []byte, timeout time.Duration) (*http1.Response, []byte, error) {
+func (f *Forwarder) query(ctx context.Context, server *directory.Server, request []byte, limit int, timeout time.Duration) (*http1.Response, []byte, error) {
 	deadline := time.Now().Add(timeout)
-	response, body, reused, err := f.queryOnce(ctx, server, request, deadline, true)
+	response, body, reused, err := f.queryOnce(ctx, server, request, limit, deadline, true)
 	if err != nil && reused && time.Now().Before(deadline) {
-		response, body, _, err = f.queryOnce(ctx, server, request, deadline, false)
+		response, body, _, err = f.queryOnce(ctx, server, request, limit, deadline, false)
 	}
 	return response, body, err
 }
 
-func (f *Forwarder) queryOnce(ctx context.Context, server *directory.Server, request []byte, deadline time.Time, reuse bool) (response *http1.Response, body []byte, reused bool, err error) {
+func (f *Forwarder) queryOnce(ctx context.Context, server *directory.Server, request []byte, limit int, deadline time.Time, reuse bool) (response *http1.Response, body []byte, reused bool, err error) {
 	conn, err := f.pool.Open(ctx, server.ID, server.Address, min(connectTimeout, time.Until(deadline)), reuse)
 	if err != nil {
 		return nil, nil, false, err
 	}
 	stopClosing := context.AfterFunc(ctx, conn.Close)
 	defer stopClosing()
-	response, body, err = roundTrip(conn, request, deadline)
+	memory := answerMemory{budget: &f.answers}
+	defer memory.close() // The answer is read into numbers at once.
+	response, body, err = roundTrip(conn, request, limit, deadline, memory.part())
 	if err != nil {
 		conn.Close()
 		return nil, nil, conn.Reused, err
@@ -63,8 +72,9 @@
 	return response, body, conn.Reused, nil
 }
 
-// roundTrip sends one request and reads the complete answer.
-func roundTrip(conn *upstream.Conn, request []byte, deadline time.Time) (*http1.Response, []byte, error) {
+// roundTrip sends one request and reads the complete answer of at most limit bytes into memory that
+// it takes.
+func roundTrip(conn *upstream.Conn, request []byte, limit int, deadline time.Time, memory *answerPart) (*http1.Response, []byte, error) {
 	if err := conn.SetReadDeadline(deadline); err != nil {
 		return nil, nil, err
 	}
@@ -75,6 +85,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	body, err := conn.Body(response).ReadAll(maxAnswerBytes)
+	body, err := conn.Body(response).ReadAllReserving(limit, memory.grow)
 	return response, body, err
 }
--- a/gateway/forward/prompt_finder.go
+++ b/gateway/forward/prompt_finder.go
@@ -152,7 +152,7 @@
 // ask asks one engine for the prompts that it keeps.
 func (p *promptFinder) ask(sweep *promptSweep, server *directory.Server) {
 	p.f.meters.count("probes")
-	response, body, err := p.f.query(context.Background(), server, p.f.protocol.CacheReportRequest(server.Address), promptQueryTimeout)
+	response, body, err := p.f.query(context.Background(), server, p.f.protocol.CacheReportRequest(server.Address), maxCacheReportBytes, promptQueryTimeout)
 	if err != nil || response.Status != 200 {
 		sweep.add(server, message.CacheReport{Partial: true})
 		return
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -237,9 +237,12 @@
 // stream goes to another server, if one may take over.
 const headTimeout = time.Second
 
-// failureCode returns UpstreamTimeout for an expired read deadline, otherwise
-// UpstreamBroken.
+// failureCode returns UpstreamTimeout for an expired read deadline, AnswerMemoryFull for an answer
+// that finds no memory, otherwise UpstreamBroken.
 func failureCode(err error) fault.Code {
+	if errors.Is(err, errAnswersFull) {
+		return fault.AnswerMemoryFull
+	}
 	if upstream.IsTimeout(err) {
 		return fault.UpstreamTimeout
 	}
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -55,16 +55,18 @@
 	if a.run.j.exchange.Started() {
 		return streamResult{code: fault.UpstreamBroken, err: errNoStream}
 	}
-	body, err := a.readWhole(ctx, a.conn.Body(a.response))
+	memory := a.run.j.answers.part()
+	body, err := a.readWhole(ctx, a.conn.Body(a.response), memory)
 	if err != nil {
+		memory.release()
 		return streamResult{code: failureCode(err), err: err}
 	}
 	answer := &callResult{server: a.server, response: a.response, body: body}
 	return streamResult{finalAnswer: answer, code: fault.UpstreamBroken, err: errNoStream}
 }
 
-// readWhole reads the rest of an answer's body.
-func (a *streamAttempt) readWhole(ctx context.Context, body *http1.Body) (whole []byte, err error) {
+// readWhole reads the rest of an answer's body into memory that it takes.
+func (a *streamAttempt) readWhole(ctx context.Context, body *http1.Body, memory *answerPart) (whole []byte, err error) {
 	for {
 		var data []byte
 		err := a.awaitData(ctx, func() (err error) {
@@ -80,6 +82,9 @@
 		if len(whole)+len(data) > maxAnswerBytes {
 			return nil, errAnswerTooLong
 		}
+		if err := memory.grow(len(data)); err != nil {
+			return nil, err
+		}
 		whole = append(whole, data...)
 	}
 }
@@ -91,6 +96,8 @@
 func (a *streamAttempt) forwardEvents(ctx context.Context, response *http1.Response) streamResult {
 	r, body := a.run, a.conn.Body(response)
 	r.events.restart()
+	memory := r.j.answers.part()
+	defer memory.release()
 	for {
 		var data []byte
 		err := a.awaitData(ctx, func() (err error) {
@@ -111,8 +118,11 @@
 				return streamResult{code: fault.UpstreamBroken, err: err}
 			}
 		}
+		if err == nil {
+			err = memory.resize(len(r.events.partial))
+		}
 		if err != nil {
-			return streamResult{code: fault.UpstreamBroken, err: err}
+			return streamResult{code: failureCode(err), err: err}
 		}
 	}
 }
--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -207,6 +207,22 @@
 	return err
 }
 
+// copiedBytes is the size in bytes of a body up to which it is copied behind its head.
+const copiedBytes = 16 << 10
+
+// writeParts writes a head and a body. A large body is not copied.
+func (c *clientConn) writeParts(head, body []byte) error {
+	if len(body) <= copiedBytes {
+		return c.write(append(head, body...))
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	parts := net.Buffers{head, body}
+	_, err := parts.WriteTo(c.conn)
+	return err
+}
+
 // closeIfIdle closes the connection unless a request has begun.
 func (c *clientConn) closeIfIdle() {
 	if c.state.CompareAndSwap(stateIdle, stateClosed) {
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -45,10 +45,10 @@
 		body = nil
 	}
 	head = x.endHead(head)
-	if x.Head.Method != "HEAD" {
-		head = append(head, body...)
+	if x.Head.Method == "HEAD" {
+		body = nil
 	}
-	if err := x.conn.write(head); err != nil {
+	if err := x.conn.writeParts(head, body); err != nil {
 		x.closing = true
 		return err
 	}
