Don't read a connection's state after it was given back to the pool

Cause: a probe and a call read whether their connection was a reused one after they had put it back, when another request may take it and write that field. A wrong value decides whether a failed request is sent again over a new connection.

Change: the value is read before.

TestEndlessAnswersToStreamsFitIntoMemory guards it under the race detector.

Conclusion: found by load, not by review; nothing else reads a connection after it was put back.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -52,10 +52,11 @@
 		result.notRun, result.code, result.err = true, fault.UpstreamUnreachable, err
 		return result
 	}
+	reused := conn.Reused // The connection may be another request's after the exchange.
 	stopClosing := context.AfterFunc(ctx, conn.Close)
 	result = f.exchangeCall(ctx, j, server, conn, result.started)
 	stopClosing()
-	if conn.Reused && result.response == nil && result.code == fault.UpstreamBroken && ctx.Err() == nil && j.route.Repeatable() {
+	if reused && result.response == nil && result.code == fault.UpstreamBroken && ctx.Err() == nil && j.route.Repeatable() {
 		// The server closed the reused connection before it received the request.
 		return f.attemptCall(ctx, j, server, false)
 	}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -68,8 +68,9 @@
 		return nil, nil, conn.Reused, err
 	}
 	f.readAnswer(server, response)
-	f.pool.Put(server.ID, conn, response)
-	return response, body, conn.Reused, nil
+	reused = conn.Reused
+	f.pool.Put(server.ID, conn, response) // From now on it may be another request's.
+	return response, body, reused, nil
 }
 
 // roundTrip sends one request and reads the complete answer of at most limit bytes into memory that
