Bound the number of tiny chunks of a body

Cause: the bound on framing allowed 16 bytes for each byte of data, and so any number of chunks of one byte. An answer of 4 MB in such chunks took 0.53 s of a processor to read, and with the race detector on two processors the call ran to its deadline of 2 s; each chunk also took memory from the shared budget on its own.

Change: chunk lines, chunk ends and trailer lines may exceed the data by 256 KB: 64,000 chunks of one byte, or any number of chunks of five bytes and more. Memory is reserved for 1 KB at least at a time.

Conclusion: the time that an answer takes is bounded by its data.

--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -12,10 +12,9 @@
 	maxChunkLineBytes = 256
 	// maxTrailerLineBytes is the largest size in bytes of a field line after the last chunk.
 	maxTrailerLineBytes = 4096
-	// maxFramingBytes is the largest size in bytes of chunk lines and trailer lines beyond
-	// framingPerByte for each byte of data.
-	maxFramingBytes = 8 << 10
-	framingPerByte  = 16
+	// maxFramingBytes is by how many bytes the chunk lines, chunk ends and trailer lines may exceed
+	// the data.
+	maxFramingBytes = 256 << 10
 	// maxBodyBufferBytes is the largest size in bytes of the buffer for a body.
 	maxBodyBufferBytes = 32 << 10
 	// maxChunkDigits is the largest number of digits of a chunk size, to fit in 32 bits.
@@ -31,8 +30,8 @@
 	inChunk   bool
 	inTrailer bool
 	ended     bool
-	// framingBytes is the size of the chunk lines and trailer lines, less framingPerByte for each
-	// byte of data; at least 0.
+	// framingBytes is the size of the chunk lines, chunk ends and trailer lines, less that of the data
+	// after them; at least 0.
 	framingBytes int
 }
 
@@ -77,7 +76,7 @@
 	size := min(int64(b.reader.Buffered()), b.remaining)
 	data := b.consume(int(size))
 	b.remaining -= size
-	b.framingBytes = max(0, b.framingBytes-framingPerByte*int(size))
+	b.framingBytes = max(0, b.framingBytes-int(size))
 	if b.remaining == 0 && b.framing.Kind == FramingLength {
 		b.ended = true
 	}
@@ -152,6 +151,7 @@
 		return malformed("chunk", "no line end after its data")
 	}
 	b.inChunk = false
+	b.framingBytes += len(end)
 	return nil
 }
 
@@ -206,13 +206,17 @@
 	return b.ReadAllReserving(limit, func(int) error { return nil })
 }
 
-// ReadAllReserving is like ReadAll but calls reserve with the size of each part
-// before it keeps the part in memory. It returns the first error of reserve.
+// reservedBytes is the size in bytes that ReadAllReserving reserves at least at a time.
+const reservedBytes = 1 << 10
+
+// ReadAllReserving is like ReadAll but calls reserve with a size in bytes before it keeps as much
+// more of the body in memory. It returns the first error of reserve.
 func (b *Body) ReadAllReserving(limit int, reserve func(bytes int) error) ([]byte, error) {
 	if b.framing.Kind == FramingLength && b.framing.Length > int64(limit) {
 		return nil, tooLarge()
 	}
 	var body []byte
+	reserved := 0
 	for {
 		data, err := b.Next()
 		if errors.Is(err, io.EOF) {
@@ -224,8 +228,12 @@
 		if len(body)+len(data) > limit {
 			return nil, tooLarge()
 		}
-		if err := reserve(len(data)); err != nil {
-			return nil, err
+		if missing := len(body) + len(data) - reserved; missing > 0 {
+			missing = max(missing, min(reservedBytes, limit-reserved))
+			if err := reserve(missing); err != nil {
+				return nil, err
+			}
+			reserved += missing
 		}
 		body = append(body, data...)
 	}
