Send a safe call to a third server besides answers that don't end

Cause: a safe call was sent to a second server once, after a part of its target latency. When the answers of both began and dripped, nothing ended them before the deadline, although the route allowed more attempts and another server was sound.

Change: the check is repeated in the same interval. Later checks send the call again only if an answer has begun and not ended, within the route's attempts and the bound on second sends. Servers that work without having sent a byte cause no further send, as before.

Conclusion: an endless answer costs a safe call one check interval for each server that sends one.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -15,6 +15,8 @@
 	// secondSendFraction is the fraction of the target latency after which an
 	// idempotent call is sent to a second server while the first still runs it.
 	secondSendFraction = 0.4
+	// minCheckInterval bounds the time between two checks of the answers that have begun.
+	minCheckInterval = 50 * time.Millisecond
 	// maxNotRunSends bounds the attempts of a call that certainly did not run.
 	maxNotRunSends = 3
 )
@@ -45,17 +47,22 @@
 		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: f.selector.untilServer(j.service)})
 		return
 	}
-	second := time.NewTimer(time.Duration(secondSendFraction * float64(j.route.TargetLatency)))
+	interval := time.Duration(secondSendFraction * float64(j.route.TargetLatency))
+	second := time.NewTimer(interval)
 	defer second.Stop()
+	checked := false
 	for {
 		select {
 		case <-ctx.Done():
 			run.cancelled(ctx)
 			return
 		case <-second.C:
-			if j.route.Kind == route.Idempotent && j.sends < j.route.Attempts && f.selector.takeSecondSend(j.request.ID, j.service) {
-				run.send(ctx)
+			// Later checks send it again only if a server doesn't end the answer that it has begun.
+			if !checked || j.unfinished.Load() > 0 {
+				run.sendBesides(ctx)
 			}
+			checked = true
+			second.Reset(max(interval, minCheckInterval))
 		case result := <-run.results:
 			if run.handleResult(ctx, result) {
 				return
@@ -97,6 +104,13 @@
 	return true
 }
 
+// sendBesides sends an idempotent call to another server while the attempts so far run.
+func (r *callRun) sendBesides(ctx context.Context) {
+	if r.j.route.Kind == route.Idempotent && r.j.sends < r.j.route.Attempts && r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
+		r.send(ctx)
+	}
+}
+
 // handleResult processes an attempt's end and reports whether the call was answered.
 func (r *callRun) handleResult(ctx context.Context, result callResult) bool {
 	r.pending--
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -77,6 +77,11 @@
 	if err := conn.SetReadDeadline(j.deadline.Add(answerMargin)); err != nil {
 		return f.failedExchange(conn, result, err)
 	}
+	if err := conn.WaitHead(); err != nil {
+		return f.failedExchange(conn, result, err)
+	}
+	j.unfinished.Add(1)
+	defer j.unfinished.Add(-1)
 	response, err := conn.ReadHead(j.exchange.Head.Method)
 	if err != nil {
 		return f.failedExchange(conn, result, err)
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
@@ -23,6 +24,8 @@
 	deadline time.Time
 	// sends counts the attempts to send the request to a backend server.
 	sends int
+	// unfinished counts the attempts of a call whose answer has begun and not ended.
+	unfinished atomic.Int32
 	// answers is the memory of the buffered answers.
 	answers answerMemory
 	// failedServers holds the ids of the servers that failed the request.
