Return the memory of a request's body before its answer ends

Callers with a large body could get 503 (bodies_full) right after the answer to the large request before.

Cause: the memory of a body was returned after the end of the answer had been written.

Change: it is returned before the end of the answer is written; no attempt needs the body by then.

Conclusion: whoever has an answer finds its memory free.

--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -71,6 +71,7 @@
 		c.reject(err)
 		return false
 	}
+	exchange.releaseBody = reserved.release
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -22,6 +22,9 @@
 	answered bool
 	streamed bool
 	ended    bool
+	// releaseBody returns the memory of Body to its budget. It is called before the end of the answer is
+	// written, so that a client that has it finds the memory free.
+	releaseBody func()
 	// closing is set when the connection is closed after this answer.
 	closing bool
 	chunk   []byte
@@ -37,6 +40,7 @@
 		return ErrAnswered
 	}
 	x.answered = true
+	x.bodyDone()
 	if hasBody(head) {
 		head = append(head, "Content-Length: "...)
 		head = strconv.AppendInt(head, int64(len(body)), 10)
@@ -80,6 +84,7 @@
 
 // End completes a streamed answer.
 func (x *Exchange) End() error {
+	x.bodyDone()
 	if err := x.send([]byte("0\r\n\r\n")); err != nil {
 		return err
 	}
@@ -87,6 +92,13 @@
 	return nil
 }
 
+// bodyDone returns the memory of the body.
+func (x *Exchange) bodyDone() {
+	if x.releaseBody != nil {
+		x.releaseBody()
+	}
+}
+
 // Abort closes the connection at once, so that the client does not take a partial
 // answer for a complete one.
 func (x *Exchange) Abort() {
