Remove the load of a successor whose client left as it took over

Cause: a stream whose client left between the take-over by its successor and the next attempt ended without ending that attempt; its connection was closed with the request, but its load stayed in the ledger.

Change: the stream ends such an attempt when it returns.

Measured: found by reading; the moment is too short for a test that fails each time. The tests of silent servers and of leaving clients pass.

Conclusion: each attempt that was counted is ended.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -100,6 +100,7 @@
 		return
 	}
 	run.findPrompt(ctx)
+	defer run.dropSuccessor(ctx)
 	for {
 		result, found := run.attempt(ctx)
 		if !found {
@@ -124,6 +125,13 @@
 	}
 }
 
+// dropSuccessor ends an attempt that has taken the stream over when the client left at that moment.
+func (r *streamRun) dropSuccessor(ctx context.Context) {
+	if r.successor != nil {
+		r.successor.end(ctx, streamResult{code: fault.UpstreamBroken, err: ctx.Err()})
+	}
+}
+
 // findPrompt looks for the engine that keeps the prompt of a stream which the client resumes, or
 // of one that can end in time only if some engine keeps it.
 func (r *streamRun) findPrompt(ctx context.Context) {
