--- a/gateway/forward/run_end.go
+++ b/gateway/forward/run_end.go
@@ -46,7 +46,7 @@
 
 // justBegun reports whether the server has not sent events for longer than crashTime.
 func (a *streamAttempt) justBegun() bool {
-	return a.firstEventAt.IsZero() || time.Since(a.firstEventAt) <= crashTime
+	return a.awaitsFirstEvent() || time.Since(a.firstEventAt) <= crashTime
 }
 
 // mayHaveCrashed reports whether the attempt ended because the server's connection broke.
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -64,7 +64,7 @@
 
 // checkInterval returns the time after an event, or after a check, until the server is checked.
 func (a *streamAttempt) checkInterval() time.Duration {
-	if a.awaitsFirstEvent {
+	if a.awaitsFirstEvent() {
 		return firstEventCheckInterval
 	}
 	timeout := a.eventIntervals.SilenceTimeout(silencePolicy)
@@ -112,7 +112,7 @@
 	var lastResponse time.Time
 	f := a.run.f
 	f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(a.server.ID) })
-	if a.awaitsFirstEvent {
+	if a.awaitsFirstEvent() {
 		if now.Sub(lastResponse) < timeout/2 && now.Sub(a.sentAt) < unansweredProbeDelay {
 			return true
 		}
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -43,9 +43,8 @@
 	// first check that found bytes without an event; zero for none.
 	checkedBytes   int64
 	fragmentsSince time.Time
-	// awaitsFirstEvent is set until the first event, which came at firstEventAt.
-	awaitsFirstEvent bool
-	firstEventAt     time.Time
+	// firstEventAt is when the first event came; zero until then.
+	firstEventAt time.Time
 	// ranClean is set when the run was recorded as one without a crash.
 	ranClean bool
 	// waiting is set once the server was silent and no other could take over.
@@ -76,7 +75,7 @@
 
 // newAttempt returns an attempt at a server, and counts it.
 func (r *streamRun) newAttempt(to destination) *streamAttempt {
-	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting, awaitsFirstEvent: true}
+	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting}
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
 	case a.reconnecting && r.cacheCopyServer != nil:
@@ -90,6 +89,9 @@
 	return a
 }
 
+// awaitsFirstEvent reports whether the server has not sent an event yet.
+func (a *streamAttempt) awaitsFirstEvent() bool { return a.firstEventAt.IsZero() }
+
 // end closes the connection of an attempt, and handles its failure. It returns its result.
 func (a *streamAttempt) end(ctx context.Context, result streamResult) streamResult {
 	if a.conn != nil {
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -161,7 +161,7 @@
 func (a *streamAttempt) recordEvents(count int) {
 	r := a.run
 	now := time.Now()
-	if !a.awaitsFirstEvent {
+	if !a.awaitsFirstEvent() {
 		a.eventIntervals.Observe(now.Sub(a.receivedAt))
 		a.recordResponse()
 	}
@@ -173,11 +173,11 @@
 		r.firstEventAt = time.Now()
 		r.f.meters.latency(r.j.route.Kind, r.firstEventAt.Sub(r.j.exchange.Received))
 	}
-	if !a.awaitsFirstEvent {
+	if !a.awaitsFirstEvent() {
 		a.recordProgress(now)
 		return
 	}
-	a.awaitsFirstEvent, a.firstEventAt = false, now
+	a.firstEventAt = now
 	change := placement.Load{PrefillTokens: -a.load.PrefillTokens}
 	a.load.PrefillTokens = 0
 	r.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { ledger.Add(a.server.ID, change) })
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
@@ -199,7 +200,7 @@
 		case tagStreamRecords:
 			return digest.decodeStreamRecords(text)
 		case tagWantedStreams:
-			keys, err := decodeKeys(text)
+			keys, err := decodeKeys[streamversion.Key](text)
 			digest.WantedStreams = append(digest.WantedStreams, keys...)
 			return err
 		case tagCrash, tagCleanRun, tagQuarantine:
--- a/gateway/peers/poison_codec.go
+++ b/gateway/peers/poison_codec.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"encoding/binary"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -48,11 +47,7 @@
 }
 
 func encodeReport(age time.Duration, keys ...poison.Key) []byte {
-	packed := make([]byte, 0, keyBytes*len(keys))
-	for _, key := range keys {
-		packed = binary.LittleEndian.AppendUint64(packed, uint64(key))
-	}
-	b := protowire.AppendBytes(protowire.AppendTag(nil, tagReportKeys, protowire.BytesType), packed)
+	b := protowire.AppendBytes(protowire.AppendTag(nil, tagReportKeys, protowire.BytesType), encodeKeys(keys))
 	return appendNumber(b, tagReportAge, uint64(max(0, age.Milliseconds())))
 }
 
@@ -68,15 +63,13 @@
 // decodeReport decodes a report with at least one key. Errors have the code PeerMessage.
 func decodeReport(message []byte) (decodedReport, error) {
 	var report decodedReport
-	err := eachField(message, func(tag protowire.Number, number uint64, text []byte) error {
+	err := eachField(message, func(tag protowire.Number, number uint64, text []byte) (err error) {
 		switch tag {
 		case tagReportKeys:
-			if len(text)%keyBytes != 0 || len(text) > maxReportKeys*keyBytes {
-				return fault.New(fault.PeerMessage, "report on a request: the keys are too many, or not a multiple of eight bytes")
-			}
-			for ; len(text) > 0; text = text[keyBytes:] {
-				report.keys = append(report.keys, poison.Key(binary.LittleEndian.Uint64(text)))
+			if len(text) > maxReportKeys*keyBytes {
+				return fault.New(fault.PeerMessage, "report on a request: too many keys")
 			}
+			report.keys, err = decodeKeys[poison.Key](text)
 		case tagReportAge:
 			report.age = time.Duration(min(number, maxNumber)) * time.Millisecond
 		case tagReportServer:
@@ -84,7 +77,7 @@
 		case tagReportRenewals:
 			report.renewals = int(min(number, maxNumber))
 		}
-		return nil
+		return err
 	})
 	if err == nil && len(report.keys) == 0 {
 		err = fault.New(fault.PeerMessage, "report on a request: the key is missing")
--- a/gateway/peers/stream_codec.go
+++ b/gateway/peers/stream_codec.go
@@ -1,8 +1,6 @@
 package peers
 
 import (
-	"encoding/binary"
-
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
@@ -16,9 +14,6 @@
 	tagGroupService
 )
 
-// keyBytes is the size of an encoded stream key.
-const keyBytes = 8
-
 // maxOriginBytes bounds the service and the software version in a stream record, each.
 const maxOriginBytes = 128
 
@@ -43,26 +38,6 @@
 	return b
 }
 
-func encodeKeys(keys []streamversion.Key) []byte {
-	packed := make([]byte, 0, keyBytes*len(keys))
-	for _, key := range keys {
-		packed = binary.LittleEndian.AppendUint64(packed, uint64(key))
-	}
-	return packed
-}
-
-// decodeKeys decodes packed keys. Errors have the code PeerMessage.
-func decodeKeys(packed []byte) ([]streamversion.Key, error) {
-	if len(packed)%keyBytes != 0 {
-		return nil, fault.New(fault.PeerMessage, "stream keys: not a multiple of eight bytes")
-	}
-	keys := make([]streamversion.Key, 0, len(packed)/keyBytes)
-	for ; len(packed) > 0; packed = packed[keyBytes:] {
-		keys = append(keys, streamversion.Key(binary.LittleEndian.Uint64(packed)))
-	}
-	return keys, nil
-}
-
 func (d *Digest) decodeStreamRecords(group []byte) error {
 	var origin streamversion.Origin
 	var keys []streamversion.Key
@@ -73,7 +48,7 @@
 		case tagGroupVersion:
 			origin.Version = string(text)
 		case tagGroupKeys:
-			keys, err = decodeKeys(text)
+			keys, err = decodeKeys[streamversion.Key](text)
 		}
 		return err
 	})
