Log what makes a stream leave its silent server

Cause: attempt_failed says that a read timed out, and not whether the server was probed, whether it answered or whether the stream alone was silent, so that a log can't tell a server that ended from one that paused.

Change: silent_server_left (7045) names both servers, the time of silence, how long both had the request, and the evidence; silent_server_awaited has the evidence too. What streams do is unchanged.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -14,7 +14,8 @@
 	ReportInvalid           = Definition{7009, "report_invalid", zerolog.WarnLevel, "a backend server's report about its work could not be read", "check the server"}
 	ServerSuspected         = Definition{7010, "server_suspected", zerolog.InfoLevel, "a backend server is avoided for a while", "check the server if it repeats"}
 	ServerAdopted           = Definition{7012, "server_adopted", zerolog.InfoLevel, "a restarted backend server was found at its address before the store listed it", "none"}
-	SilentServerAwaited     = Definition{7017, "silent_server_awaited", zerolog.InfoLevel, "a stream waits for its silent backend server; reason tells why no other one may continue it", "check the server if it repeats"}
+	SilentServerAwaited     = Definition{7017, "silent_server_awaited", zerolog.InfoLevel, "a stream waits for its silent backend server; reason tells why no other one may continue it, evidence what showed the silence", "check the server if it repeats"}
+	SilentServerLeft        = Definition{7045, "silent_server_left", zerolog.InfoLevel, "a stream went on at another backend server because its own is silent; evidence tells what showed that it stopped, is out of reach or does not send", "check the server if it repeats"}
 	StreamVersionFound      = Definition{7018, "stream_version_found", zerolog.InfoLevel, "a client resumes a stream; source tells where the software version that began it was found: record, archive (the records in the store), single (the service has no other), prompt (the engines that keep its prompt) or unknown", "none; if unknown repeats, look for instances that fail together"}
 	StreamRecordsNotWritten = Definition{7019, "stream_records_not_written", zerolog.InfoLevel, "the records of the software versions that began streams could not be written to the store; they are written again", "none while it is rare; check the platform"}
 	ReusedConnectionBroke   = Definition{7040, "reused_connection_broke", zerolog.InfoLevel, "a connection that had carried other requests broke before an answer; the request is sent to the same backend server again over a new one", "check the server if it repeats"}
@@ -45,6 +46,6 @@
 
 var forwardingEvents = []Definition{
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
-	ServerSuspected, SecondSendDenied, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
+	ServerSuspected, SecondSendDenied, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, SilentServerLeft, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
 }
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -56,7 +56,8 @@
 		if a.sendsNoEvent(now) {
 			return errNoEvent
 		}
-		if !a.mayContinue(ctx, now, timeout) && (ctx.Err() != nil || a.leave(ctx, err)) {
+		evidence := a.evidenceToLeave(ctx, now, timeout)
+		if evidence != "" && (ctx.Err() != nil || a.leave(ctx, err, evidence)) {
 			return err
 		}
 	}
@@ -104,32 +105,39 @@
 	a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) { ledger.Received(now, a.server.ID) })
 }
 
-// mayContinue reports whether the attempt may continue although this stream is
-// silent, because the server still runs. Recent responses to other requests or an
-// answer to a probe show this. A running stream with a KV cache copy is not
-// probed: it resumes there.
-func (a *streamAttempt) mayContinue(ctx context.Context, now time.Time, timeout time.Duration) bool {
+// evidenceToLeave returns what shows that the attempt should not continue, empty when it may because the
+// server still runs. Recent responses to other requests or an answer to a probe show this. A running stream
+// with a KV cache copy is not probed: it resumes there.
+func (a *streamAttempt) evidenceToLeave(ctx context.Context, now time.Time, timeout time.Duration) silenceEvidence {
 	var lastResponse time.Time
 	f := a.run.f
 	f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(a.server.ID) })
 	if a.awaitsFirstEvent() {
 		if now.Sub(lastResponse) < timeout/2 && now.Sub(a.sentAt) < unansweredProbeDelay {
-			return true
+			return ""
 		}
 		report, answers := f.probe(ctx, a.server)
-		return answers && !a.answerLost(&report)
+		if !answers {
+			return evidenceNoAnswer
+		}
+		if a.answerLost(&report) {
+			return evidenceAnswerLost
+		}
+		return ""
 	}
 	if now.Sub(a.receivedAt) >= maxSilence {
-		return false
+		return evidenceLongSilence
 	}
 	if now.Sub(lastResponse) < timeout/2 {
-		return true
+		return ""
 	}
 	if a.cacheCopyServer != nil {
-		return false
+		return evidenceUnprobed
+	}
+	if _, answers := f.probe(ctx, a.server); !answers {
+		return evidenceNoAnswer
 	}
-	_, answers := f.probe(ctx, a.server)
-	return answers
+	return ""
 }
 
 // answerLost reports whether the load report of a server that has not answered
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -223,7 +223,7 @@
 		if a.conn.Received() > received {
 			return nil, errNoEvent
 		}
-		if a.leave(ctx, err) {
+		if a.leave(ctx, err, evidencePartialHead) {
 			return nil, err
 		}
 	}
--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -18,10 +18,10 @@
 // leave reports whether another server has taken the stream of a silent one over. Otherwise the
 // silent server is waited for until its connection fails or the request's deadline passes: it
 // may continue, and nothing else completes the answer.
-func (a *streamAttempt) leave(ctx context.Context, cause error) bool {
+func (a *streamAttempt) leave(ctx context.Context, cause error, evidence silenceEvidence) bool {
 	to, reason := a.chooseSuccessor()
 	if reason != "" {
-		a.await(cause, reason)
+		a.await(cause, reason, evidence)
 		return false
 	}
 	r := a.run
@@ -29,6 +29,9 @@
 	failure := next.takeOver(ctx)
 	if failure == nil {
 		r.successor = next
+		event.Log(r.f.logger, event.SilentServerLeft).Str("request", r.j.request.ID).Str("server", a.server.ID).Str("to", to.server.ID).
+			Str("evidence", string(evidence)).Bool("from_copy", to.fromCopy).Uint64("position", r.events.position).
+			Dur("silent_ms", time.Since(a.receivedAt)).Dur("overlap_ms", time.Since(next.sentAt)).Send()
 		return true
 	}
 	result := next.end(ctx, *failure)
@@ -38,13 +41,13 @@
 		r.mayHaveRunAt[to.server.ID] = true
 	}
 	if ctx.Err() == nil {
-		a.await(cause, endNotRun)
+		a.await(cause, endNotRun, evidence)
 	}
 	return false
 }
 
 // await logs that a silent server is waited for, and avoids it for other requests while it is silent.
-func (a *streamAttempt) await(cause error, reason endReason) {
+func (a *streamAttempt) await(cause error, reason endReason, evidence silenceEvidence) {
 	if a.waiting {
 		a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) {
 			ledger.Unreachable(now, a.server.ID, a.server.DataCentre, false)
@@ -54,7 +57,7 @@
 	a.waiting = true
 	a.run.f.recordUnreachable(a.server, cause)
 	event.Log(a.run.f.logger, event.SilentServerAwaited).Str("request", a.run.j.request.ID).Str("server", a.server.ID).
-		Str("reason", string(reason)).Uint64("position", a.run.events.position).Dur("silent_ms", time.Since(a.receivedAt)).Send()
+		Str("reason", string(reason)).Str("evidence", string(evidence)).Uint64("position", a.run.events.position).Dur("silent_ms", time.Since(a.receivedAt)).Send()
 }
 
 // takeOver sends the request and waits until the server begins to answer, or has not rejected it for
