Notice a lost path to a backend server after 3 s, not 6 s

Cause: the pool of connections set TCP_USER_TIMEOUT to 6 s, so that sound servers may leave a long body unread, beside probes that were to give up after 3 s. On Linux the user timeout also decides when probes give up, so that every connection that waited or was idle failed only after 6 s. Connections to the store had probes alone, which don't run while a request is unacknowledged: a watch sent on a lost path waited 26.5 s. Accepted connections had Go's default of 150 s.

Change: transport/keepalive sets probes and user timeout together, 3 s on connections that an instance opens to backend servers and the store, 10 s on those that its gateway accepts. While a request of more than 4 KB is not acknowledged the bound to its server is 6 s as before; it is restored when everything was acknowledged.

Measured: on the code before, the pool's connections have a TCP_USER_TIMEOUT of 6 s in all states (TestLongTimeoutAppliesOnlyWhileALongRequestIsUnread asks for 3 s). Now go test -race ./gateway/... ./transport/keepalive and, without -race, the tests of platform/ on unread bodies and endless answers pass. A path that drops everything can't be made on loopback without privileges: the values of the socket options are shown, not the failure itself.

Conclusion: a lost path is noticed in about 3 s where nothing unread is held up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/settings"
+	"github.com/wisteriahaven/wisteriahaven/transport/keepalive"
 )
 
 const domain = "gateway"
@@ -132,7 +133,8 @@
 }
 
 func (g *Gateway) listen(field, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
+	config := keepalive.ListenConfig()
+	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.SettingsInvalid, domain, "gateway."+field, err)
 	}
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -19,8 +19,7 @@
 	// connection. A larger request is written concurrently with reading its
 	// answer, because a server may answer before it has read the request.
 	maxInlineBytes = 4 << 10
-	// writeTimeout bounds the sending of one request. It is longer than userTimeout, which ends a
-	// connection whose server does not read.
+	// writeTimeout bounds the sending of one request.
 	writeTimeout = 30 * time.Second
 )
 
@@ -43,6 +42,7 @@
 	writeResult chan error
 	// interimBytes is the size of the interim answers to the current request.
 	interimBytes int
+	timeout      readingTimeout
 	idleUntil    time.Time
 	closed       atomic.Bool
 }
@@ -62,10 +62,17 @@
 		return n > 0, err
 	}
 	c.writeResult = make(chan error, 1)
+	number, err := c.timeout.extend(c.conn)
+	if err != nil {
+		return false, err
+	}
 	go func(written chan<- error) {
 		buffers := net.Buffers{head, body}
 		_, err := buffers.WriteTo(c.conn)
 		written <- err
+		if err == nil {
+			c.timeout.restoreWhenAcknowledged(c.conn, number)
+		}
 	}(c.writeResult)
 	return true, nil
 }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -8,13 +8,10 @@
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
+	"github.com/wisteriahaven/wisteriahaven/transport/keepalive"
 )
 
 const (
-	// userTimeout is how long sent bytes may stay unacknowledged, or a server may not read,
-	// before the connection fails: servers behind a network partition send nothing. Sound ones
-	// may answer before they read a long body, and fall silent for seconds.
-	userTimeout = 6 * time.Second
 	// maxIdlePerServer bounds the idle connections to one server.
 	maxIdlePerServer = 2
 	// defaultIdleTimeout is how long a server is assumed to keep an idle
@@ -40,7 +37,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer: net.Dialer{Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}},
+		dialer: keepalive.Dialer(0),
 		idle:   make(map[string][]*Conn),
 	}
 }
