State in digests of which services an instance reaches no server

Cause: an instance that is partitioned from all backend servers rejects what its peers could serve, and doesn't know which peers do. Change: digests name the services of which the sender reaches no server (at most 16, else one flag for all; nothing normally, so that digests keep their size). Peers keep the statement, and RelayTargets returns a sample of at most 8 peers that don't leave, have a configuration, sent a digest recently and don't state that they are cut off from a service: own data centre first (at most 4 when there are others), then its region, then others. Nothing states or asks yet. Measured: go test ./gateway/peers, green.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -39,6 +39,7 @@
 	}
 	g.forwarder.Apply(reloadableOptions(gatewaySettings))
 	g.ingress.SetLimits(clientLimits(gatewaySettings))
+	g.peers.SetRegions(gatewaySettings.Regions())
 	g.peers.AddSeeds(seedAddresses(gatewaySettings))
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
 	limitHeap(gatewaySettings)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -39,6 +39,8 @@
 	AskPeers func(key streamversion.Key) bool
 	// AnnouncePoison is called when there are news for peers about requests that crash servers.
 	AnnouncePoison func()
+	// RelayTargets returns the instances that may reach servers of a service, the nearest first.
+	RelayTargets func(service string) []peers.RelayTarget
 	// OnLeaving is called with each server that stated for the first time that it leaves.
 	OnLeaving func(server *directory.Server)
 	Logger    zerolog.Logger
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
 		ArchiveStream:     func(record streamversion.Record) { g.archive.Add(record) },
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
+		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
 		Logger:            logger,
 		Metrics:           g.metrics,
@@ -148,7 +149,7 @@
 	// The settings were validated, so that parsing the address can't fail.
 	address := netip.MustParseAddrPort(gatewaySettings.Peers)
 	return peers.Options{
-		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Address: address, Seeds: seedAddresses(gatewaySettings),
+		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
 		StreamVersions: g.forwarder.StreamVersions(), Poison: g.forwarder.Poison(),
 		Decode: g.adapters.Decode, Logger: g.logger,
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -34,6 +34,7 @@
 	tagCrash
 	tagCleanRun
 	tagQuarantine
+	tagCutOffService
 )
 
 // Bits of a digest's flags field.
@@ -42,6 +43,7 @@
 	flagProbe
 	flagHasLoads
 	flagRelay
+	flagCutOff
 )
 
 // Protobuf field numbers of the nested messages: load, usage, failed and leaving server.
@@ -58,7 +60,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// failed servers are written first, then news about requests that crash servers, records of streams, leaving servers, usages, rates, loads and peer addresses.
+// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -68,6 +70,7 @@
 	b = appendNumber(b, tagRevision, uint64(digest.Revision))
 	b = appendNumber(b, tagServers, digest.Servers)
 	b = appendNumber(b, tagFlags, digest.flags())
+	b = appendCutOff(b, digest.CutOff)
 	for i := range digest.FailedServers {
 		b = appendIfFits(b, tagFailedServer, encodeFailedServer(&digest.FailedServers[i]))
 	}
@@ -108,6 +111,9 @@
 	if d.Relay {
 		flags |= flagRelay
 	}
+	if d.CutOff.All {
+		flags |= flagCutOff
+	}
 	return flags
 }
 
@@ -189,6 +195,9 @@
 			digest.Probe = number&flagProbe != 0
 			digest.HasLoads = number&flagHasLoads != 0
 			digest.Relay = number&flagRelay != 0
+			digest.CutOff.All = number&flagCutOff != 0
+		case tagCutOffService:
+			digest.CutOff.decodeService(text)
 		case tagServers:
 			digest.Servers = number
 		case tagLoad:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -37,6 +37,8 @@
 	// entry has no load from the sender. Without HasLoads, receivers ignore Loads.
 	HasLoads bool
 	Loads    []ServerLoad
+	// CutOff states of which services the sender reaches no backend server. It is in all digests.
+	CutOff CutOff
 	// FailedServers are servers that the sender could not reach.
 	FailedServers []FailedServer
 	// LeavingServers are servers that stated in an answer to the sender that they leave.
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -23,6 +23,8 @@
 	servers             uint64
 	relay               bool
 	leaving             bool
+	// cutOff states of which services the peer reaches no backend server.
+	cutOff CutOff
 	// lastDigestAt is when the last current digest arrived.
 	lastDigestAt time.Time
 	// lastSentAt is when the last digest was sent to the peer, sentLoadsHash the hash of
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -34,6 +34,8 @@
 type Options struct {
 	Instance   string
 	DataCentre string
+	// Regions is the region of each data centre.
+	Regions map[string]string
 	// Address is the address of both the UDP and the TCP listener. All instances use its port.
 	Address   netip.AddrPort
 	Seeds     []netip.Addr
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -32,6 +32,7 @@
 			Version: number.Draw(t, "version"), Revision: revision.Revision(number.Draw(t, "revision")), Servers: rapid.Uint64().Draw(t, "servers"),
 			Relay: rapid.Bool().Draw(t, "relay"), Leaving: rapid.Bool().Draw(t, "leaving"),
 			Probe: rapid.Bool().Draw(t, "greeting"), HasLoads: rapid.Bool().Draw(t, "has loads"),
+			CutOff: CutOff{All: rapid.Bool().Draw(t, "cut off")},
 		}
 		for i := range rapid.IntRange(0, 5).Draw(t, "parts") {
 			id := "i-" + strconv.Itoa(i)
@@ -43,6 +44,7 @@
 				Observed: i + 1, EventInterval: 42 * time.Millisecond, EventIntervalDeviation: time.Duration(i) * time.Millisecond, EventsPerToken: 0.25, EventsPerTokenDeviation: 0.5,
 				ReadTimePerToken: 125 * time.Microsecond, ReadTimeDeviation: time.Duration(i),
 			}})
+			sent.CutOff.Services = append(sent.CutOff.Services, id)
 			sent.Members = append(sent.Members, addressOf(i))
 			sent.StreamRecords = append(sent.StreamRecords, streamversion.Record{Key: streamversion.Key(rapid.Uint64().Draw(t, "stream")), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 			sent.WantedStreams = append(sent.WantedStreams, streamversion.Key(rapid.Uint64().Draw(t, "wanted")))
@@ -76,6 +78,9 @@
 		if err != nil {
 			return
 		}
+		if len(digest.CutOff.Services) > maxCutOffServices {
+			t.Fatalf("%d services", len(digest.CutOff.Services))
+		}
 		for _, load := range digest.Loads {
 			if load.Load.Requests < 0 || load.Load.PrefillTokens < 0 || load.Load.MemoryTokens < 0 {
 				t.Fatalf("negative load %+v", load)
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -63,6 +64,11 @@
 	wake chan struct{}
 	// poisonNews is signalled when there are news about requests that crash servers.
 	poisonNews chan struct{}
+	// cutOff is what this instance states about itself. cutOffNews is signalled when it changes.
+	cutOff     CutOff
+	cutOffNews chan struct{}
+	// regions is the region of each data centre.
+	regions map[string]string
 	// lastAnnounced is the state that Announce sent last.
 	lastAnnounced LocalState
 	// leavingServers are announced in digests, oldest first.
@@ -87,6 +93,8 @@
 		},
 		wake:       make(chan struct{}, 1),
 		poisonNews: make(chan struct{}, 1),
+		cutOffNews: make(chan struct{}, 1),
+		regions:    maps.Clone(options.Regions),
 		table:      NewTable(options.Instance, options.Address.Addr(), options.Seeds),
 	}
 }
@@ -150,6 +158,8 @@
 		case <-s.poisonNews:
 			time.Sleep(failureGatherTime)
 			s.sendPoisonNews()
+		case <-s.cutOffNews:
+			s.sendCutOff()
 		case now := <-ticker.C:
 			s.round(now)
 		}
@@ -187,7 +197,7 @@
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
-		Leaving: s.leaving, LeavingServers: s.currentLeaving(now),
+		Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
 		Poison: reportsOf(now, s.options.Poison.News(rand.IntN(completeNewsSpacing) == 0)),
 	}
 }
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -81,7 +81,7 @@
 	default:
 		p.previousIncarnation, p.started = p.incarnation, true
 	}
-	p.dataCentre, p.leaving, p.lastDigestAt = digest.DataCentre, digest.Leaving, now
+	p.dataCentre, p.leaving, p.cutOff, p.lastDigestAt = digest.DataCentre, digest.Leaving, digest.CutOff, now
 	p.incarnation, p.sequence = digest.Incarnation, digest.Sequence
 	p.version, p.revision, p.servers = digest.Version, digest.Revision, digest.Servers
 	p.relay = digest.Relay && !digest.Leaving
