--- a/gateway/adapters.go
+++ b/gateway/adapters.go
@@ -5,6 +5,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
 
 // Adapters holds the adapters to the platform around the instance.
@@ -15,6 +16,8 @@
 	Protocol    Protocol
 	// Decode parses a configuration document that another instance sent.
 	Decode func(document []byte) (*discovery.Configuration, error)
+	// DialServer opens connections to backend servers; nil for plain TCP.
+	DialServer upstream.Dial
 	// DroppedLogLines returns the number of log lines that were dropped.
 	DroppedLogLines func() int64
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -57,6 +57,9 @@
 		versions:  newStreamVersions(options.ArchiveStream),
 		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
 	}
+	if options.DialServer != nil {
+		f.pool = upstream.NewPoolBy(options.DialServer)
+	}
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.poison = newPoisonGuard(options, f.meters)
 	f.crashes = newCrashDetector(f)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
 
 // Options are the settings and dependencies of a forwarder.
@@ -43,8 +44,10 @@
 	RelayTargets func(service string) []peers.RelayTarget
 	// OnLeaving is called with each server that stated for the first time that it leaves.
 	OnLeaving func(server *directory.Server)
-	Logger    zerolog.Logger
-	Metrics   metrics.Registry
+	// DialServer opens connections to backend servers; nil for plain TCP.
+	DialServer upstream.Dial
+	Logger     zerolog.Logger
+	Metrics    metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
+		DialServer:        adapters.DialServer,
 		Logger:            logger,
 		Metrics:           g.metrics,
 	})
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -26,22 +26,28 @@
 // its failure.
 var ErrNoTime = fault.New(fault.UpstreamUnreachable, "no time left to open a connection")
 
+// Dial opens a TCP connection to an address, "ip:port".
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool opens connections to servers and keeps idle ones for reuse. It is safe for
 // concurrent use.
 type Pool struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*Conn
+	dial Dial
+	mu   sync.Mutex
+	idle map[string][]*Conn
 }
 
-// NewPool returns an empty pool.
+// NewPool returns an empty pool whose connections detect a server that is gone.
 func NewPool() *Pool {
-	return &Pool{
-		dialer: keepalive.Dialer(0),
-		idle:   make(map[string][]*Conn),
-	}
+	dialer := keepalive.Dialer(0)
+	return NewPoolBy(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	})
 }
 
+// NewPoolBy returns an empty pool whose connections a function opens.
+func NewPoolBy(dial Dial) *Pool { return &Pool{dial: dial, idle: make(map[string][]*Conn)} }
+
 // Open returns a connection to a server: an idle one if reuse is set and there is
 // one, else a new one. It returns ErrNoTime when the context's deadline passes
 // before the timeout.
@@ -55,7 +61,7 @@
 	deadlineFirst := bounded && time.Until(end) < timeout
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
+	conn, err := p.dial(ctx, address)
 	if deadlineFirst && IsTimeout(err) {
 		return nil, ErrNoTime
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -11,6 +11,12 @@
 	Readiness string `json:"readiness"`
 	Metrics   string `json:"metrics"`
 	Peers     string `json:"peers"`
+	// Relay is the address at which peers that reach no backend server hand requests over, "ip:port"; its port
+	// is the same on all instances. When it is empty, the instance neither hands requests over nor accepts any.
+	Relay string `json:"relay,omitempty"`
+	// RelayedRequests is the maximum number of requests of peers that are served at the same time; 0 for the
+	// default, a quarter of the connections of clients.
+	RelayedRequests int `json:"relayed_requests,omitempty"`
 	// Store is the address of the object store, "ip:port".
 	Store string `json:"store"`
 	// Seeds are addresses of other instances, each "ip:port". Their ports may differ
@@ -110,6 +116,10 @@
 	v.address("gateway.readiness", g.Readiness)
 	v.address("gateway.metrics", g.Metrics)
 	v.address("gateway.peers", g.Peers)
+	if g.Relay != "" {
+		v.address("gateway.relay", g.Relay)
+	}
+	v.notNegative("gateway.relayed_requests", g.RelayedRequests)
 	v.address("gateway.store", g.Store)
 	for i, seed := range g.Seeds {
 		v.address(elementPath("gateway.seeds", i), seed)
