Hand calls to a peer when this instance reaches no server

Callers of an instance that reaches no backend server got 503 for every call, after 350 ms for each connection attempt, because no request passes through another instance.

Each instance has a second listener, gateway.relay, served by the strict ingress server. A call that can't be sent is handed to one of the nearest peers with the client's own fields, its remaining time and what this instance knows of its attempts. The peer authenticates and serves it as its own, never hands it on, and states in its answer whether anything ran: then the sender tries up to three peers, and rejects with 503 only if nothing ran. A hop that breaks after the call was sent ends 502 where a call runs once.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -23,6 +23,9 @@
 	RequestCleared          = Definition{7042, "request_cleared", zerolog.InfoLevel, "a request that counted as a possible cause of crashes ran without one", "none"}
 	QuarantinesNotRead      = Definition{7043, "quarantines_not_read", zerolog.InfoLevel, "the quarantined requests in the store could not be read at the start; they are read again", "check the platform"}
 	QuarantinesNotWritten   = Definition{7044, "quarantines_not_written", zerolog.InfoLevel, "the quarantined requests could not be written to the store; they are written again", "check the platform"}
+	RequestRelayed          = Definition{7050, "request_relayed", zerolog.InfoLevel, "a request was handed to a peer because this instance reaches no backend server of its service; the fields give the peer and the reason", "check the instance's links to the backend servers"}
+	RelayFailed             = Definition{7051, "relay_failed", zerolog.InfoLevel, "a peer did not answer a request that was handed to it; not_run tells whether it certainly did not run", "none; check the peer if it is often the same one"}
+	RelayReceived           = Definition{7052, "relay_received", zerolog.InfoLevel, "a peer handed a request over", "check that peer's links to the backend servers"}
 	SecondSendDenied        = Definition{7013, "second_send_denied", zerolog.InfoLevel, "a request was not sent to another backend server because the limit of second sends is reached; the fields give its use by this instance and by its data centre", "look for the servers that fail"}
 	AnswerFieldInvalid      = Definition{7014, "answer_field_invalid", zerolog.WarnLevel, "a header field of a backend server's answer could not be read and has no effect", "check the server"}
 	ServerLeaving           = Definition{7015, "server_leaving", zerolog.InfoLevel, "a backend server stated in an answer that it leaves: it gets no new requests", "none"}
@@ -45,6 +48,7 @@
 )
 
 var forwardingEvents = []Definition{
+	RequestRelayed, RelayFailed, RelayReceived,
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
 	ServerSuspected, SecondSendDenied, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, SilentServerLeft, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -15,6 +15,7 @@
 	StreamRecordsInvalid       Code = "stream_records_invalid"
 	QuarantinesInvalid         Code = "quarantines_invalid"
 	BodyMemoryFull             Code = "bodies_full"
+	RelayedRequestsFull        Code = "relayed_requests_full"
 	AnswerMemoryFull           Code = "answers_full"
 	UpstreamUnreachable        Code = "upstream_unreachable"
 	UpstreamRejected           Code = "upstream_rejected"
@@ -37,6 +38,7 @@
 	StreamRecordsInvalid:       {http.StatusServiceUnavailable, "records of streams in the store can't be read and are ignored", "check what wrote them"},
 	QuarantinesInvalid:         {http.StatusServiceUnavailable, "the quarantined requests in the store can't be read and are ignored", "check what wrote them"},
 	BodyMemoryFull:             {http.StatusServiceUnavailable, "the bodies of other requests use up the memory for bodies: the request was not sent", "retry after the time given; check memory_mb"},
+	RelayedRequestsFull:        {http.StatusServiceUnavailable, "the instance serves the maximum number of requests of peers: the request was not sent", "none: the peer hands it to another instance"},
 	AnswerMemoryFull:           {http.StatusBadGateway, "the answers to other requests use up the memory for answers: the request may have run", "look for backend servers whose answers are long or without end; check memory_mb"},
 	UpstreamUnreachable:        {http.StatusServiceUnavailable, "no backend server could be reached: the request was not sent", "retry later; check the link and the servers"},
 	UpstreamRejected:           {http.StatusServiceUnavailable, "the backend servers rejected the request without running it", "retry after the time given"},
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -23,6 +23,8 @@
 	// together may use: less than half of the heap, because they are copied when
 	// they are sent.
 	bodyFraction = 0.25
+	// relayedBodyFraction is bodyFraction for the requests of peers.
+	relayedBodyFraction = 0.0625
 	// answerFraction is the fraction of the process's memory that all buffered answers together may
 	// use: their buffers are up to twice as large, and are copied when they grow.
 	answerFraction = 0.125
@@ -39,6 +41,7 @@
 	}
 	g.forwarder.Apply(reloadableOptions(gatewaySettings))
 	g.ingress.SetLimits(clientLimits(gatewaySettings))
+	g.relay.SetLimits(relayLimits(gatewaySettings))
 	g.peers.SetRegions(gatewaySettings.Regions())
 	g.peers.AddSeeds(seedAddresses(gatewaySettings))
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
@@ -58,6 +61,7 @@
 		{"gateway.readiness", before.Gateway.Readiness, now.Gateway.Readiness},
 		{"gateway.metrics", before.Gateway.Metrics, now.Gateway.Metrics},
 		{"gateway.peers", before.Gateway.Peers, now.Gateway.Peers},
+		{"gateway.relay", before.Gateway.Relay, now.Gateway.Relay},
 		{"gateway.store", before.Gateway.Store, now.Gateway.Store},
 	} {
 		if field.before != field.now {
@@ -76,9 +80,10 @@
 			FixedAllowance: gatewaySettings.SecondSends.Extra,
 			Window:         gatewaySettings.SecondSends.Window(),
 		},
-		AddressReuse:   gatewaySettings.AddressReuse(),
-		QuarantineTime: gatewaySettings.QuarantineTime(),
-		AnswerBytes:    int64(answerFraction * gatewaySettings.MemoryMB * (1 << 20)),
+		AddressReuse:    gatewaySettings.AddressReuse(),
+		QuarantineTime:  gatewaySettings.QuarantineTime(),
+		RelayedRequests: gatewaySettings.RelayedRequests,
+		AnswerBytes:     int64(answerFraction * gatewaySettings.MemoryMB * (1 << 20)),
 	}
 }
 
@@ -90,6 +95,15 @@
 	}
 }
 
+// relayLimits returns the bounds on the resources that requests of peers may use. Idle connections come on top of
+// those with a request.
+func relayLimits(gatewaySettings *settings.Gateway) ingress.Limits {
+	return ingress.Limits{
+		Connections: 2 * gatewaySettings.RelayedRequests,
+		BodyBytes:   int64(relayedBodyFraction * gatewaySettings.MemoryMB * (1 << 20)),
+	}
+}
+
 // seedAddresses returns the addresses of the seeds. They were validated with the
 // settings, so that parsing can't fail.
 func seedAddresses(gatewaySettings *settings.Gateway) []netip.Addr {
--- a/gateway/forward/apply.go
+++ b/gateway/forward/apply.go
@@ -20,6 +20,8 @@
 	QuarantineTime time.Duration
 	// AnswerBytes is the maximum size of all buffered answers together.
 	AnswerBytes int64
+	// RelayedRequests is the maximum number of requests of peers that are served at the same time.
+	RelayedRequests int
 }
 
 // Apply replaces options of a running forwarder.
@@ -27,6 +29,7 @@
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
 	f.poison.setQuarantineTime(options.QuarantineTime)
+	f.relays.limit.Store(int64(options.RelayedRequests))
 	f.selector.apply(options)
 }
 
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -8,7 +9,10 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const (
@@ -30,6 +34,8 @@
 	pending int
 	// notRunAttempts counts the attempts that certainly did not run.
 	notRunAttempts int
+	// relays counts the peers to which the call was handed.
+	relays int
 	// mayHaveRun is set when an attempt may have run the call.
 	mayHaveRun bool
 	// lastFailure is the latest failed attempt; failedAnswer is the latest
@@ -42,7 +48,10 @@
 func (f *Forwarder) serveCall(ctx context.Context, j *job, service *route.Service) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	run := &callRun{f: f, j: j, service: service, results: make(chan callResult, j.route.Attempts+maxNotRunSends+1)}
+	if j.relayed != nil {
+		j.sends = j.relayed.UsedAttempts
+	}
+	run := &callRun{f: f, j: j, service: service, results: make(chan callResult, j.route.Attempts+maxNotRunSends+maxRelays+1)}
 	if !run.send(ctx) {
 		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: f.selector.untilServer(j.service)})
 		return
@@ -78,6 +87,14 @@
 	if r.j.sends > 0 && (r.j.remaining() < minSendTime || r.f.poison.check(r.j).Rejected) {
 		return false
 	}
+	if reason := r.f.withoutServers(r.j, r.lastFailure.code); reason != "" {
+		if r.relay(ctx, reason) {
+			return true
+		}
+		if reason == relayCutOff || r.j.relayed != nil {
+			return false
+		}
+	}
 	server := r.f.selector.chooseForCall(r.service, r.j.hasFailed)
 	if server == nil {
 		return false
@@ -119,6 +136,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if result.hop != nil {
+		return r.handleRelayed(ctx, &result)
+	}
 	retry := result.failedAnswer() && r.j.route.Kind == route.Idempotent
 	if result.usable() && !retry {
 		r.f.forwardAnswer(r.j, &result)
@@ -168,9 +188,13 @@
 		if r.lastFailure.code == fault.AnswerMemoryFull {
 			code = fault.AnswerMemoryFull
 		}
+		if r.lastFailure.hop != nil && r.lastFailure.code == fault.UpstreamTimeout {
+			r.f.reject(r.j, localAnswer{status: 504, code: fault.UpstreamTimeout, cause: r.lastFailure.err})
+			return
+		}
 		r.f.reject(r.j, localAnswer{status: 502, code: code, cause: r.lastFailure.err})
 	default:
-		r.f.reject(r.j, localAnswer{status: 503, code: r.lastFailure.code, cause: r.lastFailure.err, retryAfter: busyRetryAfter})
+		r.f.reject(r.j, localAnswer{status: 503, code: r.lastFailure.code, cause: r.lastFailure.err, retryAfter: cmp.Or(r.lastFailure.retryAfter, busyRetryAfter)})
 	}
 }
 
@@ -191,9 +215,18 @@
 		Dur("after_ms", time.Since(j.exchange.Received)).Int("sends", j.sends).Send()
 }
 
+// appendAnswer returns the head of a server's answer as the client gets it, or the peer that handed the request over.
+func (f *Forwarder) appendAnswer(j *job, server *directory.Server, response *http1.Response) []byte {
+	head := f.protocol.AppendAnswer(make([]byte, 0, 512), response)
+	if j.relayed == nil {
+		return head
+	}
+	return f.protocol.AppendRelayAnswer(head, message.RelayAnswer{Server: server.ID, Version: server.SoftwareVersion})
+}
+
 // forwardAnswer forwards a backend server's answer to the client.
 func (f *Forwarder) forwardAnswer(j *job, result *callResult) {
-	err := j.exchange.Answer(f.protocol.AppendAnswer(make([]byte, 0, 512), result.response), result.body)
+	err := j.exchange.Answer(f.appendAnswer(j, result.server, result.response), result.body)
 	f.meters.served(j.route.Kind)
 	f.meters.latency(j.route.Kind, time.Since(j.exchange.Received))
 	event.Log(f.logger, event.RequestServed).Str("request", j.request.ID).Str("route", j.route.Name).Str("server", result.server.ID).
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -27,6 +27,10 @@
 	notRun   bool
 	response *http1.Response
 	body     []byte
+	// hop is set when the request was handed to a peer. retryAfter is the time that a peer gives which did not
+	// run it; 0 for none.
+	hop        *hop
+	retryAfter time.Duration
 	// code is the kind of failure; empty for an answer that can be forwarded.
 	code fault.Code
 	err  error
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +14,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
@@ -33,6 +34,7 @@
 	versions        *streamVersions
 	poison          *poisonGuard
 	crashes         *crashDetector
+	relays          *relays
 	onLeaving       func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	askPeers        func(key streamversion.Key) bool
@@ -63,6 +65,7 @@
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.poison = newPoisonGuard(options, f.meters)
 	f.crashes = newCrashDetector(f)
+	f.relays = newRelays(options)
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
@@ -112,6 +115,7 @@
 // Tick closes expired idle connections and drops records of removed servers.
 func (f *Forwarder) Tick(now time.Time) {
 	f.pool.Tick(now)
+	f.relays.pool.Tick(now)
 	f.selector.Tick()
 	f.meters.set("requests.quarantined", int64(len(f.Quarantines())))
 }
@@ -133,6 +137,11 @@
 
 // Serve implements ingress.Handler.
 func (f *Forwarder) Serve(ctx context.Context, exchange *ingress.Exchange) {
+	f.serve(ctx, exchange, nil)
+}
+
+// serve serves a request of a client, or one that a peer handed over.
+func (f *Forwarder) serve(ctx context.Context, exchange *ingress.Exchange, relayed *message.Relay) {
 	request, err := f.protocol.ParseRequest(exchange.Head)
 	if err != nil {
 		var protocol *http1.ProtocolError
@@ -143,12 +152,15 @@
 		f.answer(exchange, request.ID, localAnswer{status: 400, code: fault.MessageMalformed, cause: err})
 		return
 	}
-	current := f.awaitConfiguration(ctx, request.Timeout)
+	current := f.state.Current()
+	if relayed == nil {
+		current = f.awaitConfiguration(ctx, request.Timeout)
+	}
 	if current == nil {
 		f.answer(exchange, request.ID, localAnswer{status: 503, code: fault.NoConfiguration, retryAfter: noConfigurationRetryAfter})
 		return
 	}
-	j := &job{exchange: exchange, request: request, table: current.Table}
+	j := &job{exchange: exchange, request: request, table: current.Table, relayed: relayed}
 	j.route = j.table.Match(exchange.Head.Fields.Get("Host"), exchange.Head.Path())
 	if j.route == nil {
 		f.answer(exchange, request.ID, localAnswer{status: 404, code: fault.RouteUnknown, version: j.table.Version})
@@ -177,7 +189,7 @@
 		timeout = min(timeout, j.route.Timeout)
 	}
 	j.deadline = j.exchange.Received.Add(timeout - answerMargin)
-	j.service = j.route.ChooseService(rand.Float64())
+	j.service = j.chooseService()
 	if j.origin = f.findOrigin(ctx, j); j.origin.source != "" {
 		j.service = j.origin.Service
 	}
@@ -194,7 +206,11 @@
 		f.reject(j, localAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetryAfter})
 		return
 	}
-	f.selector.recordRequest(j.service)
+	if j.relayed == nil {
+		f.selector.recordRequest(j.service)
+	} else {
+		j.failedServers = slices.Clone(j.relayed.FailedServers)
+	}
 	j.answers.budget = &f.answers
 	defer j.answers.close()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -31,6 +31,8 @@
 	unfinished atomic.Int32
 	// answers is the memory of the buffered answers.
 	answers answerMemory
+	// relayed is what a peer states that handed the request over; nil for a client's request.
+	relayed *message.Relay
 	// failedServers holds the ids of the servers that failed the request.
 	failedServers []string
 }
--- a/gateway/forward/local_answer.go
+++ b/gateway/forward/local_answer.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 )
 
 // Retry-After times of rejected requests.
@@ -54,6 +55,9 @@
 	head = append(head, http.StatusText(answer.status)...)
 	head = append(head, "\r\nContent-Type: application/json\r\n"...)
 	head = f.protocol.AppendIdentity(head, id)
+	if exchange.Relayed {
+		head = f.protocol.AppendRelayAnswer(head, message.RelayAnswer{NotRun: answer.status != http.StatusBadGateway && answer.status != http.StatusGatewayTimeout})
+	}
 	if answer.retryAfter > 0 {
 		head = append(head, "Retry-After: "...)
 		head = strconv.AppendFloat(head, answer.retryAfter.Seconds(), 'f', 3, 64)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -42,6 +42,10 @@
 	AnnouncePoison func()
 	// RelayTargets returns the instances that may reach servers of a service, the nearest first.
 	RelayTargets func(service string) []peers.RelayTarget
+	// Instance is the name of this instance, as peers get it. RelayPort is the port at which peers accept
+	// requests, 0 if this instance hands none over.
+	Instance  string
+	RelayPort uint16
 	// OnLeaving is called with each server that stated for the first time that it leaves.
 	OnLeaving func(server *directory.Server)
 	// DialServer opens connections to backend servers; nil for plain TCP.
--- a/gateway/forward/protocol.go
+++ b/gateway/forward/protocol.go
@@ -18,6 +18,14 @@
 	AppendAnswer(dst []byte, head *http1.Response) []byte
 	// AppendIdentity appends the header field with the id of the request.
 	AppendIdentity(dst []byte, id string) []byte
+	// AppendRelay appends the head of a request that is handed to a peer.
+	AppendRelay(dst []byte, head *http1.Request, bodyBytes int, relay message.Relay) []byte
+	// ParseRelay reads what a peer states about a request that it hands over. Errors are *http1.ProtocolError.
+	ParseRelay(head *http1.Request) (message.Relay, error)
+	// AppendRelayAnswer appends to the head of an answer what this instance states about it to a peer.
+	AppendRelayAnswer(dst []byte, answer message.RelayAnswer) []byte
+	// ParseRelayAnswer reads what a peer states about its answer.
+	ParseRelayAnswer(head *http1.Response) message.RelayAnswer
 	// LoadRequest returns a request for the load report of a backend server.
 	LoadRequest(address string) []byte
 	// IdentityRequest returns a request for the id of the server at an address.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -328,9 +328,9 @@
 }
 
 // begin sends the head of the stream to the client unless it was already sent.
-func (r *streamRun) begin(response *http1.Response) error {
+func (r *streamRun) begin(server *directory.Server, response *http1.Response) error {
 	if r.j.exchange.Started() {
 		return nil
 	}
-	return r.j.exchange.Begin(r.f.protocol.AppendAnswer(make([]byte, 0, 512), response))
+	return r.j.exchange.Begin(r.f.appendAnswer(r.j, server, response))
 }
--- a/gateway/forward/stream_origin.go
+++ b/gateway/forward/stream_origin.go
@@ -28,6 +28,9 @@
 // findOrigin looks for the record of a stream that its client resumes: in those of this instance, of
 // its peers, and in the store.
 func (f *Forwarder) findOrigin(ctx context.Context, j *job) recordedOrigin {
+	if j.relayed != nil && j.relayed.Version != "" {
+		return recordedOrigin{Origin: streamversion.Origin{Service: j.relayed.Service, Version: j.relayed.Version}, source: "relay"}
+	}
 	if j.request.FirstAttempt == "" || j.route.Kind != route.Stream {
 		return recordedOrigin{}
 	}
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -114,7 +115,7 @@
 		r.buffer = events
 		if count > 0 {
 			a.recordEvents(count)
-			if err := r.write(response, events); err != nil {
+			if err := r.write(a.server, response, events); err != nil {
 				return streamResult{code: fault.UpstreamBroken, err: err}
 			}
 		}
@@ -138,15 +139,15 @@
 		err = errors.Join(errNoEvents, err)
 	}
 	if err == nil {
-		err = r.write(response, r.events.rest())
+		err = r.write(a.server, response, r.events.rest())
 	}
 	return streamResult{complete: err == nil, code: fault.UpstreamBroken, err: err}
 }
 
 // write sends a part of the stream to the client, after its head if it was not sent yet. Errors are
 // errClientWrite.
-func (r *streamRun) write(response *http1.Response, part []byte) error {
-	err := r.begin(response)
+func (r *streamRun) write(server *directory.Server, response *http1.Response, part []byte) error {
+	err := r.begin(server, response)
 	if err == nil {
 		err = r.j.exchange.Write(part)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,8 +41,10 @@
 	follower  *discovery.Follower
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
-	peers     *peers.Service
-	archive   *streamarchive.Archive
+	// relay serves the requests that peers hand over.
+	relay   *ingress.Server
+	peers   *peers.Service
+	archive *streamarchive.Archive
 	// quarantines keeps the quarantined requests in the store.
 	quarantines *quarantinearchive.Archive
 	monitor     *monitor
@@ -86,11 +88,14 @@
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
+		Instance:          s.Instance,
+		RelayPort:         gatewaySettings.RelayPort(),
 		DialServer:        adapters.DialServer,
 		Logger:            logger,
 		Metrics:           g.metrics,
 	})
 	g.ingress = ingress.NewServer(g.forwarder, clientLimits(gatewaySettings), logger)
+	g.relay = ingress.NewServer(g.forwarder.RelayHandler(), relayLimits(gatewaySettings), logger)
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
 	g.peers = peers.New(g.peerOptions())
 	g.archive = streamarchive.New(streamarchive.Options{
@@ -121,6 +126,13 @@
 	if err := g.peers.Listen(); err != nil {
 		return err
 	}
+	if gatewaySettings.Relay != "" {
+		requests, err := g.listen("relay", gatewaySettings.Relay)
+		if err != nil {
+			return err
+		}
+		g.duties.Go("relay", func(context.Context) { g.relay.Serve(requests) })
+	}
 	g.duties.Go("digests", g.peers.Run)
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -18,6 +18,8 @@
 	Body []byte
 	// Received is when the first bytes of the request arrived.
 	Received time.Time
+	// Relayed is set by a handler of requests that peers hand over.
+	Relayed  bool
 	conn     *clientConn
 	answered bool
 	streamed bool
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,6 +26,7 @@
 	end := begun.Add(time.Duration(g.stopTime.Load()) - closeMargin)
 	g.stopping.Store(true)
 	g.ingress.DisableKeepAlive()
+	g.relay.DisableKeepAlive()
 	g.forwarder.Stop(begun.Add(balancerDetectionTime), end)
 	g.peers.Leave()
 	event.Log(g.logger, event.ProcessStopping).Int("in_flight", g.ingress.Active()).Int("connections", g.ingress.Connections()).Send()
@@ -35,11 +36,12 @@
 			continue
 		}
 		g.ingress.CloseIdle()
-		if g.ingress.Active() == 0 && g.ingress.Connections() == 0 {
+		g.relay.CloseIdle()
+		if g.ingress.Active() == 0 && g.ingress.Connections() == 0 && g.relay.Active() == 0 {
 			break
 		}
 	}
-	cut := g.ingress.Active()
+	cut := g.ingress.Active() + g.relay.Active()
 	g.Abort()
 	event.Log(g.logger, event.ProcessStopped).Int("cut", cut).Dur("took_ms", time.Since(begun)).Send()
 }
@@ -52,6 +54,7 @@
 			_ = listener.Close() // The process ends.
 		}
 		g.ingress.Abort()
+		g.relay.Abort()
 		g.duties.Cancel()
 	})
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Gateway holds the settings of an instance that forwards requests by a table of routes. Times are
 // numbers with their unit in the name, because the template that generates them has only numbers.
@@ -15,7 +18,7 @@
 	// is the same on all instances. When it is empty, the instance neither hands requests over nor accepts any.
 	Relay string `json:"relay,omitempty"`
 	// RelayedRequests is the maximum number of requests of peers that are served at the same time; 0 for the
-	// default, a quarter of the connections of clients.
+	// default, an eighth of the descriptors.
 	RelayedRequests int `json:"relayed_requests,omitempty"`
 	// Store is the address of the object store, "ip:port".
 	Store string `json:"store"`
@@ -83,6 +86,14 @@
 // default.
 func (g *Gateway) QuarantineTime() time.Duration { return seconds(g.QuarantineSeconds) }
 
+// RelayPort returns the port of the relay address, 0 if there is none. The address was validated with the settings.
+func (g *Gateway) RelayPort() uint16 {
+	if g.Relay == "" {
+		return 0
+	}
+	return netip.MustParseAddrPort(g.Relay).Port()
+}
+
 // Window returns the length of the window in which second sends are counted.
 func (s SecondSends) Window() time.Duration { return seconds(s.WindowSeconds) }
 
@@ -105,6 +116,9 @@
 	if g.Descriptors == 0 {
 		g.Descriptors = DefaultDescriptors
 	}
+	if g.RelayedRequests == 0 {
+		g.RelayedRequests = max(1, g.Descriptors/8)
+	}
 	if g.MemoryMB == 0 {
 		g.MemoryMB = DefaultMemoryMB
 	}
