Hand streams to a peer when this instance reaches no server

Streams of an instance without servers ended with 503, and those under way broke off when their server was lost and no other could be reached.

A stream is handed to a peer like a call. One that is under way goes on at the position of its last event and at the software version that began it, within the client's first answer.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -172,12 +172,6 @@
 	return r.j.route.Kind == route.Idempotent && r.j.sends-r.notRunAttempts < r.j.route.Attempts
 }
 
-// takeSecondSend reports whether the bound on second sends allows another attempt. One that follows
-// an attempt of which nothing was sent takes none.
-func (r *callRun) takeSecondSend(failed *callResult) bool {
-	return failed.code == fault.UpstreamUnreachable || r.f.selector.takeSecondSend(r.j.request.ID, r.j.service)
-}
-
 // fail answers a call for which every attempt failed.
 func (r *callRun) fail() {
 	switch {
--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -38,9 +38,12 @@
 	return ""
 }
 
-// takeSecondSend reports whether a call may be sent again after a failure. A request that reached no process
-// takes nothing of the bound on second sends when a peer gets it.
+// takeSecondSend reports whether a call may be sent again after a failure. One of which nothing was sent takes
+// nothing of the bound on second sends, nor does a request that reached no process when a peer gets it.
 func (r *callRun) takeSecondSend(failure *callResult) bool {
+	if failure.code == fault.UpstreamUnreachable {
+		return true
+	}
 	if failure.notRun && !r.mayHaveRun && r.pending == 0 && r.j.relayed == nil && r.f.withoutServers(r.j, failure.code) != "" {
 		return true
 	}
--- a/gateway/forward/relay_receive.go
+++ b/gateway/forward/relay_receive.go
@@ -16,6 +16,9 @@
 // relayHeaderBytes is the size of the header fields that a peer adds to a client's request.
 const relayHeaderBytes = 4 << 10
 
+// relayCheckMethod is the method of a peer's check whether this instance answers.
+const relayCheckMethod = "OPTIONS"
+
 // RelayHandler serves the requests that peers hand over.
 type RelayHandler struct{ f *Forwarder }
 
@@ -46,6 +49,10 @@
 func (h RelayHandler) Serve(ctx context.Context, exchange *ingress.Exchange) {
 	f := h.f
 	exchange.Relayed = true
+	if exchange.Head.Method == relayCheckMethod && exchange.Head.Fields.Count("Content-Length") == 0 && exchange.Head.Target == "/" {
+		_ = exchange.Answer([]byte("HTTP/1.1 204 No Content\r\n"), nil) // The peer checks again.
+		return
+	}
 	relay, err := f.protocol.ParseRelay(exchange.Head)
 	if err != nil {
 		var protocol *http1.ProtocolError
--- a/gateway/forward/relays.go
+++ b/gateway/forward/relays.go
@@ -36,6 +36,8 @@
 	// attempts is the number of backend servers to which the peer may send the request.
 	attempts int
 	relays   *relays
+	// reason is why a stream is handed over.
+	reason relayReason
 }
 
 func newRelays(options Options) *relays {
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -35,6 +35,9 @@
 // to call read again after a timeout. Bytes that complete no event are no sign of a sound server:
 // the time of the next check stays, and errNoEvent is returned when they come for maxFragmentTime.
 func (a *streamAttempt) awaitData(ctx context.Context, read func() error) error {
+	if a.hop != nil {
+		return a.awaitPeer(ctx, read)
+	}
 	for {
 		timeout := a.checkInterval()
 		if a.checkAt.IsZero() {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -49,6 +50,12 @@
 	// unreachable counts the servers that could not be reached.
 	unreachable int
 	lastResult  streamResult
+	// relays counts the peers in a row to which the stream was handed, ranAtPeers the servers beyond one for
+	// each peer that may have run the request there.
+	relays     int
+	ranAtPeers int
+	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
+	relayRetryAfter time.Duration
 }
 
 // maxNotRunStreamSends bounds the attempts of a stream that certainly did not run.
@@ -170,7 +177,7 @@
 // finish ends the exchange when the attempt completed the stream or brought
 // another answer that is forwarded. It reports whether it did.
 func (r *streamRun) finish(result *streamResult) bool {
-	retry := result.finalAnswer != nil && result.finalAnswer.failedAnswer() && r.j.route.Resumable && len(r.mayHaveRunAt)+1 < r.j.route.Attempts
+	retry := result.finalAnswer != nil && result.finalAnswer.failedAnswer() && result.finalAnswer.hop == nil && r.j.route.Resumable && r.usedAttempts()+1 < r.j.route.Attempts
 	switch {
 	case result.complete:
 		err := r.j.exchange.End()
@@ -214,7 +221,7 @@
 	if !result.notRun && !r.j.route.Resumable {
 		return endNotResumable
 	}
-	if len(r.mayHaveRunAt) >= r.j.route.Attempts && r.reconnectServer == nil {
+	if r.usedAttempts() >= r.j.route.Attempts && r.reconnectServer == nil {
 		return endAttempts
 	}
 	if r.f.poison.check(r.j).Rejected {
@@ -287,9 +294,13 @@
 	case r.lastResult.finalAnswer != nil:
 		r.f.forwardAnswer(r.j, r.lastResult.finalAnswer)
 	case len(r.mayHaveRunAt) > 0:
-		r.f.reject(r.j, localAnswer{status: 502, code: r.lastResult.code, cause: r.lastResult.err})
+		status := 502
+		if errors.Is(r.lastResult.err, errRelayTimeout) {
+			status = 504
+		}
+		r.f.reject(r.j, localAnswer{status: status, code: r.lastResult.code, cause: r.lastResult.err})
 	default:
-		r.f.reject(r.j, localAnswer{status: 503, code: r.lastResult.code, cause: r.lastResult.err, retryAfter: r.f.selector.untilServer(r.j.service)})
+		r.f.reject(r.j, localAnswer{status: 503, code: r.lastResult.code, cause: r.lastResult.err, retryAfter: cmp.Or(r.relayRetryAfter, r.f.selector.untilServer(r.j.service))})
 	}
 }
 
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -50,6 +50,8 @@
 	// waiting is set once the server was silent and no other could take over.
 	waiting bool
 	load    placement.Load
+	// hop is set when the stream is handed to a peer; server is the peer then, with the software version of its server.
+	hop *hop
 }
 
 var errClientWrite = fault.New(fault.CallerTooSlow, "the client does not read the answer")
@@ -75,6 +77,9 @@
 
 // newAttempt returns an attempt at a server, and counts it.
 func (r *streamRun) newAttempt(to destination) *streamAttempt {
+	if to.hop != nil {
+		return r.newRelay(to)
+	}
 	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting}
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
@@ -98,8 +103,12 @@
 		a.stopClosing()
 		a.conn.Close()
 	}
-	a.removeLoad()
 	result.server = a.server
+	if a.hop != nil {
+		a.endRelay(ctx, &result)
+		return result
+	}
+	a.removeLoad()
 	a.recordRun(ctx, &result)
 	if !result.complete && result.finalAnswer == nil && ctx.Err() == nil {
 		a.handleFailure(&result)
@@ -159,6 +168,9 @@
 
 // start sends the request. It returns the result of an attempt that failed, else nil.
 func (a *streamAttempt) start(ctx context.Context) *streamResult {
+	if a.hop != nil {
+		return a.startRelay(ctx)
+	}
 	r := a.run
 	timeout := connectTimeout
 	if a.reconnecting {
@@ -220,7 +232,7 @@
 		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return response, err
 		}
-		if a.conn.Received() > received {
+		if a.hop != nil || a.conn.Received() > received {
 			return nil, errNoEvent
 		}
 		if a.leave(ctx, err, evidencePartialHead) {
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -16,12 +16,20 @@
 	// reconnecting is set when the server ran this stream before and only the
 	// connection broke.
 	reconnecting bool
+	// hop is set when the stream is handed to a peer; server is the peer then.
+	hop *hop
 }
 
 var errTooLate = fault.New(fault.TooLittleTime, "the prompt can't be read and the rest sent in the remaining time")
 
 // nextDestination returns the server of the next attempt. Without one, the result holds the reason.
 func (r *streamRun) nextDestination() (destination, streamResult) {
+	if to, reason := r.relayDestination(); to.server != nil {
+		r.reconnectServer = nil
+		return to, streamResult{}
+	} else if r.j.relayed != nil && reason != "" || reason == relayCutOff && !r.j.exchange.Started() {
+		return destination{}, streamResult{code: fault.NoServer}
+	}
 	reconnect, holder := r.reconnectServer, r.cacheCopyServer
 	r.reconnectServer = nil
 	switch {
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -17,6 +17,9 @@
 // check keeps the head of an answer that can be forwarded. It returns the result of an attempt whose
 // answer can't be, else nil.
 func (a *streamAttempt) check(response *http1.Response) *streamResult {
+	if a.hop != nil {
+		return a.checkRelay(response)
+	}
 	r := a.run
 	answer := r.f.readAnswer(a.server, response)
 	checked := callResult{server: a.server, response: response}
@@ -62,7 +65,7 @@
 		memory.release()
 		return streamResult{code: failureCode(err), err: err}
 	}
-	answer := &callResult{server: a.server, response: a.response, body: body}
+	answer := &callResult{server: a.server, response: a.response, body: body, hop: a.hop}
 	return streamResult{finalAnswer: answer, code: fault.UpstreamBroken, err: errNoStream}
 }
 
@@ -162,7 +165,7 @@
 func (a *streamAttempt) recordEvents(count int) {
 	r := a.run
 	now := time.Now()
-	if !a.awaitsFirstEvent() {
+	if a.hop == nil && !a.awaitsFirstEvent() {
 		a.eventIntervals.Observe(now.Sub(a.receivedAt))
 		a.recordResponse()
 	}
@@ -174,6 +177,10 @@
 		r.firstEventAt = time.Now()
 		r.f.meters.latency(r.j.route.Kind, r.firstEventAt.Sub(r.j.exchange.Received))
 	}
+	if a.hop != nil {
+		r.relays = 0
+		return
+	}
 	if !a.awaitsFirstEvent() {
 		a.recordProgress(now)
 		return
--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -83,7 +83,7 @@
 // second send for it, or the reason why there is none.
 func (a *streamAttempt) chooseSuccessor() (destination, endReason) {
 	r := a.run
-	ranElsewhere := len(r.mayHaveRunAt)
+	ranElsewhere := r.usedAttempts()
 	if r.mayHaveRunAt[a.server.ID] {
 		ranElsewhere--
 	}
@@ -98,7 +98,11 @@
 		return destination{}, endQuarantined
 	}
 	to := destination{server: a.copyHolder(), fromCopy: true}
-	if to.server == nil || a.unfit(to.server) {
+	if r.f.relays.enabled() && r.f.selector.cutOff(r.j.service) {
+		if to = r.chooseRelay(relayCutOff); to.server == nil {
+			return destination{}, endNoServer
+		}
+	} else if to.server == nil || a.unfit(to.server) {
 		chosen, failure := r.chooseDestination(func(id string) bool { return id == a.server.ID || r.j.hasFailed(id) })
 		if errors.Is(failure.err, errTooLate) {
 			return destination{}, endTooLittleTime
@@ -109,6 +113,9 @@
 		to = chosen
 	}
 	if !r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
+		if to.hop != nil {
+			to.hop.end()
+		}
 		return destination{}, endSecondSends
 	}
 	return to, ""
