Track of which services an instance reaches no server, and probe until one is

Cause: an instance that is partitioned from all backend servers did not know it: it tried and avoided one server after the other, told its peers that these had failed, and went on to avoid them after the partition. Change: the forwarder reports new connections to decision/reach. The first connection ends the state and the avoidance of the service's servers. Peers get the statement at once, at most once a second, else with the usual digests. While cut off, failures of servers aren't told to peers.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -26,6 +26,8 @@
 	RequestRelayed          = Definition{7050, "request_relayed", zerolog.InfoLevel, "a request was handed to a peer because this instance reaches no backend server of its service; the fields give the peer and the reason", "check the instance's links to the backend servers"}
 	RelayFailed             = Definition{7051, "relay_failed", zerolog.InfoLevel, "a peer did not answer a request that was handed to it; not_run tells whether it certainly did not run", "none; check the peer if it is often the same one"}
 	RelayReceived           = Definition{7052, "relay_received", zerolog.InfoLevel, "a peer handed a request over", "check that peer's links to the backend servers"}
+	ServersCutOff           = Definition{7053, "servers_cut_off", zerolog.WarnLevel, "new connections to all backend servers of some services fail; services names them, all says that it holds for every service", "check the links of the instance; if all instances log it, check the servers"}
+	ServersReached          = Definition{7054, "servers_reached", zerolog.InfoLevel, "backend servers of some services accept connections again; services names them, all says that it held for every service", "none"}
 	SecondSendDenied        = Definition{7013, "second_send_denied", zerolog.InfoLevel, "a request was not sent to another backend server because the limit of second sends is reached; the fields give its use by this instance and by its data centre", "look for the servers that fail"}
 	AnswerFieldInvalid      = Definition{7014, "answer_field_invalid", zerolog.WarnLevel, "a header field of a backend server's answer could not be read and has no effect", "check the server"}
 	ServerLeaving           = Definition{7015, "server_leaving", zerolog.InfoLevel, "a backend server stated in an answer that it leaves: it gets no new requests", "none"}
@@ -50,6 +52,6 @@
 var forwardingEvents = []Definition{
 	RequestRelayed, RelayFailed, RelayReceived,
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
-	ServerSuspected, SecondSendDenied, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, SilentServerLeft, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
+	ServerSuspected, ServersCutOff, ServersReached, SecondSendDenied, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, SilentServerLeft, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
 }
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -52,7 +52,7 @@
 // attemptCall sends a call to a server and reads its answer.
 func (f *Forwarder) attemptCall(ctx context.Context, j *job, server *directory.Server, reuse bool) callResult {
 	result := callResult{server: server, started: time.Now()}
-	conn, err := f.pool.Open(ctx, server.ID, server.Address, connectTimeout, reuse)
+	conn, err := f.open(ctx, server, connectTimeout, reuse)
 	if err != nil {
 		result.notRun, result.code, result.err = true, fault.UpstreamUnreachable, err
 		return result
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
@@ -37,6 +38,7 @@
 	relays          *relays
 	onLeaving       func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
+	onCutOff        func(cutOff peers.CutOff)
 	askPeers        func(key streamversion.Key) bool
 	loadStreams     func(ctx context.Context) (recent bool, err error)
 	streamDurations streamDuration
@@ -57,6 +59,7 @@
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
 		versions:  newStreamVersions(options.ArchiveStream),
+		onCutOff:  options.OnCutOff,
 		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
 	}
 	if options.DialServer != nil {
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -30,6 +30,8 @@
 	// OnUnreachable is called with each server that could not be reached; down is
 	// set when it refused the connection.
 	OnUnreachable func(server *directory.Server, down bool)
+	// OnCutOff is called when the services change of which this instance reaches no server.
+	OnCutOff func(cutOff peers.CutOff)
 	// OnStreamBegun is called with the software version that began a stream.
 	OnStreamBegun func(record streamversion.Record)
 	// ArchiveStream is called with each new record of a stream, of this instance or of peers. LoadStreams
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -58,6 +58,9 @@
 	if err != nil {
 		return nil, nil, false, err
 	}
+	if !conn.Reused {
+		f.selector.reach.opened(server)
+	}
 	stopClosing := context.AfterFunc(ctx, conn.Close)
 	defer stopClosing()
 	memory := answerMemory{budget: &f.answers}
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -27,6 +27,7 @@
 	regions       map[string]string
 	peerGroup     func() peers.Group
 	onUnreachable func(server *directory.Server, down bool)
+	reach         *reachMonitor
 	limits        secondsends.Limits
 	logger        zerolog.Logger
 	started       time.Time
@@ -50,6 +51,7 @@
 		regions:        options.Regions,
 		peerGroup:      options.Group,
 		onUnreachable:  options.OnUnreachable,
+		reach:          newReachMonitor(options.Directory),
 		limits:         options.SecondSends,
 		logger:         options.Logger,
 		started:        time.Now(),
@@ -178,7 +180,10 @@
 	down := errors.Is(cause, syscall.ECONNREFUSED)
 	until := s.ledger.Unreachable(time.Now(), server.ID, server.DataCentre, down)
 	s.mu.Unlock()
-	s.onUnreachable(server, down)
+	s.reach.suspect(server)
+	if !s.cutOff(server.Service) {
+		s.onUnreachable(server, down)
+	}
 	event.Log(s.logger, event.ServerSuspected).Str("server", server.ID).Str("address", server.Address).
 		Dur("avoid_ms", time.Until(until)).AnErr("cause", cause).Send()
 }
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -176,7 +176,7 @@
 	if a.reconnecting {
 		timeout = reconnectTimeout
 	}
-	conn, err := r.f.pool.Open(ctx, a.server.ID, a.server.Address, timeout, false)
+	conn, err := r.f.open(ctx, a.server, timeout, false)
 	a.receivedAt = time.Now()
 	if err != nil {
 		return &streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 		Policy:            placement.DefaultPolicy(),
 		Group:             func() peers.Group { return g.peers.Group() },
 		OnUnreachable:     func(server *directory.Server, down bool) { g.peers.AnnounceFailure(server, down) },
+		OnCutOff:          func(cutOff peers.CutOff) { g.peers.AnnounceCutOff(cutOff) },
 		AnnouncePoison:    func() { g.peers.AnnouncePoison() },
 		OnLeaving:         func(server *directory.Server) { g.peers.AnnounceLeaving(server) },
 		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
@@ -137,6 +138,7 @@
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
+	g.duties.Go("reach", g.forwarder.RunReach)
 	g.duties.Go("quarantines", g.quarantines.Run)
 	g.duties.Go("stream records", g.archive.Run)
 	g.duties.Go("housekeeping", g.runMaintenance)
--- a/gateway/peers/cut_off.go
+++ b/gateway/peers/cut_off.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 )
 
 // maxCutOffServices is the maximum number of services that a digest names. A longer list is sent
@@ -65,9 +66,18 @@
 	}
 }
 
-// sendCutOff sends a digest to a sample of peers.
+// minCutOffInterval is the minimum time between two digests that are sent at once because the statement changed.
+const minCutOffInterval = time.Second
+
+// sendCutOff sends a digest to a sample of peers. Soon after the last one, peers get the statement with the
+// usual digests.
 func (s *Service) sendCutOff() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Sub(s.cutOffSentAt) < minCutOffInterval {
+		return
+	}
+	s.cutOffSentAt = now
 	s.sendToSample(nil, maxLocalFailurePeers, maxRemoteFailurePeers)
 }
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -67,6 +67,8 @@
 	// cutOff is what this instance states about itself. cutOffNews is signalled when it changes.
 	cutOff     CutOff
 	cutOffNews chan struct{}
+	// cutOffSentAt is when a digest was last sent because of a change.
+	cutOffSentAt time.Time
 	// regions is the region of each data centre.
 	regions map[string]string
 	// lastAnnounced is the state that Announce sent last.
