Stay at a silent server until something shows that it stopped or is out of reach

Cause: a time-out was taken for the end of a process. A running stream left its server after 240 to 400 ms of silence, with a copy without any probe, else after a probe that stayed unanswered for 250 ms, and so did one before its first event; one within a head left after 1 s without a probe. A server that pauses neither answers a probe nor notices that its connection is closed until it goes on, so that it and the successor worked on the request.

Change: a check over new connections, one at a time for each server and shared by all streams that are silent there, tells apart a server that answers, one whose machine accepts connections while the process is silent, a refused address, another process, and a machine that answers none of three connection attempts within 160 ms. A stream leaves at once for the last three, stays for the second, until the server has sent nothing for 2.5 s, and leaves one that answers only when it has answered for 200 ms without an event on the stream, which has then been silent for 450 ms with a copy or 1.5 s without. Both servers have the request for 250 ms at most, not 300, so that the one that answers learns of the closing within 400 ms. A server found silent is avoided for other requests.

--- a/gateway/forward/end_reason.go
+++ b/gateway/forward/end_reason.go
@@ -13,4 +13,6 @@
 	endNoServer      endReason = "no_server"
 	endDeadline      endReason = "deadline"
 	endQuarantined   endReason = "quarantined"
+	// endMayStillRun means that nothing shows that the silent server stopped.
+	endMayStillRun endReason = "may_still_run"
 )
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -36,6 +36,7 @@
 	poison          *poisonGuard
 	crashes         *crashDetector
 	relays          *relays
+	liveness        *livenessChecker
 	onLeaving       func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	onCutOff        func(cutOff peers.CutOff)
@@ -69,6 +70,7 @@
 	f.poison = newPoisonGuard(options, f.meters)
 	f.crashes = newCrashDetector(f)
 	f.relays = newRelays(options)
+	f.liveness = newLivenessChecker(f)
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
--- /dev/null
+++ b/gateway/forward/liveness_checker.go
@@ -0,0 +1,223 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+)
+
+const (
+	// livenessTimeout bounds one check: a new connection and two answers over round trips between regions.
+	livenessTimeout = 250 * time.Millisecond
+	// acceptTimeout is the time from the first connection attempt of a check after which a server that has
+	// accepted none is unreachable. The last attempt has a round trip between regions and some time more.
+	acceptTimeout = 160 * time.Millisecond
+	// acceptAttempts is the number of connection attempts of a check, acceptStagger the time between two:
+	// packets may be lost, and a lost SYN is retransmitted only after a second.
+	acceptAttempts = 3
+	acceptStagger  = 30 * time.Millisecond
+	// findingLifetime is how long the finding of an ended check is valid.
+	findingLifetime = 100 * time.Millisecond
+)
+
+// livenessChecker finds out over new connections whether the processes of silent servers run. There is one check of a
+// server at a time, which all streams share that are silent there. It is safe for concurrent use.
+type livenessChecker struct {
+	f  *Forwarder
+	mu sync.Mutex
+	// checks holds the running checks and those whose finding is valid, by the id of the server.
+	checks map[string]*livenessCheck
+}
+
+// livenessCheck is one check of a server.
+type livenessCheck struct {
+	started time.Time
+	// done is closed when finding is set.
+	done    chan struct{}
+	finding livenessFinding
+}
+
+func newLivenessChecker(f *Forwarder) *livenessChecker {
+	return &livenessChecker{f: f, checks: make(map[string]*livenessCheck)}
+}
+
+// check returns what a check of a server that began after a time has found. It waits for livenessTimeout at most,
+// twice that when another check runs that began before. The finding is undecided when the context ends first.
+func (c *livenessChecker) check(ctx context.Context, server *directory.Server, after time.Time) livenessFinding {
+	for {
+		check := c.join(server)
+		select {
+		case <-ctx.Done():
+			return livenessFinding{}
+		case <-check.done:
+		}
+		if check.started.After(after) {
+			return check.finding
+		}
+		c.drop(server, check)
+	}
+}
+
+// join returns the running or valid check of a server; it starts one when there is none.
+func (c *livenessChecker) join(server *directory.Server) *livenessCheck {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if check := c.checks[server.ID]; check != nil {
+		return check
+	}
+	check := &livenessCheck{started: time.Now(), done: make(chan struct{})}
+	c.checks[server.ID] = check
+	c.f.meters.count("probes")
+	go func() {
+		check.finding = c.run(server, check.started)
+		close(check.done)
+		time.AfterFunc(findingLifetime, func() { c.drop(server, check) })
+	}()
+	return check
+}
+
+// drop removes a check unless another one has replaced it.
+func (c *livenessChecker) drop(server *directory.Server, check *livenessCheck) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.checks[server.ID] == check {
+		delete(c.checks, server.ID)
+	}
+}
+
+func (c *livenessChecker) run(server *directory.Server, started time.Time) livenessFinding {
+	conn, finding := c.connect(server, started)
+	if conn == nil {
+		return finding
+	}
+	if c.f.selector.refusing(server) > 0 {
+		conn.Close()
+		return livenessFinding{liveness: livenessSilent}
+	}
+	return c.ask(conn, server, started.Add(livenessTimeout))
+}
+
+// connection is the outcome of one connection attempt.
+type connection struct {
+	conn *upstream.Conn
+	err  error
+}
+
+// connect opens a connection to a server; without one, the finding tells why.
+func (c *livenessChecker) connect(server *directory.Server, started time.Time) (*upstream.Conn, livenessFinding) {
+	end := started.Add(acceptTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel() // Ends the other attempts.
+	outcomes := make(chan connection)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	unanswered := livenessUnreachable
+	for attempts := 0; ; {
+		select {
+		case <-next.C:
+			go c.dial(ctx, server, outcomes)
+			if attempts++; attempts < acceptAttempts {
+				next.Reset(acceptStagger)
+			}
+		case outcome := <-outcomes:
+			switch {
+			case outcome.err == nil:
+				return outcome.conn, livenessFinding{}
+			case errors.Is(outcome.err, syscall.ECONNREFUSED):
+				return nil, livenessFinding{liveness: livenessRefused}
+			case !isUnanswered(outcome.err):
+				unanswered = livenessUndecided // This machine failed to send an attempt.
+			}
+		case <-ctx.Done():
+			if attempts < acceptAttempts || time.Since(end) >= maxWakeDelay {
+				unanswered = livenessUndecided // This process did not run.
+			}
+			return nil, livenessFinding{liveness: unanswered}
+		}
+	}
+}
+
+// dial makes one connection attempt.
+func (c *livenessChecker) dial(ctx context.Context, server *directory.Server, outcomes chan<- connection) {
+	conn, err := c.f.pool.Open(ctx, server.ID, server.Address, connectTimeout, false)
+	select {
+	case outcomes <- connection{conn: conn, err: err}:
+	case <-ctx.Done():
+		if err == nil {
+			conn.Close()
+		}
+	}
+}
+
+// isUnanswered reports whether a connection attempt ended without an answer of the server's machine.
+func isUnanswered(err error) bool {
+	return upstream.IsTimeout(err) || errors.Is(err, upstream.ErrNoTime) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
+
+// ask requests the load report and the id of the server over a connection.
+func (c *livenessChecker) ask(conn *upstream.Conn, server *directory.Server, deadline time.Time) livenessFinding {
+	f := c.f
+	memory := answerMemory{budget: &f.answers}
+	defer memory.close()
+	response, body, err := roundTrip(conn, f.protocol.LoadRequest(server.Address), maxReportBytes, deadline, memory.part())
+	if err != nil {
+		conn.Close()
+		return livenessFinding{liveness: livenessSilent}
+	}
+	f.readAnswer(server, response)
+	finding := livenessFinding{liveness: livenessRuns}
+	if response.Status == 200 {
+		if finding.report, err = f.protocol.ParseReport(body); err != nil {
+			event.Log(f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
+		}
+	}
+	service := f.service(server.Service)
+	if service == nil || service.HealthPath == "" || f.selector.refusing(server) > 0 {
+		f.pool.Put(server.ID, conn, response)
+		return finding
+	}
+	response, _, err = roundTrip(conn, f.protocol.IdentityRequest(server.Address, service.HealthPath), maxReportBytes, deadline, memory.part())
+	if err != nil {
+		conn.Close()
+		return finding
+	}
+	if id := f.protocol.ParseAnswer(response).Server; response.Status == 200 && id != "" && id != server.ID {
+		conn.Close()
+		f.adopter.handleReplacement(server, id)
+		return livenessFinding{liveness: livenessOtherProcess}
+	}
+	f.pool.Put(server.ID, conn, response)
+	return finding
+}
+
+// serverLiveness is what a check shows of a server's process.
+type serverLiveness int
+
+const (
+	// livenessUndecided means that the check shows nothing.
+	livenessUndecided serverLiveness = iota
+	// livenessRuns means that the server answers.
+	livenessRuns
+	// livenessSilent means that its machine accepts connections and the process does not answer: it may go on.
+	livenessSilent
+	// livenessRefused means that nothing listens at its address.
+	livenessRefused
+	// livenessOtherProcess means that another process answers at its address.
+	livenessOtherProcess
+	// livenessUnreachable means that its machine does not answer connection attempts.
+	livenessUnreachable
+)
+
+// livenessFinding is the result of a check.
+type livenessFinding struct {
+	liveness serverLiveness
+	// report is the load report of a server that runs.
+	report message.Report
+}
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -4,36 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
-	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
-// probe requests the load report at a server's address. It returns the report and
-// whether there was any answer. The answer doesn't identify the server that sent
-// it, so that it does not prove that this server runs. A server that refuses the requests of
-// this instance is not asked and counts as answering.
-func (f *Forwarder) probe(ctx context.Context, server *directory.Server) (message.Report, bool) {
-	if f.selector.refusing(server) > 0 {
-		return message.Report{}, true
-	}
-	f.meters.count("probes")
-	response, body, err := f.query(ctx, server, f.protocol.LoadRequest(server.Address), maxReportBytes, probeTimeout)
-	if err != nil {
-		return message.Report{}, false
-	}
-	if response.Status != 200 {
-		return message.Report{}, true
-	}
-	report, err := f.protocol.ParseReport(body)
-	if err != nil {
-		event.Log(f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
-	}
-	return report, true
-}
-
 const (
 	// maxReportBytes bounds a load report or a server's id in bytes, maxCacheReportBytes a report of
 	// an engine's cache.
--- a/gateway/forward/relay_stream.go
+++ b/gateway/forward/relay_stream.go
@@ -15,6 +15,8 @@
 	// peerCheckInterval is the silence after which a peer that serves a stream is checked, and the time between
 	// two checks. The peer itself judges the silence of its server.
 	peerCheckInterval = 500 * time.Millisecond
+	// peerCheckTimeout bounds the opening of a connection to a peer, and its answer to a check.
+	peerCheckTimeout = 250 * time.Millisecond
 	// maxMissedChecks is the number of checks in a row that a peer may miss.
 	maxMissedChecks = 2
 )
@@ -120,7 +122,7 @@
 
 // answers reports whether a peer answers on its relay address.
 func (r *relays) answers(ctx context.Context, peer *directory.Server) bool {
-	conn, err := r.pool.Open(ctx, peer.ID, peer.Address, probeTimeout, false)
+	conn, err := r.pool.Open(ctx, peer.ID, peer.Address, peerCheckTimeout, false)
 	if err != nil {
 		return false
 	}
@@ -128,7 +130,7 @@
 	if _, err := conn.Send([]byte(relayCheckMethod+" / HTTP/1.1\r\nHost: "+peer.Address+"\r\n\r\n"), nil); err != nil {
 		return false
 	}
-	if err := conn.SetReadDeadline(time.Now().Add(probeTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(peerCheckTimeout)); err != nil {
 		return false
 	}
 	_, err = conn.ReadHead(relayCheckMethod)
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -22,9 +22,6 @@
 	firstEventCheckInterval = 400 * time.Millisecond
 	// waitingCheckInterval is the minimum time between two checks of a silent server that is waited for.
 	waitingCheckInterval = 400 * time.Millisecond
-	// probeTimeout bounds one check: a new connection and an answer over two
-	// round trips between regions.
-	probeTimeout = 250 * time.Millisecond
 	// maxWakeDelay is how late an expired read deadline may be handled. A longer
 	// delay means that this process did not run, and the silence proves nothing.
 	maxWakeDelay = 60 * time.Millisecond
@@ -59,8 +56,8 @@
 		if a.sendsNoEvent(now) {
 			return errNoEvent
 		}
-		evidence := a.evidenceToLeave(ctx, now, timeout)
-		if evidence != "" && (ctx.Err() != nil || a.leave(ctx, err, evidence)) {
+		evidence := a.evidenceToLeave(ctx, err, timeout)
+		if ctx.Err() != nil || (evidence != "" && a.leave(ctx, err, evidence)) {
 			return err
 		}
 	}
@@ -81,7 +78,7 @@
 // progressed records that the server sent the head of its answer or an event.
 func (a *streamAttempt) progressed(now time.Time) {
 	a.receivedAt = now
-	a.checkAt, a.fragmentsSince = time.Time{}, time.Time{}
+	a.checkAt, a.fragmentsSince, a.runsSince = time.Time{}, time.Time{}, time.Time{}
 	a.checkedBytes = a.conn.Received()
 }
 
@@ -108,38 +105,93 @@
 	a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) { ledger.Received(now, a.server.ID) })
 }
 
-// evidenceToLeave returns what shows that the attempt should not continue, empty when it may because the
-// server still runs. Recent responses to other requests or an answer to a probe show this. A running stream
-// with a KV cache copy is not probed: it resumes there.
-func (a *streamAttempt) evidenceToLeave(ctx context.Context, now time.Time, timeout time.Duration) silenceEvidence {
+// evidenceToLeave returns what shows that the silent server has stopped, is out of reach or does not send on this
+// stream; empty when it may go on. A server that only is silent may still run the request, and would not notice that
+// its connection is closed: it is avoided for other requests meanwhile.
+func (a *streamAttempt) evidenceToLeave(ctx context.Context, cause error, timeout time.Duration) silenceEvidence {
+	f, now := a.run.f, time.Now()
+	if a.replaced() {
+		return evidenceOtherProcess
+	}
 	var lastResponse time.Time
-	f := a.run.f
 	f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(a.server.ID) })
-	if a.awaitsFirstEvent() {
-		if now.Sub(lastResponse) < timeout/2 && now.Sub(a.sentAt) < unansweredProbeDelay {
-			return ""
-		}
-		report, answers := f.probe(ctx, a.server)
-		if !answers {
-			return evidenceNoAnswer
-		}
-		if a.answerLost(&report) {
-			return evidenceAnswerLost
-		}
+	finding := livenessFinding{liveness: livenessRuns}
+	// Only a report shows that the beginning of an answer was lost.
+	needsReport := a.awaitsFirstEvent() && now.Sub(a.sentAt) >= unansweredProbeDelay
+	if needsReport || now.Sub(lastResponse) >= timeout/2 {
+		finding = f.liveness.check(ctx, a.server, a.receivedAt)
+	}
+	if ctx.Err() != nil {
 		return ""
 	}
-	if now.Sub(a.receivedAt) >= maxSilence {
-		return evidenceLongSilence
+	switch finding.liveness {
+	case livenessRefused:
+		return evidenceRefused
+	case livenessOtherProcess:
+		return evidenceOtherProcess
+	case livenessUnreachable:
+		return evidenceUnreachable
+	case livenessRuns:
+		return a.evidenceOfLostAnswer(time.Now(), &finding.report)
+	default:
+		return a.evidenceOfLongSilence(cause, lastResponse)
+	}
+}
+
+// replaced reports whether a later process has the address of the server, or its id. An older copy of the
+// store may list an earlier one.
+func (a *streamAttempt) replaced() bool {
+	snapshot := a.run.f.directory.Snapshot()
+	if listed := snapshot.Find(a.server.ID); listed != nil {
+		return a.server.Incarnation != 0 && listed.Incarnation > a.server.Incarnation
 	}
-	if now.Sub(lastResponse) < timeout/2 {
+	return snapshot.FindByAddress(a.server.Address) != nil
+}
+
+// evidenceOfLostAnswer returns what shows that a server that runs does not send on this stream. It has run for
+// minRunTime, so that its events would have arrived after a pause.
+func (a *streamAttempt) evidenceOfLostAnswer(now time.Time, report *message.Report) silenceEvidence {
+	a.serverAnsweredAt = now
+	if a.runsSince.IsZero() {
+		a.runsSince = now
+	}
+	if now.Sub(a.runsSince) < minRunTime {
 		return ""
 	}
-	if a.cacheCopyServer != nil {
-		return evidenceUnprobed
+	switch {
+	case a.response == nil && a.headBegun:
+		return evidencePartialHead
+	case a.awaitsFirstEvent():
+		if a.answerLost(report) {
+			return evidenceAnswerLost
+		}
+	case now.Sub(a.receivedAt) >= a.maxStreamSilence():
+		return evidenceStreamSilent
+	}
+	return ""
+}
+
+// maxStreamSilence returns the silence after which a running stream leaves a server that answers.
+func (a *streamAttempt) maxStreamSilence() time.Duration {
+	if a.copyHolder() != nil {
+		return maxSilenceWithCopy
+	}
+	return maxSilence
+}
+
+// evidenceOfLongSilence waits for a silent server unless it has been silent for longer than a sound one pauses.
+func (a *streamAttempt) evidenceOfLongSilence(cause error, lastResponse time.Time) silenceEvidence {
+	a.runsSince = time.Time{}
+	since := a.receivedAt
+	for _, sign := range []time.Time{lastResponse, a.serverAnsweredAt} {
+		if sign.After(since) {
+			since = sign
+		}
 	}
-	if _, answers := f.probe(ctx, a.server); !answers {
-		return evidenceNoAnswer
+	if time.Since(since) >= maxPause {
+		return evidenceServerSilent
 	}
+	a.await(cause, endMayStillRun, "")
 	return ""
 }
 
@@ -152,8 +204,16 @@
 
 const (
 	// maxSilence is the silence after which a running stream leaves its server
-	// even though the server runs, if another one may take over.
-	maxSilence = 1500 * time.Millisecond
+	// even though the server runs, if another one may take over; maxSilenceWithCopy applies when
+	// that one has a copy.
+	maxSilence         = 1500 * time.Millisecond
+	maxSilenceWithCopy = 450 * time.Millisecond
+	// minRunTime is how long a server has answered checks, after a pause, before its silence on one
+	// stream means that the stream's connection is lost.
+	minRunTime = 200 * time.Millisecond
+	// maxPause is the silence of a server, over connections that its machine still accepts, after which
+	// it is not taken for a sound one any more: sound servers pause for up to two seconds.
+	maxPause = 2500 * time.Millisecond
 	// maxFragmentTime is the time between the first and the last check that find bytes without an
 	// event, after which the server is not sound. With the checks before and after it, callers that
 	// abandon a stream after a gap of two seconds get an end or the next event before.
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -43,6 +43,12 @@
 	// first check that found bytes without an event; zero for none.
 	checkedBytes   int64
 	fragmentsSince time.Time
+	// runsSince is when the first of the latest checks without a break found that the server answers,
+	// serverAnsweredAt when the last one did; zero for none.
+	runsSince        time.Time
+	serverAnsweredAt time.Time
+	// headBegun is set when the first bytes of the answer's head were received.
+	headBegun bool
 	// firstEventAt is when the first event came; zero until then.
 	firstEventAt time.Time
 	// ranClean is set when the run was recorded as one without a crash.
@@ -223,21 +229,31 @@
 // readHead reads the head of the answer, whose first bytes were received. It returns errNoEvent
 // when bytes come for headTimeout without completing the head.
 func (a *streamAttempt) readHead(ctx context.Context) (*http1.Response, error) {
-	for {
+	a.headBegun = true
+	for timeout := headTimeout; ; {
 		received := a.conn.Received()
-		if err := a.conn.SetReadDeadline(time.Now().Add(headTimeout)); err != nil {
+		if err := a.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return nil, err
 		}
 		response, err := a.conn.ReadHead(a.run.j.exchange.Head.Method)
 		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return response, err
 		}
-		if a.hop != nil || a.conn.Received() > received {
+		if a.hop != nil {
 			return nil, errNoEvent
 		}
-		if a.leave(ctx, err, evidencePartialHead) {
+		if a.conn.Received() > received {
+			if timeout == headTimeout {
+				return nil, errNoEvent
+			}
+			timeout, a.runsSince = headTimeout, time.Time{}
+			continue
+		}
+		evidence := a.evidenceToLeave(ctx, err, timeout)
+		if ctx.Err() != nil || (evidence != "" && a.leave(ctx, err, evidence)) {
 			return nil, err
 		}
+		timeout = waitingCheckInterval
 	}
 }
 
--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -12,8 +12,9 @@
 )
 
 // successionTimeout is how long a silent server keeps its request beside a successor that has not
-// rejected it. Servers that have no room reject at once; the others may begin to run it.
-const successionTimeout = 300 * time.Millisecond
+// rejected it. Servers that have no room reject at once; the others may begin to run it. The silent one
+// has to learn of the closing of its connection within the 400 ms for which two servers may run a request.
+const successionTimeout = 250 * time.Millisecond
 
 // leave reports whether another server has taken the stream of a silent one over. Otherwise the
 // silent server is waited for until its connection fails or the request's deadline passes: it
