Keep servers with a rejection limit from rejecting more than they can

When servers of a service fall over because they had to reject too much, callers lose what ran there. Cause: instances don't read the statement, and learn that a server has no room only by its rejections: two instances with 16 clients each made a server with a limit of 2 reject 1,499 calls in a second, and an engine with a limit of 1 2,705 streams. Change: the statement is read in all answers; digests carry it and the latest rejections, which the instances with the lowest ranks at the server get at once. An instance chooses such a server only for what decision/rejections lets it send, and none when half of the limit is reached. What finds no room is rejected at once with no_room and a time to come back. Servers without the statement are placed as before.

--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -182,6 +182,14 @@
 	return server
 }
 
+// LoadAt returns the load that this instance causes at a server, and that of all instances as far as known.
+func (l *Ledger) LoadAt(id string) (own, all Load) {
+	if server := l.servers[id]; server != nil {
+		return server.ownLoad, server.load()
+	}
+	return Load{}, Load{}
+}
+
 // load returns the load of a server by all instances, zero without records.
 func (l *Ledger) load(id string) Load {
 	if server := l.servers[id]; server != nil {
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -53,7 +53,7 @@
 	}
 	run := &callRun{f: f, j: j, service: service, results: make(chan callResult, j.route.Attempts+maxNotRunSends+maxRelays+1)}
 	if !run.send(ctx) {
-		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: f.selector.untilServer(j.service)})
+		f.reject(j, f.selector.noServerAnswer(service))
 		return
 	}
 	interval := time.Duration(secondSendFraction * float64(j.route.TargetLatency))
@@ -104,7 +104,7 @@
 	r.pending++
 	started := time.Now()
 	r.f.requestSentEvent(r.j, server).Send()
-	r.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { ledger.CallStarted(started, server.ID) })
+	r.f.selector.callStarted(started, server)
 	go func() {
 		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
 		result.started = started
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -38,6 +38,7 @@
 	relays          *relays
 	liveness        *livenessChecker
 	onLeaving       func(server *directory.Server)
+	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	onCutOff        func(cutOff peers.CutOff)
 	askPeers        func(key streamversion.Key) bool
@@ -61,7 +62,7 @@
 		meters:    newMeters(options.Metrics),
 		versions:  newStreamVersions(options.ArchiveStream),
 		onCutOff:  options.OnCutOff,
-		onLeaving: options.OnLeaving, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
+		onLeaving: options.OnLeaving, onRejection: options.OnRejection, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
 	}
 	if options.DialServer != nil {
 		f.pool = upstream.NewPoolBy(options.DialServer)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -52,8 +53,12 @@
 	OnLeaving func(server *directory.Server)
 	// DialServer opens connections to backend servers; nil for plain TCP.
 	DialServer upstream.Dial
-	Logger     zerolog.Logger
-	Metrics    metrics.Registry
+	// OnRejection is called with each server with a rejection limit that rejected a request.
+	OnRejection func(server *directory.Server)
+	// SharesAt returns the shares of this instance at servers, by server.
+	SharesAt func(servers []*directory.Server) map[string]rejections.Share
+	Logger   zerolog.Logger
+	Metrics  metrics.Registry
 }
 
 // Times of forwarding.
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -33,7 +34,11 @@
 	started       time.Time
 	mu            sync.Mutex
 	ledger        *placement.Ledger
-	budgets       map[string]*secondsends.Budget
+	// rejections holds the rejection limits of servers, and shares what this instance may use of those that have one.
+	rejections *rejections.Table
+	shareAt    func(servers []*directory.Server) map[string]rejections.Share
+	shares     map[string]serviceShares
+	budgets    map[string]*secondsends.Budget
 	// usages holds the usages of the data centre's peers, by service and instance.
 	usages map[string]map[string]reportedUsage
 	// processes holds the server process that each record of the ledger belongs
@@ -56,6 +61,9 @@
 		logger:         options.Logger,
 		started:        time.Now(),
 		ledger:         placement.NewLedger(options.Policy, options.Place, random),
+		rejections:     rejections.NewTable(),
+		shareAt:        options.SharesAt,
+		shares:         make(map[string]serviceShares),
 		budgets:        make(map[string]*secondsends.Budget),
 		usages:         make(map[string]map[string]reportedUsage),
 		processes:      make(map[string]*directory.Server),
@@ -116,6 +124,7 @@
 func (s *selector) trackProcess(server *directory.Server) {
 	if old := s.processes[server.ID]; old != nil && !old.MayBeSameProcess(server) {
 		s.ledger.Forget(server.ID)
+		s.rejections.Forget(server.ID)
 	}
 	s.processes[server.ID] = server
 }
@@ -124,6 +133,7 @@
 func (s *selector) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.rejections.Expire(time.Now())
 	snapshot := s.directory.Snapshot()
 	if len(s.processes) <= len(snapshot.All) {
 		return
@@ -138,26 +148,32 @@
 
 // chooseForCall chooses the server of a call; nil when there is none.
 func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
+	ready := s.ready(service, versionBinding{})
+	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, s.ready(service, versionBinding{}), skip))
+	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, s.withRoom(service, ready, 0, shares), skip))
 	if !found {
 		return nil
 	}
+	s.recordChoice(service, id)
 	return s.directory.Snapshot().Find(id)
 }
 
 // chooseForGeneration chooses the server of a generation that the binding admits; nil when there is none.
 func (s *selector) chooseForGeneration(service *route.Service, size placement.Generation, binding versionBinding, skip func(string) bool) (*directory.Server, placement.Choice) {
 	peerGroup := s.peerGroup()
+	resumable := s.resumable(service, binding)
+	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, s.resumable(service, binding), skip)
+	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares), skip)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
 		return nil, choice
 	}
+	s.recordChoice(service, choice.ID)
 	return s.directory.Snapshot().Find(choice.ID), choice
 }
 
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -25,6 +25,10 @@
 	if answer.Invalid != nil {
 		event.Log(f.logger, event.AnswerFieldInvalid).Str("server", server.ID).Err(answer.Invalid).Send()
 	}
+	if f.selector.recordRejectionLimit(server, answer) {
+		f.meters.count("servers.rejections")
+		f.onRejection(server)
+	}
 	if answer.RetryAfter > 0 {
 		f.selector.recordRefusal(server, answer.RetryAfter)
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -309,7 +309,7 @@
 	if r.j.sends == 0 {
 		retryAfter := tooLittleTimeRetryAfter
 		if result.code != fault.TooLittleTime {
-			retryAfter = r.f.selector.untilServer(r.j.service)
+			retryAfter = r.f.selector.noServerAnswer(r.service).retryAfter
 		}
 		r.f.reject(r.j, localAnswer{status: 503, code: result.code, retryAfter: retryAfter})
 		return
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -133,6 +133,7 @@
 	}
 	a.run.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) {
 		ledger.Add(a.server.ID, a.load)
+		a.run.f.selector.rejections.Started(a.server.ID)
 		if a.cacheCopyServer != nil {
 			ledger.Add(a.cacheCopyServer.ID, placement.Load{MemoryTokens: a.run.size.MemoryTokens})
 		}
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -59,7 +59,7 @@
 		return destination{}, streamResult{code: fault.SoftwareVersionUnavailable}
 	}
 	if server == nil {
-		return destination{}, streamResult{code: fault.NoServer}
+		return destination{}, streamResult{code: r.f.selector.noServerAnswer(r.service).code}
 	}
 	if !r.fits(choice.MinReadTokens) {
 		return destination{}, streamResult{code: fault.TooLittleTime, err: errTooLate}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/duty"
 	"github.com/wisteriahaven/wisteriahaven/event"
@@ -84,6 +85,8 @@
 		OnCutOff:          func(cutOff peers.CutOff) { g.peers.AnnounceCutOff(cutOff) },
 		AnnouncePoison:    func() { g.peers.AnnouncePoison() },
 		OnLeaving:         func(server *directory.Server) { g.peers.AnnounceLeaving(server) },
+		OnRejection:       func(server *directory.Server) { g.peers.AnnounceRejection(server) },
+		SharesAt:          func(servers []*directory.Server) map[string]rejections.Share { return g.peers.SharesAt(servers) },
 		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
 		ArchiveStream:     func(record streamversion.Record) { g.archive.Add(record) },
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
--- a/gateway/message/answer.go
+++ b/gateway/message/answer.go
@@ -24,6 +24,11 @@
 	// RetryAfter is how long the server wants no request of this instance; 0 when it
 	// doesn't say so. Only a server that turns a request away does.
 	RetryAfter time.Duration
+	// RejectionLimit is how many requests the server states that it can reject in a second for want of room before it fails;
+	// 0 when it doesn't say so.
+	RejectionLimit int
+	// NoRoom reports whether the server rejected the request without running it, as one that has no room does.
+	NoRoom bool
 	// Invalid is the error of a field that could not be read and has no effect; nil for none.
 	Invalid error
 }
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -35,6 +35,8 @@
 	tagCleanRun
 	tagQuarantine
 	tagCutOffService
+	tagRejectionLimit
+	tagRejections
 )
 
 // Bits of a digest's flags field.
@@ -60,7 +62,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, usages, rates, loads and peer addresses.
+// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -82,6 +84,12 @@
 	for i := range digest.LeavingServers {
 		b = appendIfFits(b, tagLeavingServer, encodeLeavingServer(&digest.LeavingServers[i]))
 	}
+	for i := range digest.RejectionLimits {
+		b = appendIfFits(b, tagRejectionLimit, encodeLimit(&digest.RejectionLimits[i]))
+	}
+	for i := range digest.Rejections {
+		b = appendIfFits(b, tagRejections, encodeRejections(&digest.Rejections[i]))
+	}
 	for i := range digest.Usages {
 		b = appendIfFits(b, tagUsage, encodeUsage(&digest.Usages[i]))
 	}
@@ -214,6 +222,10 @@
 			return err
 		case tagCrash, tagCleanRun, tagQuarantine:
 			return digest.Poison.decodePoison(tag, text)
+		case tagRejectionLimit:
+			return digest.decodeLimit(text)
+		case tagRejections:
+			return digest.decodeRejections(text)
 		case tagFailedServer:
 			return digest.decodeFailedServer(text)
 		case tagLeavingServer:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
@@ -55,6 +56,10 @@
 	WantedStreams []streamversion.Key
 	// Poison are news about requests that crash backend servers.
 	Poison PoisonNews
+	// RejectionLimits are limits that servers stated to the sender, Rejections the latest requests that servers with a limit
+	// rejected.
+	RejectionLimits []rejections.ServiceLimit
+	Rejections      []RejectionReport
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 )
@@ -29,8 +30,12 @@
 func (discardingLedger) ReportUsages(string, []ServiceUsage) {}
 func (discardingLedger) Rates() []ServiceRate                { return nil }
 func (discardingLedger) ReportRates(string, []ServiceRate)   {}
-func (discardingLedger) ReportFailure(FailedServer)          {}
-func (discardingLedger) Expire(time.Duration)                {}
+func (discardingLedger) Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections) {
+	return nil, nil
+}
+func (discardingLedger) ReportRejections(string, []rejections.ServiceLimit, []RejectionReport) {}
+func (discardingLedger) ReportFailure(FailedServer)                                            {}
+func (discardingLedger) Expire(time.Duration)                                                  {}
 
 // newService returns a service that neither listens nor runs.
 func newService(address netip.AddrPort) *Service {
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 )
@@ -24,6 +25,10 @@
 	Rates() []ServiceRate
 	// ReportRates records the estimates of a peer.
 	ReportRates(instance string, rates []ServiceRate)
+	// Rejections returns the rejection limits that servers stated to this instance, and its latest requests that such servers
+	// rejected. ReportRejections records those of a peer.
+	Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections)
+	ReportRejections(instance string, limits []rejections.ServiceLimit, reported []RejectionReport)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -45,6 +46,8 @@
 				ReadTimePerToken: 125 * time.Microsecond, ReadTimeDeviation: time.Duration(i),
 			}})
 			sent.CutOff.Services = append(sent.CutOff.Services, id)
+			sent.RejectionLimits = append(sent.RejectionLimits, rejections.ServiceLimit{Service: id, Limit: i + 1})
+			sent.Rejections = append(sent.Rejections, RejectionReport{Server: id, Ages: []time.Duration{time.Duration(i) * time.Second, 0}})
 			sent.Members = append(sent.Members, addressOf(i))
 			sent.StreamRecords = append(sent.StreamRecords, streamversion.Record{Key: streamversion.Key(rapid.Uint64().Draw(t, "stream")), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
 			sent.WantedStreams = append(sent.WantedStreams, streamversion.Key(rapid.Uint64().Draw(t, "wanted")))
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -55,6 +55,9 @@
 	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
 		s.options.Ledger.ReportUsages(digest.Instance, digest.Usages)
 	}
+	if len(digest.RejectionLimits)+len(digest.Rejections) > 0 {
+		s.options.Ledger.ReportRejections(digest.Instance, digest.RejectionLimits, digest.Rejections)
+	}
 	if len(digest.Rates) > 0 {
 		s.options.Ledger.ReportRates(digest.Instance, digest.Rates)
 	}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -71,6 +71,8 @@
 	cutOffSentAt time.Time
 	// regions is the region of each data centre.
 	regions map[string]string
+	// rejections holds servers whose rejections peers are told at once.
+	rejections chan *directory.Server
 	// lastAnnounced is the state that Announce sent last.
 	lastAnnounced LocalState
 	// leavingServers are announced in digests, oldest first.
@@ -97,6 +99,7 @@
 		poisonNews: make(chan struct{}, 1),
 		cutOffNews: make(chan struct{}, 1),
 		regions:    maps.Clone(options.Regions),
+		rejections: make(chan *directory.Server, rejectionQueueCapacity),
 		table:      NewTable(options.Instance, options.Address.Addr(), options.Seeds),
 	}
 }
@@ -162,6 +165,9 @@
 			s.sendPoisonNews()
 		case <-s.cutOffNews:
 			s.sendCutOff()
+		case first := <-s.rejections:
+			time.Sleep(failureGatherTime)
+			s.sendRejections(first)
 		case now := <-ticker.C:
 			s.round(now)
 		}
@@ -195,11 +201,13 @@
 func (s *Service) digest() Digest {
 	s.sequence++
 	own, now := s.localState(), time.Now()
+	limits, rejected := s.options.Ledger.Rejections()
 	return Digest{
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
 		Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
+		RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
 		Poison: reportsOf(now, s.options.Poison.News(rand.IntN(completeNewsSpacing) == 0)),
 	}
 }
