--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -23,6 +23,8 @@
 	// together may use: less than half of the heap, because they are copied when
 	// they are sent.
 	bodyFraction = 0.25
+	// spareRelayConnections is the number of connections for peers' requests that are refused.
+	spareRelayConnections = 16
 	// relayedBodyFraction is bodyFraction for the requests of peers.
 	relayedBodyFraction = 0.0625
 	// answerFraction is the fraction of the process's memory that all buffered answers together may
@@ -95,11 +97,11 @@
 	}
 }
 
-// relayLimits returns the bounds on the resources that requests of peers may use. Idle connections come on top of
-// those with a request.
+// relayLimits returns the bounds on the resources that requests of peers may use. Connections beyond RelayedRequests
+// get an answer that their request did not run; those beyond Connections get none.
 func relayLimits(gatewaySettings *settings.Gateway) ingress.Limits {
 	return ingress.Limits{
-		Connections: 2 * gatewaySettings.RelayedRequests,
+		Connections: gatewaySettings.RelayedRequests*3/2 + spareRelayConnections,
 		BodyBytes:   int64(relayedBodyFraction * gatewaySettings.MemoryMB * (1 << 20)),
 	}
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -121,7 +121,6 @@
 // Tick closes expired idle connections and drops records of removed servers.
 func (f *Forwarder) Tick(now time.Time) {
 	f.pool.Tick(now)
-	f.relays.pool.Tick(now)
 	f.selector.Tick()
 	f.meters.set("requests.quarantined", int64(len(f.Quarantines())))
 }
--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -7,7 +7,6 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
-	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -97,7 +96,7 @@
 // relayCall hands a call to a peer and reads its answer.
 func (f *Forwarder) relayCall(ctx context.Context, j *job, next *hop, relayed message.Relay) callResult {
 	result := callResult{server: &next.peer, started: time.Now()}
-	conn, err := f.relays.pool.Open(ctx, next.peer.ID, next.peer.Address, connectTimeout, j.route.Kind == route.Idempotent)
+	conn, err := f.relays.pool.Open(ctx, next.peer.ID, next.peer.Address, connectTimeout, false)
 	if err != nil {
 		result.notRun, result.code, result.err = true, fault.UpstreamUnreachable, err
 		return result
@@ -122,9 +121,7 @@
 		memory.release()
 		return f.failedExchange(conn, result, err)
 	}
-	if stopClosing() {
-		f.relays.pool.Put(next.peer.ID, conn, response)
-	}
+	conn.Close()
 	result.response, result.body = response, body
 	f.checkRelayed(&result, j, response)
 	return result
