Leave what needs a server to the peer that gets the request

While an instance is cut off, it asked engines in vain for the prompt of a stream that its client resumes; the peer finds the software version now, and the stream goes to no server of this instance unbound. A peer is told at most 32 failed servers.

--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -38,15 +38,9 @@
 }
 
 // takeSecondSend reports whether a call may be sent again after a failure. One of which nothing was sent takes
-// nothing of the bound on second sends, nor does a request that reached no process when a peer gets it.
+// nothing of the bound on second sends.
 func (r *callRun) takeSecondSend(failure *callResult) bool {
-	if failure.code == fault.UpstreamUnreachable {
-		return true
-	}
-	if failure.notRun && !r.mayHaveRun && r.pending == 0 && r.j.relayed == nil && r.f.withoutServers(r.j, failure.code) != "" {
-		return true
-	}
-	return r.f.selector.takeSecondSend(r.j.request.ID, r.j.service)
+	return failure.code == fault.UpstreamUnreachable || r.f.selector.takeSecondSend(r.j.request.ID, r.j.service)
 }
 
 // relay hands the call to a peer and reports whether there is one.
@@ -156,14 +150,11 @@
 	r.lastFailure = *result
 	if result.notRun {
 		r.j.sends -= result.hop.attempts
-		if r.send(ctx) {
-			return false
-		}
 	} else {
 		r.mayHaveRun = true
-		if r.maySendAgain(result) && r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) && r.send(ctx) {
-			return false
-		}
+	}
+	if r.maySendAgain(result) && r.takeSecondSend(result) && r.send(ctx) {
+		return false
 	}
 	if r.pending > 0 {
 		return false
--- a/gateway/forward/relay_receive.go
+++ b/gateway/forward/relay_receive.go
@@ -13,6 +13,9 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
+// maxFailedServers is the maximum number of failed servers that a peer is told.
+const maxFailedServers = 32
+
 // relayHeaderBytes is the size of the header fields that a peer adds to a client's request.
 const relayHeaderBytes = 4 << 10
 
@@ -101,5 +104,5 @@
 
 // relayMessage returns what this instance states about a request that it hands to a peer.
 func (j *job) relayMessage(instance string, used int) message.Relay {
-	return message.Relay{From: instance, UsedAttempts: used, FailedServers: j.failedServers, Service: j.service, Remaining: j.remaining()}
+	return message.Relay{From: instance, UsedAttempts: used, FailedServers: j.failedServers[max(0, len(j.failedServers)-maxFailedServers):], Service: j.service, Remaining: j.remaining()}
 }
--- a/gateway/forward/relay_stream.go
+++ b/gateway/forward/relay_stream.go
@@ -57,10 +57,18 @@
 	to.hop.attempts = hopAttempts(r.j.route.Attempts, r.usedAttempts())
 	r.j.sends++
 	r.relays++
+	r.cacheCopyServer = nil
 	r.f.logRelayed(r.j, to.hop, to.hop.reason, r.events.position)
 	return &streamAttempt{run: r, server: to.server, hop: to.hop}
 }
 
+// leavesBinding reports whether it is left to a peer to find the software version of a stream that its client resumes,
+// because the engines can't be asked from here.
+func (r *streamRun) leavesBinding() bool {
+	resumes := r.j.request.Position > 0 || r.j.request.FirstAttempt != ""
+	return resumes && r.j.relayed == nil && r.j.origin.source == "" && r.f.relays.enabled() && r.f.selector.cutOff(r.j.service)
+}
+
 // usedAttempts returns the number of servers that count as those that may have run the request.
 func (r *streamRun) usedAttempts() int {
 	return len(r.mayHaveRunAt) + r.ranAtPeers + r.j.usedAttempts()
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -54,6 +54,8 @@
 	// each peer that may have run the request there.
 	relays     int
 	ranAtPeers int
+	// unboundHere is set when only a peer may bind the stream to its software version.
+	unboundHere bool
 	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
 	relayRetryAfter time.Duration
 }
@@ -102,7 +104,8 @@
 		f.reject(j, localAnswer{status: 503, code: fault.TooLittleTime, retryAfter: tooLittleTimeRetryAfter})
 		return
 	}
-	if !run.bindResumed(ctx) {
+	run.unboundHere = run.leavesBinding()
+	if !run.unboundHere && !run.bindResumed(ctx) {
 		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown, retryAfter: max(noServerRetryAfter, f.untilListTrusted())})
 		return
 	}
@@ -142,7 +145,7 @@
 // findPrompt looks for the engine that keeps the prompt of a stream which the client resumes, or
 // of one that can end in time only if some engine keeps it.
 func (r *streamRun) findPrompt(ctx context.Context) {
-	if r.size.PromptKey == "" || r.service.Engine == nil {
+	if r.size.PromptKey == "" || r.service.Engine == nil || r.unboundHere || r.f.relays.enabled() && r.f.selector.cutOff(r.j.service) {
 		return
 	}
 	if r.j.request.Position == 0 && r.fits(r.size.PromptTokens) {
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -27,7 +27,7 @@
 	if to, reason := r.relayDestination(); to.server != nil {
 		r.reconnectServer = nil
 		return to, streamResult{}
-	} else if r.j.relayed != nil && reason != "" || reason == relayCutOff && !r.j.exchange.Started() {
+	} else if r.j.relayed != nil && reason != "" || reason == relayCutOff && !r.j.exchange.Started() || r.unboundHere && !r.binding.bound {
 		return destination{}, streamResult{code: fault.NoServer}
 	}
 	reconnect, holder := r.reconnectServer, r.cacheCopyServer
