Bound the attempts of requests that are handed to peers

A stream whose server reset the connection could go to a peer beyond the attempts of its route, because the way back to that server is not counted.

--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -45,14 +45,14 @@
 
 // relay hands the call to a peer and reports whether there is one.
 func (r *callRun) relay(ctx context.Context, reason relayReason) bool {
-	if r.j.relayed != nil || r.relays >= maxRelays {
+	used := r.j.sends - r.notRunAttempts
+	if r.j.relayed != nil || r.relays >= maxRelays || used >= r.j.route.Attempts {
 		return false
 	}
 	next := r.f.relays.choose(r.j.service, r.j.hasFailed)
 	if next == nil {
 		return false
 	}
-	used := r.j.sends - r.notRunAttempts
 	next.attempts = hopAttempts(r.j.route.Attempts, used)
 	relayed := r.j.relayMessage(r.f.relays.instance, r.j.route.Attempts-next.attempts)
 	r.j.failedServers = append(r.j.failedServers, next.peer.ID)
--- a/gateway/forward/relay_stream.go
+++ b/gateway/forward/relay_stream.go
@@ -41,7 +41,7 @@
 // chooseRelay returns a peer to which the stream is handed; without one, the destination has no server.
 func (r *streamRun) chooseRelay(reason relayReason) destination {
 	unknownVersion := r.binding.bound && r.binding.version == ""
-	if r.j.relayed != nil || unknownVersion || r.relays >= maxRelays {
+	if r.j.relayed != nil || unknownVersion || r.relays >= maxRelays || r.usedAttempts() >= r.j.route.Attempts {
 		return destination{}
 	}
 	next := r.f.relays.choose(r.j.service, r.j.hasFailed)
