Cut single instances off from all backend servers in the soak

Cause: the soak's links are one for each server, so that no run had instances without servers while others had them, and nothing compared how their clients were served.

Some instances, never all, lose all servers for 7 s: connections hang, are reset, or live on while new ones are refused; instances are paused and killed beside it. From 4 s on their clients must be served at least two thirds as often as the others.

--- a/cmd/wisteriahaven-bench/soak.go
+++ b/cmd/wisteriahaven-bench/soak.go
@@ -22,6 +22,7 @@
 	Clients   int           `arg:"--clients" default:"16" help:"number of clients"`
 	SoundOnly bool          `arg:"--sound-only" help:"only faults in which nothing fails: silent backend servers, changes of the configuration and of settings, planned stops; each request must be answered"`
 	Poison    bool          `arg:"--poison" help:"add a client whose request crashes each backend server that runs it; it must not run more often than users allow"`
+	CutOff    bool          `arg:"--cut-off" help:"only instances that are cut off from all backend servers, paused or killed; clients of those cut off must be served nearly as often as others"`
 	Verbose   bool          `arg:"--verbose" help:"print the faults of every seed"`
 }
 
@@ -51,12 +52,15 @@
 			return false, err
 		}
 	}
-	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison})
+	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison, CutOff: c.CutOff})
 	if err != nil {
 		return false, err
 	}
 	fmt.Printf("seed %d: %d of %d requests served, %d of %d after %d faults, %d promises broken\n",
 		seed, report.Served, report.Requests, report.ServedAfterFaults, report.RequestsAfterFaults, len(report.Faults), len(report.Violations))
+	for _, line := range report.CutOffs {
+		fmt.Println(" ", line)
+	}
 	if c.Verbose || len(report.Violations) > 0 {
 		for _, line := range report.Faults {
 			fmt.Println("  fault", line)
