Stay at a server whose machine may only be suspended, unless its data centre is lost

Callers would see TWICE: a machine that is suspended for a second answers no connection attempt, as one without power, and then goes on with its requests. Cause: a stream left its server when three connection attempts within 160 ms were not answered, which a suspended machine shows as well. Change: beside a server that can't be reached up to four others of its data centre are checked. If most of them can't be reached either, the data centre or the path to it is lost, and the stream leaves at once; the others found so are avoided. The check now begins at 120 ms of silence, while events are still received, so that the finding is there in time.

--- a/gateway/forward/liveness_checker.go
+++ b/gateway/forward/liveness_checker.go
@@ -24,7 +24,7 @@
 	acceptAttempts = 3
 	acceptStagger  = 30 * time.Millisecond
 	// findingLifetime is how long the finding of an ended check is valid.
-	findingLifetime = 100 * time.Millisecond
+	findingLifetime = 200 * time.Millisecond
 )
 
 // livenessChecker finds out over new connections whether the processes of silent servers run. There is one check of a
@@ -34,6 +34,7 @@
 	mu sync.Mutex
 	// checks holds the running checks and those whose finding is valid, by the id of the server.
 	checks map[string]*livenessCheck
+	reach  *centreReach
 }
 
 // livenessCheck is one check of a server.
@@ -42,31 +43,35 @@
 	// done is closed when finding is set.
 	done    chan struct{}
 	finding livenessFinding
+	// neighbours are the checks of other servers of the data centre that it began.
+	neighbours []*livenessCheck
 }
 
 func newLivenessChecker(f *Forwarder) *livenessChecker {
-	return &livenessChecker{f: f, checks: make(map[string]*livenessCheck)}
+	return &livenessChecker{f: f, checks: make(map[string]*livenessCheck), reach: newCentreReach()}
 }
 
 // check returns what a check of a server that began after a time has found. It waits for livenessTimeout at most,
 // twice that when another check runs that began before. The finding is undecided when the context ends first.
 func (c *livenessChecker) check(ctx context.Context, server *directory.Server, after time.Time) livenessFinding {
 	for {
-		check := c.join(server)
+		check := c.join(server, false)
 		select {
 		case <-ctx.Done():
 			return livenessFinding{}
 		case <-check.done:
 		}
 		if check.started.After(after) {
+			c.awaitNeighbours(ctx, check)
 			return check.finding
 		}
 		c.drop(server, check)
 	}
 }
 
-// join returns the running or valid check of a server; it starts one when there is none.
-func (c *livenessChecker) join(server *directory.Server) *livenessCheck {
+// join returns the running or valid check of a server; it starts one when there is none. With alone it checks no
+// other server as well.
+func (c *livenessChecker) join(server *directory.Server, alone bool) *livenessCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if check := c.checks[server.ID]; check != nil {
@@ -76,6 +81,10 @@
 	c.checks[server.ID] = check
 	c.f.meters.count("probes")
 	go func() {
+		if !alone {
+			others := time.AfterFunc(neighbourDelay, func() { c.checkNeighbours(server, check) })
+			defer others.Stop()
+		}
 		check.finding = c.run(server, check.started)
 		close(check.done)
 		time.AfterFunc(findingLifetime, func() { c.drop(server, check) })
@@ -94,6 +103,9 @@
 
 func (c *livenessChecker) run(server *directory.Server, started time.Time) livenessFinding {
 	conn, finding := c.connect(server, started)
+	if finding.liveness != livenessUndecided || conn != nil {
+		c.reach.record(time.Now(), server.ID, finding.liveness == livenessUnreachable)
+	}
 	if conn == nil {
 		return finding
 	}
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -20,6 +20,8 @@
 	// firstEventCheckInterval is the time between two checks of a server that has
 	// not sent the first event yet.
 	firstEventCheckInterval = 400 * time.Millisecond
+	// minSilence is the silence of a running stream after which its server begins to be checked.
+	minSilence = 120 * time.Millisecond
 	// waitingCheckInterval is the minimum time between two checks of a silent server that is waited for.
 	waitingCheckInterval = 400 * time.Millisecond
 	// maxWakeDelay is how late an expired read deadline may be handled. A longer
@@ -38,9 +40,10 @@
 	for {
 		timeout := a.checkInterval()
 		if a.checkAt.IsZero() {
-			a.checkAt = time.Now().Add(timeout)
+			a.checkAt, a.checkBegun = time.Now().Add(timeout), false
 		}
-		if err := a.conn.SetReadDeadline(a.checkAt); err != nil {
+		deadline, early := a.nextDeadline(timeout)
+		if err := a.conn.SetReadDeadline(deadline); err != nil {
 			return err
 		}
 		err := read()
@@ -48,6 +51,10 @@
 			return err
 		}
 		now := time.Now()
+		if early {
+			a.beginCheck(now, timeout)
+			continue
+		}
 		late := now.Sub(a.checkAt) >= maxWakeDelay
 		a.checkAt = time.Time{}
 		if late {
@@ -75,6 +82,30 @@
 	return timeout
 }
 
+// nextDeadline returns the time of the next check, or, early, when the server's liveness begins to be checked so that
+// the finding is there by then. Events are still received meanwhile.
+func (a *streamAttempt) nextDeadline(timeout time.Duration) (deadline time.Time, early bool) {
+	if a.checkBegun || a.waiting || a.awaitsFirstEvent() {
+		return a.checkAt, false
+	}
+	begin := a.checkAt.Add(-min(acceptTimeout, timeout-minSilence))
+	return begin, begin.Before(a.checkAt)
+}
+
+// beginCheck begins a check of the server's liveness unless it has just sent something.
+func (a *streamAttempt) beginCheck(now time.Time, timeout time.Duration) {
+	a.checkBegun = true
+	if now.Sub(a.lastResponse()) >= timeout/2 {
+		a.run.f.liveness.join(a.server, false)
+	}
+}
+
+// lastResponse returns when the server last sent something to this instance.
+func (a *streamAttempt) lastResponse() (at time.Time) {
+	a.run.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { at = ledger.LastReceived(a.server.ID) })
+	return at
+}
+
 // progressed records that the server sent the head of its answer or an event.
 func (a *streamAttempt) progressed(now time.Time) {
 	a.receivedAt = now
@@ -113,8 +144,7 @@
 	if a.replaced() {
 		return evidenceOtherProcess
 	}
-	var lastResponse time.Time
-	f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(a.server.ID) })
+	lastResponse := a.lastResponse()
 	finding := livenessFinding{liveness: livenessRuns}
 	// Only a report shows that the beginning of an answer was lost.
 	needsReport := a.awaitsFirstEvent() && now.Sub(a.sentAt) >= unansweredProbeDelay
@@ -130,7 +160,10 @@
 	case livenessOtherProcess:
 		return evidenceOtherProcess
 	case livenessUnreachable:
-		return evidenceUnreachable
+		if f.liveness.centreLost(a.server) {
+			return evidenceUnreachable
+		}
+		return a.evidenceOfLongSilence(cause, lastResponse)
 	case livenessRuns:
 		return a.evidenceOfLostAnswer(time.Now(), &finding.report)
 	default:
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -37,8 +37,10 @@
 	sentAt         time.Time
 	receivedAt     time.Time
 	eventIntervals suspicion.IntervalEstimator
-	// checkAt is when the server is checked unless it sends an event before; zero when not set yet.
-	checkAt time.Time
+	// checkAt is when the server is checked unless it sends an event before; zero when not set yet. checkBegun is
+	// set when the check of its liveness for that time has begun.
+	checkAt    time.Time
+	checkBegun bool
 	// checkedBytes is the number of received bytes at the last event or check, fragmentsSince the
 	// first check that found bytes without an event; zero for none.
 	checkedBytes   int64
