Count no crashes of servers while the instance reaches none

Cause: a server whose connection broke and whose address then refuses connections counts as crashed by the request that it ran. A partition that resets connections and refuses new ones looks the same, and three such crashes quarantine a sound request. Change: the crash is counted once any server has accepted a new connection after the refusal; the duty that probes servers finds that out soon. Not when the instance is cut off from all servers, or nothing was opened within 800 ms. One service alone that is cut off counts as before: its servers may have crashed one after the other. Conclusion: a partition from some of the services alone still counts crashes.

--- a/decision/reach/tracker.go
+++ b/decision/reach/tracker.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// OpenedAt returns when a new connection to any server was last opened; zero before the first.
+func (t *Tracker) OpenedAt() time.Time { return t.openedAt }
+
 // Unconfirmed returns the services whose state is not Reached, in any order.
 func (t *Tracker) Unconfirmed() []string { return slices.Collect(maps.Keys(t.services)) }
 
--- a/gateway/forward/crash_detector.go
+++ b/gateway/forward/crash_detector.go
@@ -74,7 +74,11 @@
 	if refused == nil {
 		return
 	}
+	refusedAt := time.Now()
 	d.f.recordUnreachable(server, refused)
+	if !d.f.selector.reach.reachesServersSince(refusedAt) {
+		return // The links of this instance may have broken, not the server.
+	}
 	for _, run := range probe.broken {
 		d.f.poison.recordCrash(run, server)
 	}
--- a/gateway/forward/reach_monitor.go
+++ b/gateway/forward/reach_monitor.go
@@ -75,6 +75,28 @@
 	return m.cutOff.Includes(service)
 }
 
+const (
+	// maxVerdictWait is how long it may take to find out whether any server is reached, verdictInterval the time
+	// between two checks of that.
+	maxVerdictWait  = 800 * time.Millisecond
+	verdictInterval = 10 * time.Millisecond
+)
+
+// reachesServersSince reports whether a server accepted a new connection after a time. It waits until that is known;
+// the duty probes servers meanwhile.
+func (m *reachMonitor) reachesServersSince(at time.Time) bool {
+	for time.Since(at) < maxVerdictWait {
+		m.mu.Lock()
+		opened, cutOff := m.tracker.OpenedAt().After(at), m.cutOff.All
+		m.mu.Unlock()
+		if opened || cutOff {
+			return opened
+		}
+		time.Sleep(verdictInterval)
+	}
+	return false
+}
+
 // update computes of which services this instance reaches no server, and returns the previous and the new
 // statement and whether any service has to be probed.
 func (m *reachMonitor) update(now time.Time, lastResponse func(server string) time.Time) (before, after peers.CutOff, probe bool) {
--- a/gateway/forward/reach_test.go
+++ b/gateway/forward/reach_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
+	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
@@ -40,8 +41,9 @@
 	}
 	fixture.Forwarder = New(Options{
 		State: discovery.NewState(), Directory: servers, Policy: placement.DefaultPolicy(), Logger: zerolog.Nop(), Metrics: metrics.NewRegistry(),
-		OnCutOff:      func(cutOff peers.CutOff) { fixture.statements <- cutOff },
-		OnUnreachable: func(*directory.Server, bool) {},
+		OnCutOff:       func(cutOff peers.CutOff) { fixture.statements <- cutOff },
+		OnUnreachable:  func(*directory.Server, bool) {},
+		AnnouncePoison: func() {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -117,3 +119,21 @@
 	is.Equal(len(f.statements), 0)
 	is.Equal(len(f.selector.reach.tracker.Unconfirmed()), 0)
 }
+
+// Guards against quarantines of sound requests whose connections broke with the links of the instance.
+func TestServersBehindBrokenLinksHaveNotCrashed(t *testing.T) {
+	is := is.New(t)
+	f := newReachFixture(t, "a", "b")
+	crashed := func(server *directory.Server, request poison.Key) bool {
+		probe := &serverProbe{broken: []brokenRun{{request: "r", keys: poison.Run{Request: request}, at: time.Now()}}, done: make(chan struct{})}
+		before := len(f.poison.News(true).Crashes)
+		f.crashes.run(server, probe)
+		return len(f.poison.News(true).Crashes) > before
+	}
+	_ = f.listeners[0].Close()
+	is.True(crashed(f.servers[0], 1))
+	for _, listener := range f.listeners {
+		_ = listener.Close()
+	}
+	is.True(!crashed(f.servers[2], 2))
+}
