Take refused connections for no sign of a stop where all servers refuse them

Callers would see TWICE: an instance whose new connections are refused while its old ones live on handed the stream of a silent, sound server to a peer, which sent it to a second one. Cause: a refused connection was evidence that the server stopped, though the instance was cut off from all servers.

--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -156,6 +156,10 @@
 	}
 	switch finding.liveness {
 	case livenessRefused:
+		if f.selector.cutOff(a.server.Service) {
+			// What refuses connections to all servers may be on the way, and this one may run.
+			return a.evidenceOfLongSilence(cause, lastResponse)
+		}
 		return evidenceRefused
 	case livenessOtherProcess:
 		return evidenceOtherProcess
