Wait at a silent server whose head came in parts

Callers would see TWICE: the head of an answer came in two parts, the server fell silent, and after a second another one got the stream. Cause: bytes at any time in the second counted as a head that never ends. Change: only a head that grows in that second and in the check after it is given up; otherwise the server's liveness decides, as for other silent servers.

--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -229,11 +229,12 @@
 	return a.receive(ctx)
 }
 
-// readHead reads the head of the answer, whose first bytes were received. It returns errNoEvent
-// when bytes come for headTimeout without completing the head.
+// readHead reads the head of the answer, whose first bytes were received. It returns errNoEvent when bytes come
+// throughout headTimeout and one more check without completing the head.
 func (a *streamAttempt) readHead(ctx context.Context) (*http1.Response, error) {
 	a.headBegun = true
-	for timeout := headTimeout; ; {
+	fragments := 0
+	for timeout := headTimeout; ; timeout = waitingCheckInterval {
 		received := a.conn.Received()
 		if err := a.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return nil, err
@@ -242,21 +243,18 @@
 		if !upstream.IsReadTimeout(err) || ctx.Err() != nil {
 			return response, err
 		}
-		if a.hop != nil {
-			return nil, errNoEvent
-		}
 		if a.conn.Received() > received {
-			if timeout == headTimeout {
+			if fragments++; fragments > 1 {
 				return nil, errNoEvent
 			}
-			timeout, a.runsSince = headTimeout, time.Time{}
+			a.runsSince = time.Time{}
 			continue
 		}
+		fragments = 0
 		evidence := a.evidenceToLeave(ctx, err, timeout)
 		if ctx.Err() != nil || (evidence != "" && a.leave(ctx, err, evidence)) {
 			return nil, err
 		}
-		timeout = waitingCheckInterval
 	}
 }
 
