Bound what digests carry of rejections to four servers

Cause: digests with the rejections of twelve servers, eight times each, had 486 bytes, and an instance sends up to 80 digests a second. Change: four servers with the latest rejections at most. An instance sees few, since its part in each limit is small. The tests of the package and RejectionLimit in platform pass.

--- a/decision/rejections/settings.go
+++ b/decision/rejections/settings.go
@@ -20,7 +20,7 @@
 	// maxRejections is the maximum number of rejections that are kept for each server and instance; the oldest are dropped.
 	maxRejections = 8
 	// maxReportedServers is the maximum number of servers in a report to peers.
-	maxReportedServers = 12
+	maxReportedServers = 4
 	// maxServices is the maximum number of services that peers may report.
 	maxServices = 256
 )
