Bound the attempts of a stream that servers keep resetting

Callers of other streams got second_send_denied: one stream used up the second sends of all. Change: a stream ends after as many attempts in a row without an event as its route allows, and one over a new connection.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -47,6 +47,8 @@
 	firstEventAt    time.Time
 	deliveredEvents int
 	resumes         int
+	// fruitlessAttempts counts the latest attempts in a row that may have run and delivered no event.
+	fruitlessAttempts int
 	// unreachable counts the servers that could not be reached.
 	unreachable int
 	lastResult  streamResult
@@ -112,6 +114,7 @@
 	run.findPrompt(ctx)
 	defer run.dropSuccessor(ctx)
 	for {
+		delivered := run.deliveredEvents
 		result, found := run.attempt(ctx)
 		if !found {
 			run.noServer(result)
@@ -127,6 +130,7 @@
 		run.lastResult = result
 		if !result.notRun {
 			run.mayHaveRunAt[result.server.ID] = true
+			run.countFruitless(delivered)
 		}
 		if reason := run.prepareNextAttempt(&result); reason != "" {
 			run.fail(reason)
@@ -216,6 +220,14 @@
 	return ""
 }
 
+// countFruitless counts an attempt that may have run and before which a number of events was delivered.
+func (r *streamRun) countFruitless(delivered int) {
+	r.fruitlessAttempts++
+	if r.deliveredEvents > delivered {
+		r.fruitlessAttempts = 0
+	}
+}
+
 // takeAttempt counts another attempt, or returns why there is none.
 func (r *streamRun) takeAttempt(result *streamResult) endReason {
 	if r.j.remaining() < minSendTime || !r.canEndInTime() {
@@ -227,6 +239,9 @@
 	if r.usedAttempts() >= r.j.route.Attempts && r.reconnectServer == nil {
 		return endAttempts
 	}
+	if r.fruitlessAttempts > r.j.route.Attempts {
+		return endAttempts
+	}
 	if r.f.poison.check(r.j).Rejected {
 		return endQuarantined
 	}
