Handle signals from the start of the process on

Cause: the handler was set after the settings were read and the instance was made; until then SIGHUP ends a process. Change: it is set first.

--- a/cmd/wisteriahaven/entry.go
+++ b/cmd/wisteriahaven/entry.go
@@ -21,6 +21,9 @@
 // run starts the instance and stops it on SIGTERM or SIGINT without cutting a
 // request.
 func (c *entryCommand) run() int {
+	// Before anything else: SIGHUP ends a process that does not handle it yet.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	loaded, err := settings.Load(c.Settings)
 	if err != nil {
 		return fail(err, exitUsage)
@@ -30,15 +33,14 @@
 		return fail(err, exitUsage)
 	}
 	if loaded.Gateway != nil {
-		return runGateway(loaded, c.Settings, level)
+		return runGateway(loaded, c.Settings, level, signals)
 	}
+	signal.Reset(syscall.SIGHUP)
 	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	instance := entry.New(loaded, logger)
 	if err := instance.Start(); err != nil {
 		return fail(err, exitFailure)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
 	if err := instance.Stop(context.Background()); err != nil {
 		return fail(err, exitFailure)
--- a/cmd/wisteriahaven/gateway.go
+++ b/cmd/wisteriahaven/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -18,9 +17,9 @@
 )
 
 // runGateway runs an instance that forwards requests and returns its exit code.
-// SIGTERM and SIGINT stop it; SIGHUP, or a change of the file, reloads the
+// SIGTERM and SIGINT in signals stop it; SIGHUP, or a change of the file, reloads the
 // settings.
-func runGateway(loaded settings.Settings, file string, level zerolog.Level) int {
+func runGateway(loaded settings.Settings, file string, level zerolog.Level, signals <-chan os.Signal) int {
 	lines := logring.New(os.Stdout)
 	ctx, cancel := context.WithCancel(context.Background())
 	var logWriter sync.WaitGroup
@@ -32,8 +31,6 @@
 	instance := gateway.New(loaded, gateway.Adapters{
 		Feed: feed, Streams: feed, Quarantines: feed, Protocol: platform.Protocol{}, Decode: platform.DecodeConfiguration, DroppedLogLines: lines.Dropped,
 	}, logger)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	if err := instance.Start(); err != nil {
 		return fail(err, exitFailure)
 	}
