Ask for a server's last response in one place, and refuse relayed requests in one

Cause: silence.go and adopter.go read the last response of a server from the ledger although the selector has a function for it, and the handler of relayed requests rejected in two blocks that differ in a code only. Change: both call selector.lastResponse; refuseRelayed counts and answers. No behaviour is meant to change.

--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/internal/pause"
@@ -58,7 +57,7 @@
 // is certainly its own or its restarted process's; both are zero when unknown.
 func (a *adopter) addressWindow(server *directory.Server) (lastResponse, end time.Time) {
 	reuse := time.Duration(a.addressReuse.Load())
-	a.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { lastResponse = ledger.LastReceived(server.ID) })
+	lastResponse = a.f.selector.lastResponse(server.ID)
 	if reuse <= 0 || lastResponse.IsZero() {
 		return time.Time{}, time.Time{}
 	}
--- a/gateway/forward/relay_receive.go
+++ b/gateway/forward/relay_receive.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
@@ -71,18 +72,22 @@
 	f.meters.count("relay.received")
 	defer f.relays.received.Add(-1)
 	if f.relays.received.Add(1) > f.relays.limit.Load() {
-		f.meters.count("relay.refused")
-		f.answer(exchange, id, localAnswer{status: 503, code: fault.RelayedRequestsFull, retryAfter: busyRetryAfter})
+		f.refuseRelayed(exchange, id, fault.RelayedRequestsFull, busyRetryAfter)
 		return
 	}
 	if f.stop.Load() != nil {
-		f.meters.count("relay.refused")
-		f.answer(exchange, id, localAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetryAfter})
+		f.refuseRelayed(exchange, id, fault.InstanceStopping, stoppingRetryAfter)
 		return
 	}
 	f.serve(ctx, exchange, &relay)
 }
 
+// refuseRelayed rejects a request that a peer hands over.
+func (f *Forwarder) refuseRelayed(exchange *ingress.Exchange, id string, code fault.Code, retryAfter time.Duration) {
+	f.meters.count("relay.refused")
+	f.answer(exchange, id, localAnswer{status: 503, code: code, retryAfter: retryAfter})
+}
+
 // chooseService returns the service of a request: that which the peer chose, if the route offers it.
 func (j *job) chooseService() string {
 	if j.relayed != nil && j.route.Offers(j.relayed.Service) {
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -95,17 +95,11 @@
 // beginCheck begins a check of the server's liveness unless it has just sent something.
 func (a *streamAttempt) beginCheck(now time.Time, timeout time.Duration) {
 	a.checkBegun = true
-	if now.Sub(a.lastResponse()) >= timeout/2 {
+	if now.Sub(a.run.f.selector.lastResponse(a.server.ID)) >= timeout/2 {
 		a.run.f.liveness.join(a.server, false)
 	}
 }
 
-// lastResponse returns when the server last sent something to this instance.
-func (a *streamAttempt) lastResponse() (at time.Time) {
-	a.run.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { at = ledger.LastReceived(a.server.ID) })
-	return at
-}
-
 // progressed records that the server sent the head of its answer or an event.
 func (a *streamAttempt) progressed(now time.Time) {
 	a.receivedAt = now
@@ -144,7 +138,7 @@
 	if a.replaced() {
 		return evidenceOtherProcess
 	}
-	lastResponse := a.lastResponse()
+	lastResponse := a.run.f.selector.lastResponse(a.server.ID)
 	finding := livenessFinding{liveness: livenessRuns}
 	// Only a report shows that the beginning of an answer was lost.
 	needsReport := a.awaitsFirstEvent() && now.Sub(a.sentAt) >= unansweredProbeDelay
