--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -14,6 +14,8 @@
 	MinReadTokens int
 	// Load is the load of the server before the generation.
 	Load Load
+	// HasRoom reports whether the server has, as far as is known, a free slot and enough memory now.
+	HasRoom bool
 	// AffinityServer is the server that is preferred for the prompt; empty for none.
 	AffinityServer string
 }
@@ -57,7 +59,9 @@
 	if candidate.MemoryTokens > 0 && load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
 		wait += l.policy.FullCost
 	}
-	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, Load: load}
+	hasRoom := (candidate.Slots == 0 || load.Requests < candidate.Slots) &&
+		(candidate.MemoryTokens == 0 || load.MemoryTokens+generation.MemoryTokens <= candidate.MemoryTokens)
+	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: hasRoom, Load: load}
 }
 
 func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -24,10 +24,20 @@
 	Attempts int
 	// Anonymous routes need no key.
 	Anonymous bool
+	// Rank is the rank of the route's requests, 0 the highest.
+	Rank int
 	// Resumable streams may resume after an event at another backend server.
 	Resumable bool
 }
 
+// RankOf returns the rank of a request of an account, nil for none: the account's, otherwise the route's.
+func (r *Route) RankOf(account *Account) int {
+	if account != nil && account.Rank != nil {
+		return *account.Rank
+	}
+	return r.Rank
+}
+
 // Share is a service's weight in a split.
 type Share struct {
 	Service string
