Run instances of an older build beside the new one in the soak

Cause: an upgrade starts with an older build and runs both side by side; the soak ran one build only.

--- a/cmd/wisteriahaven-bench/soak.go
+++ b/cmd/wisteriahaven-bench/soak.go
@@ -14,6 +14,7 @@
 // soakCommand runs the fault soak once for each seed.
 type soakCommand struct {
 	Binary    string        `arg:"--binary" default:"target/wisteriahaven" help:"the program under test"`
+	Older     string        `arg:"--older" help:"the program of an older build: instances start with it, are replaced one after the other by --binary, and back"`
 	Folder    string        `arg:"--folder" help:"folder for settings and logs; a temporary one when not given, kept when a promise was broken"`
 	Seed      uint64        `arg:"--seed" default:"1" help:"first seed"`
 	Seeds     int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
@@ -52,7 +53,7 @@
 			return false, err
 		}
 	}
-	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison, CutOff: c.CutOff})
+	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Older: c.Older, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison, CutOff: c.CutOff})
 	if err != nil {
 		return false, err
 	}
@@ -66,6 +67,11 @@
 			fmt.Println("  fault", line)
 		}
 	}
+	if c.Verbose {
+		for _, line := range report.Replacements {
+			fmt.Println("  replaced", line)
+		}
+	}
 	for _, line := range report.Violations {
 		fmt.Println("  BROKEN", line)
 	}
