--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -1,15 +1,15 @@
 package ingress
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // ErrAnswered means that a second answer was sent for the same request.
-var ErrAnswered = errors.New("ingress: the request was already answered")
+var ErrAnswered = fault.New(fault.Internal, "the request was already answered")
 
 // Exchange is one request and its answer.
 type Exchange struct {
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -24,7 +24,7 @@
 )
 
 // ErrExtraBytes means that a server sent bytes that belong to no answer.
-var ErrExtraBytes = errors.New("upstream: received bytes without a request")
+var ErrExtraBytes = fault.New(fault.UpstreamBroken, "received bytes without a request")
 
 // errInterimAnswers means that a server sent interim answers of more than maxHeadBytes.
 var errInterimAnswers = fault.New(fault.UpstreamBroken, "too many interim answers")
--- a/transport/http1/reader.go
+++ b/transport/http1/reader.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
 // initialBufferBytes is the initial size of a reader's buffer in bytes. It holds a
@@ -11,7 +13,7 @@
 const initialBufferBytes = 2048
 
 // ErrBufferFull is returned by Fill when the buffer has reached its limit.
-var ErrBufferFull = errors.New("http1: read buffer is full")
+var ErrBufferFull = fault.New(fault.MessageMalformed, "the read buffer is full")
 
 // Reader reads messages from one connection. Only one goroutine may use it at a time.
 type Reader struct {
--- a/transport/keepalive/socket.go
+++ b/transport/keepalive/socket.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
 // errNoSocket means that a connection has no socket of its own.
-var errNoSocket = errors.New("keepalive: not a connection of the system")
+var errNoSocket = fault.New(fault.Internal, "the connection has no socket of its own")
 
 // SetTimeout replaces the timeout of an open connection.
 func SetTimeout(conn net.Conn, timeout time.Duration) error {
