Check a configuration of routes before it is sent

Cause: operators learn of entries that can never match, contradicting limits and wrong services only from requests that fail. It reads files only.

--- a/cmd/wisteriahaven/ctl.go
+++ b/cmd/wisteriahaven/ctl.go
@@ -26,14 +26,15 @@
 	Dump      *ctlDumpCommand      `arg:"subcommand:dump" help:"print the state of an instance, or of all"`
 	Generate  *ctlGenerateCommand  `arg:"subcommand:generate" help:"stream an answer as a caller would"`
 	Call      *ctlCallCommand      `arg:"subcommand:call" help:"call a plain service as a caller would"`
+	Check     *ctlCheckCommand     `arg:"subcommand:check" help:"check a configuration of routes before it is sent, and compare it with the one in force"`
 	Reference *ctlReferenceCommand `arg:"subcommand:reference" help:"print docs/COMMANDS.md"`
 }
 
 // ctlSubcommands are the subcommands of ctl.
-var ctlSubcommands = []string{"run", "watch", "dump", "generate", "call", "reference"}
+var ctlSubcommands = []string{"run", "watch", "dump", "generate", "call", "check", "reference"}
 
 // ctlFlagsWithValue are the flags of ctl that take the next argument as value.
-var ctlFlagsWithValue = []string{"--address", "--token", "--output", "--wait", "--id", "--read-revision", "--file", "--define"}
+var ctlFlagsWithValue = []string{"--address", "--token", "--output", "--wait", "--id", "--read-revision", "--file", "--define", "--in-force"}
 
 // ctlArguments adds the subcommand "run" where none is named, so that
 // "ctl show regions" runs a command.
@@ -85,6 +86,8 @@
 		return c.Generate.run(ctx)
 	case c.Call != nil:
 		return c.Call.run(ctx)
+	case c.Check != nil:
+		return c.Check.run(c.Output)
 	case c.Reference != nil:
 		fmt.Print(command.Reference())
 		return ctl.ExitOK
