Remember which software versions a service had while no instance ran

Cause: an instance that had run for four seconds took the only version in its list of servers for that of all streams unless the store held records of several. Those are written only while several versions serve. Where the servers of the old version were replaced while no instance ran, or where the store could not be read, a stream that its client resumed went on at the new version. Engines of the new version that had read the same prompt were taken for proof, too.

Change: the primary relay of each data centre writes which versions each service has when one comes or leaves, and each five minutes (kind wisteriahaven-versions, ignored by older builds). Instances read them once at the start. A version counts as the only one if there was no other within the last minute; engines are not asked while a version has left within it. The records of streams are shared and written for as long, too.

--- a/gateway/adapters.go
+++ b/gateway/adapters.go
@@ -6,6 +6,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/gateway/versionarchive"
 )
 
 // Adapters holds the adapters to the platform around the instance.
@@ -13,6 +14,7 @@
 	Feed        discovery.Feed
 	Streams     streamarchive.Store
 	Quarantines quarantinearchive.Store
+	Versions    versionarchive.Store
 	Protocol    Protocol
 	// Decode parses a configuration document that another instance sent.
 	Decode func(document []byte) (*discovery.Configuration, error)
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -43,6 +43,8 @@
 	onCutOff        func(cutOff peers.CutOff)
 	askPeers        func(key streamversion.Key) bool
 	loadStreams     func(ctx context.Context) (recent bool, err error)
+	otherVersion    func(than streamversion.Origin) (other, known bool)
+	versionLeft     func(service string) bool
 	streamDurations streamDuration
 	// answers bounds the memory of all buffered answers.
 	answers answerBudget
@@ -63,6 +65,7 @@
 		versions:  newStreamVersions(options.ArchiveStream),
 		onCutOff:  options.OnCutOff,
 		onLeaving: options.OnLeaving, onRejection: options.OnRejection, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
+		otherVersion: options.OtherVersion, versionLeft: options.VersionLeft,
 	}
 	if options.DialServer != nil {
 		f.pool = upstream.NewPoolBy(options.DialServer)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -39,6 +39,11 @@
 	// passes the records in the store to StreamVersions, and reports whether there are recent ones.
 	ArchiveStream func(record streamversion.Record)
 	LoadStreams   func(ctx context.Context) (recent bool, err error)
+	// OtherVersion reports whether a service has, or had lately, another software version than the given one,
+	// and whether that is known for the time before this instance started. VersionLeft reports whether a
+	// version of a service has left lately.
+	OtherVersion func(than streamversion.Origin) (other, known bool)
+	VersionLeft  func(service string) bool
 	// AskPeers asks peers for the record of a stream and reports whether there are any.
 	AskPeers func(key streamversion.Key) bool
 	// AnnouncePoison is called when there are news for peers about requests that crash servers.
--- a/gateway/forward/stream_version.go
+++ b/gateway/forward/stream_version.go
@@ -37,7 +37,8 @@
 	if version = r.f.onlyVersion(r.service.Name); version != "" && !r.j.origin.severalRecently && trusted {
 		return version, "single"
 	}
-	if r.size.PromptKey != "" && r.service.Engine != nil {
+	// The engines of a version that has left can't tell that they have read the prompt.
+	if r.size.PromptKey != "" && r.service.Engine != nil && !r.f.versionLeft(r.service.Name) {
 		if version := r.f.prompts.versionOf(ctx, r.service, r.size.PromptKey, r.j.request.PromptKeyTokens); version != "" {
 			return version, "prompt"
 		}
@@ -45,8 +46,8 @@
 	return "", "unknown"
 }
 
-// onlyVersion returns the software version of all servers of a service, empty when there are several
-// or one is unknown.
+// onlyVersion returns the software version of all servers of a service, empty when there are several,
+// one is unknown, or another may have left lately.
 func (f *Forwarder) onlyVersion(service string) string {
 	version := ""
 	for _, server := range f.directory.Snapshot().ForService(service) {
@@ -55,6 +56,9 @@
 		}
 		version = server.SoftwareVersion
 	}
+	if other, known := f.otherVersion(streamversion.Origin{Service: service, Version: version}); other || !known {
+		return ""
+	}
 	return version
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
+	"github.com/wisteriahaven/wisteriahaven/gateway/versionarchive"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/keepalive"
 )
@@ -46,6 +47,8 @@
 	relay   *ingress.Server
 	peers   *peers.Service
 	archive *streamarchive.Archive
+	// served keeps the software versions that services had lately in the store.
+	served *versionarchive.Archive
 	// quarantines keeps the quarantined requests in the store.
 	quarantines *quarantinearchive.Archive
 	monitor     *monitor
@@ -90,6 +93,8 @@
 		OnStreamBegun:     func(record streamversion.Record) { g.peers.RecordStream(record) },
 		ArchiveStream:     func(record streamversion.Record) { g.archive.Add(record) },
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
+		OtherVersion:      func(than streamversion.Origin) (bool, bool) { return g.served.HasOther(than) },
+		VersionLeft:       func(service string) bool { return g.served.HasLeft(service) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
 		Instance:          s.Instance,
@@ -102,10 +107,15 @@
 	g.relay = ingress.NewServer(g.forwarder.RelayHandler(), relayLimits(gatewaySettings), logger)
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
 	g.peers = peers.New(g.peerOptions())
+	g.served = versionarchive.New(versionarchive.Options{
+		DataCentre: s.DataCentre, Store: adapters.Versions, Directory: g.directory, Logger: logger,
+		Writes: func() bool { return g.peers.RelayRole() == discovery.Primary },
+	})
 	g.archive = streamarchive.New(streamarchive.Options{
 		Instance: s.Instance, Store: adapters.Streams, Directory: g.directory, Logger: logger,
-		Writes: func() bool { return g.peers.RelayRole() == discovery.Primary },
-		Learn:  g.forwarder.StreamVersions().Learn,
+		SeveralLately: g.served.HasSeveral,
+		Writes:        func() bool { return g.peers.RelayRole() == discovery.Primary },
+		Learn:         g.forwarder.StreamVersions().Learn,
 	})
 	g.quarantines = quarantinearchive.New(quarantinearchive.Options{
 		DataCentre: s.DataCentre, Store: adapters.Quarantines, Logger: logger,
@@ -143,6 +153,7 @@
 	g.duties.Go("servers", g.follower.RunServers)
 	g.duties.Go("reach", g.forwarder.RunReach)
 	g.duties.Go("quarantines", g.quarantines.Run)
+	g.duties.Go("served versions", g.served.Run)
 	g.duties.Go("stream records", g.archive.Run)
 	g.duties.Go("housekeeping", g.runMaintenance)
 	g.duties.Go("clients", func(context.Context) { g.ingress.Serve(clients) })
@@ -169,7 +180,7 @@
 	return peers.Options{
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
-		StreamVersions: g.forwarder.StreamVersions(), Poison: g.forwarder.Poison(),
+		StreamVersions: g.forwarder.StreamVersions(), SeveralLately: func() bool { return g.served.HasSeveral() }, Poison: g.forwarder.Poison(),
 		Decode: g.adapters.Decode, Logger: g.logger,
 	}
 }
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -50,6 +50,9 @@
 	Ledger    Ledger
 	// StreamVersions holds the records of streams of this instance and its peers.
 	StreamVersions StreamVersions
+	// SeveralLately reports whether a service had several software versions lately, also before this instance
+	// started; nil if that isn't known.
+	SeveralLately func() bool
 	// Poison holds what is known about requests that crash backend servers.
 	Poison PoisonTable
 	// Decode parses a configuration document.
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -16,6 +16,7 @@
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
 	servers := s.options.Directory.Snapshot()
+	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(now)
@@ -24,7 +25,7 @@
 		digest.Probe = true
 		s.send(address, Encode(&digest))
 	}
-	s.queueRecent(now, servers.SeveralVersions)
+	s.queueRecent(now, servers.SeveralVersions || lately)
 	peers := s.table.Members()
 	intervals := sendIntervalsFor(peers, s.options.DataCentre)
 	s.options.Ledger.Expire(intervals.loadLifetime())
--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -34,6 +34,8 @@
 	Instance  string
 	Store     Store
 	Directory *directory.Directory
+	// SeveralLately reports whether a service had several versions lately, also before this instance started.
+	SeveralLately func() bool
 	// Writes reports whether this instance writes the records of its data centre.
 	Writes func() bool
 	// Learn is called with the records that were read.
@@ -93,7 +95,8 @@
 	if a.options.Directory.Snapshot().SeveralVersions {
 		a.severalUntil = now.Add(streamversion.Lifetime)
 	}
-	if !now.Before(a.severalUntil) || !a.options.Writes() || !a.openSegment(ctx, now) || !a.gather(now) {
+	several := now.Before(a.severalUntil) || a.options.SeveralLately()
+	if !several || !a.options.Writes() || !a.openSegment(ctx, now) || !a.gather(now) {
 		return
 	}
 	err := a.options.Store.WriteSegment(ctx, Segment{Writer: a.options.Instance, Slot: a.slot, WrittenAt: now, Records: a.records})
--- a/gateway/streamarchive/archive_test.go
+++ b/gateway/streamarchive/archive_test.go
@@ -53,6 +53,8 @@
 	store   *memoryStore
 	servers *directory.Directory
 	learned map[streamversion.Key]string
+	// severalLately is set when another version left before the instance started.
+	severalLately bool
 }
 
 func newRig(store *memoryStore, versions ...string) *rig {
@@ -62,6 +64,7 @@
 	}
 	r.Archive = New(Options{
 		Instance: "instance", Store: store, Directory: r.servers, Logger: zerolog.New(io.Discard), Writes: func() bool { return true },
+		SeveralLately: func() bool { return r.severalLately },
 		Learn: func(records []streamversion.Record) {
 			for _, record := range records {
 				r.learned[record.Key] = record.Version
@@ -99,6 +102,17 @@
 	})
 }
 
+// Guards against LOST: the records of streams that began after another version had left are not written.
+func TestRecordsAreWrittenAfterAVersionLeftWhileNoInstanceRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(newStore(), "v2")
+		r.severalLately = true
+		r.run(0, 20)
+		is.True(r.store.writes > 0)
+	})
+}
+
 // Guards against the loss of records when an instance restarts: it overwrites its newest segment.
 func TestRecordsOfTheLastMinuteOutlastRestarts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
