State a request's rank as its urgency to the server

Cause: callers of several ranks compete for the same servers, and no request stated its rank; only repeated prefills stated an urgency. Change: decision/rank orders the ranks of a service's routes and accounts; message.Dispatch.Urgency replaces LowPriority. Streams that have begun come before fresh ones, then ranks count. Services with one rank state what they stated before. Result: TestRankBecomesTheUrgencyAtTheServer, TestEqualRanksStateNoUrgency and TestLevelsFollowRanks pass.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -90,7 +90,7 @@
 func (f *Forwarder) exchangeCall(ctx context.Context, j *job, server *directory.Server, conn *upstream.Conn, started time.Time) callResult {
 	result := callResult{server: server, started: started}
 	head := f.protocol.AppendRequest(make([]byte, 0, 512), j.exchange.Head, len(j.exchange.Body), message.Dispatch{
-		Server: server.ID, Account: j.account, Remaining: j.remaining(),
+		Server: server.ID, Account: j.account, Remaining: j.remaining(), Urgency: j.rankUrgency(false),
 	})
 	sent, err := conn.Send(head, j.exchange.Body)
 	result.notRun = !sent
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -171,7 +171,9 @@
 		f.answer(exchange, request.ID, localAnswer{status: 404, code: fault.RouteUnknown, version: j.table.Version})
 		return
 	}
-	if account := j.table.Account(request.Key); account != nil {
+	account := j.table.Account(request.Key)
+	j.rank = j.route.RankOf(account)
+	if account != nil {
 		j.account = account.Name
 	} else if j.table.HasAccounts() && !j.route.Anonymous {
 		f.answer(exchange, request.ID, localAnswer{status: 401, code: fault.KeyUnknown, version: j.table.Version})
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -18,6 +18,8 @@
 	route    *route.Route
 	service  string
 	account  string
+	// rank is the request's rank, 0 the highest.
+	rank int
 	// run holds the keys of the request's content and of the parts of its prompt.
 	run poison.Run
 	// origin is what is recorded about a stream that the client resumes.
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -194,9 +194,7 @@
 	a.checkedBytes = conn.Received()
 	dispatch := message.Dispatch{
 		Server: a.server.ID, Account: r.j.account, Remaining: r.j.remaining(),
-		Position: r.events.position, Resume: r.j.sends > 1,
-		// Where the prefill is repeated, the pause exceeds the target anyway.
-		LowPriority: r.events.positionKnown && !a.fromCopy && !a.reconnecting && a.server.ID != r.size.CachedAt,
+		Position: r.events.position, Resume: r.j.sends > 1, Urgency: a.urgency(),
 	}
 	if a.cacheCopyServer != nil {
 		dispatch.CopyTo = a.cacheCopyServer.Address
--- a/gateway/message/dispatch.go
+++ b/gateway/message/dispatch.go
@@ -21,7 +21,6 @@
 	// CopyAt is the address of the backend server that holds such a copy and
 	// resumes from it; empty for none.
 	CopyAt string
-	// LowPriority is set when requests that can still be answered in time take
-	// precedence over this one.
-	LowPriority bool
+	// Urgency is the order in which the server starts the request.
+	Urgency Urgency
 }
--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"github.com/wisteriahaven/wisteriahaven/decision/rank"
 )
 
 // Table is one version of the configuration, indexed for lookups. It is immutable.
@@ -16,6 +18,8 @@
 	accounts   map[string]*Account
 	hosts      map[string][]*Route
 	routeCount int
+	// ranks holds the ranks of the requests of each service.
+	ranks map[string]rank.Order
 }
 
 // NewTable returns a table of the given routes, services and accounts.
@@ -43,9 +47,13 @@
 	for _, list := range table.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
+	table.ranks = ranksOf(routes, accounts)
 	return table
 }
 
+// Ranks returns the ranks that requests of a service may have.
+func (t *Table) Ranks(service string) rank.Order { return t.ranks[service] }
+
 // Match returns the route of a host with the longest prefix of a path, or nil. A
 // port after the host is ignored.
 func (t *Table) Match(host, path string) *Route {
