Leave the servers of a lost data centre in time again

Callers saw streams with pauses of seconds after a silent crash of most of a data centre, since streams leave on evidence only. Cause: the evidence was drawn from four servers of any service of the data centre, so that living ones of other services and two of six of the same one decided for waiting; checks of others began 70 ms late; a stream that waited or had no event yet looked again only at its next check, 400 ms later. Change: decision/centreloss judges, from the silence of own streams, failures stated by peers and checks of up to eight servers of the same service that begin with the check of the silent one. Streams that wait look every 50 ms whether the loss was found. Measured: TestStreamGoesOnElsewhereInTimeWhenMostServersOfItsDataCentreAreLost failed before (2.9 s after the last event, both variants), passes after (0.28 s).

--- a/gateway/forward/centre_loss.go
+++ b/gateway/forward/centre_loss.go
@@ -7,74 +7,102 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/centreloss"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 )
 
 const (
-	// neighbourDelay is how long a server may take to accept a connection before others of its data
-	// centre are checked as well; neighbourChecks is the number of these.
-	neighbourDelay  = 70 * time.Millisecond
-	neighbourChecks = 4
-	// minUnreachableNeighbours is the number of other unreachable servers that show, where there are so
-	// many, that a data centre is lost.
-	minUnreachableNeighbours = 3
-	// reachWindow is how long it counts that a server was found reachable or not.
-	reachWindow = time.Second
+	// maxNeighbourChecks is the number of other servers of a service in a data centre that are checked beside one.
+	maxNeighbourChecks = 8
+	// neighbourSilence is the time after the last response of a server after which it is checked beside another one.
+	neighbourSilence = 60 * time.Millisecond
 )
 
-// centreReach holds which servers were found unreachable lately. A machine that is suspended for a moment answers no
-// connection attempt and then goes on; when most of a data centre don't, it or the path to it is lost. It is safe for
-// concurrent use.
-type centreReach struct {
-	mu    sync.Mutex
-	found map[string]reachFinding
+// centreMonitor keeps the signs that servers are silent, to find out whether most servers of a service in a data centre were
+// lost together. It is safe for concurrent use.
+type centreMonitor struct {
+	f       *Forwarder
+	mu      sync.Mutex
+	tracker *centreloss.Tracker
+	// expiredAt is when old signs were last dropped.
+	expiredAt time.Time
 }
 
-// reachFinding is what the last check of a server has found.
-type reachFinding struct {
-	at          time.Time
-	unreachable bool
-}
+// signExpiryInterval is the time between two removals of old signs.
+const signExpiryInterval = time.Second
 
-func newCentreReach() *centreReach { return &centreReach{found: make(map[string]reachFinding)} }
+func newCentreMonitor(f *Forwarder) *centreMonitor {
+	return &centreMonitor{f: f, tracker: centreloss.NewTracker(centreloss.DefaultPolicy())}
+}
 
-// record records what a check has found, and drops what is too old.
-func (r *centreReach) record(now time.Time, id string, unreachable bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for other, finding := range r.found {
-		if now.Sub(finding.at) > reachWindow {
-			delete(r.found, other)
-		}
+// with calls use with the tracker, mu held, and the time.
+func (m *centreMonitor) with(use func(tracker *centreloss.Tracker, now time.Time)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if now.Sub(m.expiredAt) >= signExpiryInterval {
+		m.tracker.Expire(now)
+		m.expiredAt = now
 	}
-	r.found[id] = reachFinding{at: now, unreachable: unreachable}
+	use(m.tracker, now)
+}
+
+// checked records how the connection attempts of a check that began at a time ended.
+func (m *centreMonitor) checked(begun time.Time, server *directory.Server, finding centreloss.Finding) {
+	last := m.f.selector.lastResponse(server.ID)
+	m.with(func(tracker *centreloss.Tracker, now time.Time) {
+		tracker.Checked(now, begun, last, server.ID, finding)
+	})
+}
+
+// silent records that a running stream at a server gets no events.
+func (m *centreMonitor) silent(server *directory.Server) {
+	last := m.f.selector.lastResponse(server.ID)
+	m.with(func(tracker *centreloss.Tracker, now time.Time) { tracker.Silent(now, last, server.ID) })
 }
 
-// lost reports whether a data centre with an unreachable server is lost, given the others that are listed there: most of
-// those that were checked lately are unreachable too, which are returned.
-func (r *centreReach) lost(now time.Time, others []*directory.Server) (unreachable []*directory.Server, lost bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	reached := 0
-	for _, server := range others {
-		finding, found := r.found[server.ID]
-		switch {
-		case !found || now.Sub(finding.at) > reachWindow:
-		case finding.unreachable:
-			unreachable = append(unreachable, server)
-		default:
-			reached++
+// failedAtPeer records that a peer found a server failed, some time ago.
+func (m *centreMonitor) failedAtPeer(server string, age time.Duration) {
+	last := m.f.selector.lastResponse(server)
+	m.with(func(tracker *centreloss.Tracker, now time.Time) {
+		tracker.FailedAtPeer(now, now.Add(-age), last, server)
+	})
+}
+
+// lost reports whether a server that answers no connection attempt was lost together with most others of its service in its data centre. The
+// others that fell silent with it are avoided then.
+func (m *centreMonitor) lost(server *directory.Server) bool {
+	last, unanswered := m.f.selector.lastResponse(server.ID), false
+	m.with(func(tracker *centreloss.Tracker, now time.Time) {
+		unanswered = tracker.Unanswered(now, server.ID, last)
+	})
+	if !unanswered {
+		return false
+	}
+	others := neighbours(m.f.directory.Snapshot(), server)
+	ids := idsOf(others)
+	var verdict centreloss.Verdict
+	m.with(func(tracker *centreloss.Tracker, now time.Time) {
+		verdict = tracker.Lost(now, server.ID, ids, m.f.selector.lastResponse)
+	})
+	if !verdict.Lost {
+		return false
+	}
+	for _, other := range others {
+		if slices.Contains(verdict.Silent, other.ID) && !m.f.selector.avoided(other) {
+			m.f.recordUnreachable(other, errCentreLost)
 		}
 	}
-	count := len(unreachable)
-	return unreachable, count > 0 && count >= min(minUnreachableNeighbours, len(others)) && count > 2*reached
+	return true
 }
 
-// neighbours returns the other servers of a server's data centre.
+var errCentreLost = fault.New(fault.UpstreamUnreachable, "no connection attempt was answered, and most servers of the service in the data centre fell silent with it")
+
+// neighbours returns the other servers of a server's service in its data centre.
 func neighbours(snapshot *directory.Snapshot, server *directory.Server) []*directory.Server {
 	var others []*directory.Server
-	for _, other := range snapshot.All {
+	for _, other := range snapshot.ForService(server.Service) {
 		if other.DataCentre == server.DataCentre && other.ID != server.ID && other.Address != server.Address {
 			others = append(others, other)
 		}
@@ -82,28 +110,19 @@
 	return others
 }
 
-// centreLost reports whether the data centre of an unreachable server is lost. The others that were found unreachable
-// are avoided then.
-func (c *livenessChecker) centreLost(server *directory.Server) bool {
-	unreachable, lost := c.reach.lost(time.Now(), neighbours(c.f.directory.Snapshot(), server))
-	if !lost {
-		return false
-	}
-	for _, other := range unreachable {
-		if !c.f.selector.avoided(other) {
-			c.f.recordUnreachable(other, errCentreLost)
-		}
-	}
-	return true
-}
-
-var errCentreLost = fault.New(fault.UpstreamUnreachable, "no connection attempt was answered, nor were those to other servers of the data centre")
-
-// checkNeighbours begins to check some other servers of the data centre of a server that is being checked.
+// checkNeighbours begins to check other servers of a service in a data centre beside one that is being checked, unless so
+// many of them have just sent something that the data centre can't be lost.
 func (c *livenessChecker) checkNeighbours(server *directory.Server, check *livenessCheck) {
 	others := neighbours(c.f.directory.Snapshot(), server)
+	total := len(others) + 1
+	others = slices.DeleteFunc(others, func(other *directory.Server) bool {
+		return time.Since(c.f.selector.lastResponse(other.ID)) < neighbourSilence
+	})
+	if living := total - 1 - len(others); total-living <= 2*living {
+		return
+	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, other := range others[:min(neighbourChecks, len(others))] {
+	for _, other := range others[:min(maxNeighbourChecks, len(others))] {
 		begun := c.join(other, true)
 		c.mu.Lock()
 		check.neighbours = append(check.neighbours, begun)
@@ -111,7 +130,7 @@
 	}
 }
 
-// awaitNeighbours waits for the checks of other servers that show whether the data centre of an unreachable one is lost.
+// awaitNeighbours waits for the checks of other servers that show whether an unreachable one was lost with them.
 func (c *livenessChecker) awaitNeighbours(ctx context.Context, check *livenessCheck) {
 	if check.finding.liveness != livenessUnreachable {
 		return
@@ -123,7 +142,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-neighbour.done:
+		case <-neighbour.connected:
 		}
 	}
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -72,6 +72,7 @@
 	f.crashes = newCrashDetector(f)
 	f.relays = newRelays(options)
 	f.liveness = newLivenessChecker(f)
+	f.selector.onPeerFailure = f.liveness.centres.failedAtPeer
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
--- a/gateway/forward/ledger.go
+++ b/gateway/forward/ledger.go
@@ -63,9 +63,10 @@
 
 // ReportFailure implements peers.Ledger.
 func (s *selector) ReportFailure(lost peers.FailedServer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.UnreachableAtPeer(time.Now().Add(-lost.Age), lost.Server, lost.DataCentre, lost.Down)
+	s.withLedger(func(ledger *placement.Ledger, now time.Time) {
+		ledger.UnreachableAtPeer(now.Add(-lost.Age), lost.Server, lost.DataCentre, lost.Down)
+	})
+	s.onPeerFailure(lost.Server, lost.Age)
 }
 
 // Expire implements peers.Ledger.
--- a/gateway/forward/liveness_checker.go
+++ b/gateway/forward/liveness_checker.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/centreloss"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
@@ -33,8 +34,8 @@
 	f  *Forwarder
 	mu sync.Mutex
 	// checks holds the running checks and those whose finding is valid, by the id of the server.
-	checks map[string]*livenessCheck
-	reach  *centreReach
+	checks  map[string]*livenessCheck
+	centres *centreMonitor
 }
 
 // livenessCheck is one check of a server.
@@ -43,12 +44,14 @@
 	// done is closed when finding is set.
 	done    chan struct{}
 	finding livenessFinding
+	// connected is closed when it is known whether the machine accepts connections.
+	connected chan struct{}
 	// neighbours are the checks of other servers of the data centre that it began.
 	neighbours []*livenessCheck
 }
 
 func newLivenessChecker(f *Forwarder) *livenessChecker {
-	return &livenessChecker{f: f, checks: make(map[string]*livenessCheck), reach: newCentreReach()}
+	return &livenessChecker{f: f, checks: make(map[string]*livenessCheck), centres: newCentreMonitor(f)}
 }
 
 // check returns what a check of a server that began after a time has found. It waits for livenessTimeout at most,
@@ -77,15 +80,14 @@
 	if check := c.checks[server.ID]; check != nil {
 		return check
 	}
-	check := &livenessCheck{started: time.Now(), done: make(chan struct{})}
+	check := &livenessCheck{started: time.Now(), done: make(chan struct{}), connected: make(chan struct{})}
 	c.checks[server.ID] = check
 	c.f.meters.count("probes")
 	go func() {
 		if !alone {
-			others := time.AfterFunc(neighbourDelay, func() { c.checkNeighbours(server, check) })
-			defer others.Stop()
+			c.checkNeighbours(server, check)
 		}
-		check.finding = c.run(server, check.started)
+		check.finding = c.run(server, check)
 		close(check.done)
 		time.AfterFunc(findingLifetime, func() { c.drop(server, check) })
 	}()
@@ -101,11 +103,17 @@
 	}
 }
 
-func (c *livenessChecker) run(server *directory.Server, started time.Time) livenessFinding {
-	conn, finding := c.connect(server, started)
-	if finding.liveness != livenessUndecided || conn != nil {
-		c.reach.record(time.Now(), server.ID, finding.liveness == livenessUnreachable)
+func (c *livenessChecker) run(server *directory.Server, check *livenessCheck) livenessFinding {
+	conn, finding := c.connect(server, check.started)
+	switch {
+	case conn != nil:
+		c.centres.checked(check.started, server, centreloss.Reached)
+	case finding.liveness == livenessUnreachable:
+		c.centres.checked(check.started, server, centreloss.Unanswered)
+	case finding.liveness == livenessRefused:
+		c.centres.checked(check.started, server, centreloss.Refused)
 	}
+	close(check.connected)
 	if conn == nil {
 		return finding
 	}
@@ -113,7 +121,7 @@
 		conn.Close()
 		return livenessFinding{liveness: livenessSilent}
 	}
-	return c.ask(conn, server, started.Add(livenessTimeout))
+	return c.ask(conn, server, check.started.Add(livenessTimeout))
 }
 
 // connection is the outcome of one connection attempt.
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -28,6 +28,8 @@
 	regions       map[string]string
 	peerGroup     func() peers.Group
 	onUnreachable func(server *directory.Server, down bool)
+	// onPeerFailure is called with the id of a server that a peer could not reach some time ago.
+	onPeerFailure func(server string, age time.Duration)
 	reach         *reachMonitor
 	limits        secondsends.Limits
 	logger        zerolog.Logger
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -24,6 +24,8 @@
 	minSilence = 120 * time.Millisecond
 	// waitingCheckInterval is the minimum time between two checks of a silent server that is waited for.
 	waitingCheckInterval = 400 * time.Millisecond
+	// lossPollInterval is the time between two looks whether the data centre of a silent server was found lost.
+	lossPollInterval = 50 * time.Millisecond
 	// maxWakeDelay is how late an expired read deadline may be handled. A longer
 	// delay means that this process did not run, and the silence proves nothing.
 	maxWakeDelay = 60 * time.Millisecond
@@ -52,7 +54,10 @@
 		}
 		now := time.Now()
 		if early {
-			a.beginCheck(now, timeout)
+			if a.lostMeanwhile(ctx, now, err) {
+				return err
+			}
+			a.beginCheck(now, deadline, timeout)
 			continue
 		}
 		late := now.Sub(a.checkAt) >= maxWakeDelay
@@ -82,28 +87,54 @@
 	return timeout
 }
 
-// nextDeadline returns the time of the next check, or, early, when the server's liveness begins to be checked so that
-// the finding is there by then. Events are still received meanwhile.
+// nextDeadline returns the time of the next check, or, early, when something is to be done before: to begin the check of
+// the server's liveness, so that the finding is there by then, or to look whether its data centre was found lost. Events
+// are still received meanwhile.
 func (a *streamAttempt) nextDeadline(timeout time.Duration) (deadline time.Time, early bool) {
+	if a.awaitsLoss() {
+		deadline = time.Now().Add(lossPollInterval)
+		return deadline, deadline.Before(a.checkAt)
+	}
 	if a.checkBegun || a.waiting || a.awaitsFirstEvent() {
 		return a.checkAt, false
 	}
-	begin := a.checkAt.Add(-min(acceptTimeout, timeout-minSilence))
-	return begin, begin.Before(a.checkAt)
+	deadline = a.checkAt.Add(-min(acceptTimeout, timeout-minSilence))
+	return deadline, deadline.Before(a.checkAt)
 }
 
-// beginCheck begins a check of the server's liveness unless it has just sent something.
-func (a *streamAttempt) beginCheck(now time.Time, timeout time.Duration) {
+// beginCheck begins a check of the server's liveness, at a deadline, unless it has just sent something.
+func (a *streamAttempt) beginCheck(now, deadline time.Time, timeout time.Duration) {
+	if a.checkBegun || a.waiting || a.awaitsFirstEvent() {
+		return
+	}
 	a.checkBegun = true
 	if now.Sub(a.run.f.selector.lastResponse(a.server.ID)) >= timeout/2 {
+		if now.Sub(deadline) < maxWakeDelay {
+			a.run.f.liveness.centres.silent(a.server)
+		}
 		a.run.f.liveness.join(a.server, false)
 	}
 }
 
+// awaitsLoss reports whether the stream waits for its server and leaves it as soon as its data centre is found lost.
+func (a *streamAttempt) awaitsLoss() bool {
+	return !a.triedLoss && (a.waiting || a.checkBegun || a.awaitsFirstEvent())
+}
+
+// lostMeanwhile reports whether the server's data centre was found lost and another server has taken the stream over. That
+// is tried once until the server sends something; the later checks try it again.
+func (a *streamAttempt) lostMeanwhile(ctx context.Context, now time.Time, cause error) bool {
+	if !a.awaitsLoss() || now.Sub(a.receivedAt) < minSilence || !a.run.f.liveness.centres.lost(a.server) {
+		return false
+	}
+	a.triedLoss = true
+	return a.leave(ctx, cause, evidenceUnreachable)
+}
+
 // progressed records that the server sent the head of its answer or an event.
 func (a *streamAttempt) progressed(now time.Time) {
 	a.receivedAt = now
-	a.checkAt, a.fragmentsSince, a.runsSince = time.Time{}, time.Time{}, time.Time{}
+	a.checkAt, a.fragmentsSince, a.runsSince, a.triedLoss = time.Time{}, time.Time{}, time.Time{}, false
 	a.checkedBytes = a.conn.Received()
 }
 
@@ -158,7 +189,7 @@
 	case livenessOtherProcess:
 		return evidenceOtherProcess
 	case livenessUnreachable:
-		if f.liveness.centreLost(a.server) {
+		if f.liveness.centres.lost(a.server) {
 			return evidenceUnreachable
 		}
 		return a.evidenceOfLongSilence(cause, lastResponse)
--- a/gateway/forward/silence_evidence.go
+++ b/gateway/forward/silence_evidence.go
@@ -8,8 +8,8 @@
 	evidenceRefused silenceEvidence = "refused"
 	// evidenceOtherProcess means that another process has the server's address or id.
 	evidenceOtherProcess silenceEvidence = "other_process"
-	// evidenceUnreachable means that the machines of most servers of the data centre that were checked, this
-	// server's included, do not answer connection attempts.
+	// evidenceUnreachable means that the server's machine answers no connection attempt, and most servers of its service in
+	// the data centre fell silent in the same moment.
 	evidenceUnreachable silenceEvidence = "unreachable"
 	// evidenceServerSilent means that the server has sent nothing for longer than a sound one pauses.
 	evidenceServerSilent silenceEvidence = "server_silent"
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -57,7 +57,9 @@
 	ranClean bool
 	// waiting is set once the server was silent and no other could take over.
 	waiting bool
-	load    placement.Load
+	// triedLoss is set once the stream was to leave because its data centre was found lost.
+	triedLoss bool
+	load      placement.Load
 	// hop is set when the stream is handed to a peer; server is the peer then, with the software version of its server.
 	hop *hop
 }
