Let a stream go on at the server that may still run it when it is handed to a peer

Cause: an instance whose connections to servers hang hands its streams to a peer, which chose a server by cost. The first server does not notice that its connection is cut and runs the stream on, so that two servers ran it.

Change: the instance names the server that got the stream last and showed no sign that it stopped. The peer sends the stream there first, and elsewhere where that one can't be reached or rejects it.

--- a/gateway/forward/relay_stream.go
+++ b/gateway/forward/relay_stream.go
@@ -74,6 +74,15 @@
 	return len(r.mayHaveRunAt) + r.ranAtPeers + r.j.usedAttempts()
 }
 
+// relayedRun returns the server that may still run a stream which a peer has handed over, and that may go on with it;
+// nil for none. At another server it would run twice, because the first one does not notice that the peer's connection is cut.
+func (r *streamRun) relayedRun() *directory.Server {
+	if r.j.relayed == nil || r.j.relayed.RunsAt == "" || !r.j.route.Resumable {
+		return nil
+	}
+	return r.continuableAt(r.f.directory.Snapshot().Find(r.j.relayed.RunsAt))
+}
+
 // startRelay sends the request to the peer. It returns the result of an attempt that failed, else nil.
 func (a *streamAttempt) startRelay(ctx context.Context) *streamResult {
 	r := a.run
@@ -85,6 +94,7 @@
 	a.conn, a.stopClosing = conn, context.AfterFunc(ctx, conn.Close)
 	relayed := r.j.relayMessage(r.f.relays.instance, max(0, r.j.route.Attempts-a.hop.attempts))
 	relayed.Version, relayed.Position, relayed.Resume = r.binding.version, r.events.position, r.events.positionKnown
+	relayed.RunsAt = r.lastRunAt
 	a.sentAt = time.Now()
 	head := r.f.protocol.AppendRelay(make([]byte, 0, 1024), r.j.exchange.Head, len(r.j.exchange.Body), relayed)
 	if sent, err := conn.Send(head, r.j.exchange.Body); err != nil {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -58,6 +58,8 @@
 	ranAtPeers int
 	// unboundHere is set when only a peer may bind the stream to its software version.
 	unboundHere bool
+	// lastRunAt is the id of the server that got the stream last and did not reject it; empty for none.
+	lastRunAt string
 	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
 	relayRetryAfter time.Duration
 }
@@ -111,6 +113,7 @@
 		f.reject(j, localAnswer{status: 503, code: fault.SoftwareVersionUnknown, retryAfter: max(noServerRetryAfter, f.untilListTrusted())})
 		return
 	}
+	run.reconnectServer = run.relayedRun()
 	run.findPrompt(ctx)
 	defer run.dropSuccessor(ctx)
 	for {
@@ -128,6 +131,9 @@
 			return
 		}
 		run.lastResult = result
+		if result.notRun && run.lastRunAt == result.server.ID {
+			run.lastRunAt = ""
+		}
 		if !result.notRun {
 			run.mayHaveRunAt[result.server.ID] = true
 			run.countFruitless(delivered)
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -209,6 +209,7 @@
 	if sent, err := conn.Send(head, r.j.exchange.Body); err != nil {
 		return &streamResult{notRun: !sent, code: fault.UpstreamBroken, err: err}
 	}
+	r.lastRunAt = a.server.ID
 	return nil
 }
 
--- a/gateway/forward/succession.go
+++ b/gateway/forward/succession.go
@@ -36,7 +36,7 @@
 		return true
 	}
 	result := next.end(ctx, *failure)
-	r.reconnectServer = nil // the stream stays where it is
+	r.reconnectServer, r.lastRunAt = nil, a.server.ID // the stream stays where it is
 	r.j.failedServers = append(r.j.failedServers, to.server.ID)
 	if !result.notRun {
 		r.mayHaveRunAt[to.server.ID] = true
--- a/gateway/message/relay.go
+++ b/gateway/message/relay.go
@@ -10,6 +10,9 @@
 	UsedAttempts int
 	// FailedServers holds the ids of the backend servers that failed the request.
 	FailedServers []string
+	// RunsAt is the id of the backend server that may still run the stream, because nothing showed that it
+	// stopped; empty for none.
+	RunsAt string
 	// Service is the service of the request. Version is the software version at which a stream continues;
 	// empty when it has not begun.
 	Service string
