Connect again to a server that has answered on no connection since the first broke

Cause: a stream left its server after the second reset connection. A server that is only silent has noticed neither and runs the stream on, so that two servers ran it.

Change: a stream connects up to three times in a row to a server that has answered on none of the connections; the bound on attempts without an event stays.

--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -28,10 +28,10 @@
 	// attempt resumes; nil for none.
 	cacheCopyServer *directory.Server
 	// reconnectServer is the server whose connection broke and to which the next
-	// attempt goes; nil for none. reconnected holds the ids of the servers that
+	// attempt goes; nil for none. reconnected holds, by id, how often the servers
 	// were tried again in this way.
 	reconnectServer *directory.Server
-	reconnected     map[string]bool
+	reconnected     map[string]int
 	// successor is the attempt that has taken the stream over from a silent server; nil for none.
 	successor *streamAttempt
 	// binding is the software version at which the stream continues.
@@ -97,7 +97,7 @@
 
 // serveStream serves a request whose answer is a stream of events.
 func (f *Forwarder) serveStream(ctx context.Context, j *job, service *route.Service) {
-	run := &streamRun{f: f, j: j, service: service, reconnected: make(map[string]bool), mayHaveRunAt: make(map[string]bool)}
+	run := &streamRun{f: f, j: j, service: service, reconnected: make(map[string]int), mayHaveRunAt: make(map[string]bool)}
 	run.size = placement.Generation{PromptTokens: j.request.PromptTokens, MemoryTokens: j.request.PromptTokens + j.request.OutputTokens}
 	if run.size.PromptTokens == 0 {
 		run.size = placement.Generation{PromptTokens: defaultPromptTokens, MemoryTokens: defaultPromptTokens + defaultOutputTokens}
@@ -275,15 +275,24 @@
 	return r.notRunAttempts > maxNotRunStreamSends
 }
 
-// allowReconnect makes the next attempt go to the server whose connection broke,
-// once for each server: a broken connection does not mean that the server failed,
-// and the server still has the prompt in its cache.
-func (r *streamRun) allowReconnect(server *directory.Server) {
+// maxReconnects is the maximum number of connections to a server in place of one that broke, while it has answered on
+// none of them. A server that is only silent still runs the stream of the first one.
+const maxReconnects = 3
+
+// allowReconnect makes the next attempt go to the server whose connection broke: a
+// broken connection does not mean that the server failed, and the server still has the
+// prompt in its cache. It does so once for each server that answers.
+func (r *streamRun) allowReconnect(a *streamAttempt) {
+	server := a.server
 	listed := r.resumableAt(r.f.directory.Snapshot().Find(server.ID))
-	if r.reconnected[server.ID] || !r.j.route.Resumable || listed == nil || !listed.SameProcess(server) {
+	limit := 1
+	if a.reconnecting && a.response == nil {
+		limit = maxReconnects
+	}
+	if r.reconnected[server.ID] >= limit || !r.j.route.Resumable || listed == nil || !listed.SameProcess(server) {
 		return
 	}
-	r.reconnected[server.ID] = true
+	r.reconnected[server.ID]++
 	r.reconnectServer = server
 }
 
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -159,7 +159,7 @@
 		r.cacheCopyServer = a.copyHolder()
 	}
 	if a.connectionBroke(result) {
-		r.allowReconnect(a.server)
+		r.allowReconnect(a)
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
