Write the records of streams four times a second while several versions serve

Cause: records waited up to a second for the next write.

Change: the interval is 250 ms. TestRecordIsInTheStoreWithinAQuarterOfASecond fails on the parent.

--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// writeInterval is the time between two writes; each is charged for.
-	writeInterval = time.Second
+	// writeInterval is the time between two writes; each is charged for. The streams that begin meanwhile can't
+	// be resumed after the loss of all instances.
+	writeInterval = 250 * time.Millisecond
 	// segmentTime is the time over which a segment gathers records, slots the number of segments of
 	// a writer. Together they hold the records of streamversion.Lifetime.
 	segmentTime = 8 * time.Second
