Write large segments of stream records once a second

All of a segment is written each time: at 4,700 streams a second in a data centre four writes a second would carry 50 to 400 KB each. TestLargeSegmentIsWrittenOnceASecond fails on the parent.

--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -17,6 +17,10 @@
 	// writeInterval is the time between two writes; each is charged for. The streams that begin meanwhile can't
 	// be resumed after the loss of all instances.
 	writeInterval = 250 * time.Millisecond
+	// largeSegment is the number of records in a segment from which on it is written once in
+	// largeWriteInterval, because all of it is written each time.
+	largeSegment       = 1024
+	largeWriteInterval = time.Second
 	// segmentTime is the time over which a segment gathers records, slots the number of segments of
 	// a writer. Together they hold the records of streamversion.Lifetime.
 	segmentTime = 8 * time.Second
@@ -56,7 +60,9 @@
 	slot    int
 	begun   time.Time
 	records []streamversion.Record
-	reads   reads
+	// attemptedAt is the time of the last write, also of a failed one.
+	attemptedAt time.Time
+	reads       reads
 }
 
 type pendingRecord struct {
@@ -97,9 +103,13 @@
 		a.severalUntil = now.Add(streamversion.Lifetime)
 	}
 	several := now.Before(a.severalUntil) || a.options.SeveralLately()
+	if len(a.records) >= largeSegment && now.Sub(a.attemptedAt) < largeWriteInterval {
+		return
+	}
 	if !several || !a.options.Writes() || !a.openSegment(ctx, now) || !a.gather(now) {
 		return
 	}
+	a.attemptedAt = now
 	err := a.options.Store.WriteSegment(ctx, Segment{Writer: a.options.Instance, Slot: a.slot, WrittenAt: now, Records: a.records})
 	if err != nil {
 		event.Log(a.options.Logger, event.StreamRecordsNotWritten).Int("records", len(a.records)).Err(err).Send()
--- a/gateway/streamarchive/archive_test.go
+++ b/gateway/streamarchive/archive_test.go
@@ -131,6 +131,23 @@
 	})
 }
 
+// Guards against a write of tens of kilobytes four times a second.
+func TestLargeSegmentIsWrittenOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(newStore(), "v1", "v2")
+		for n := range 2000 {
+			r.Add(streamversion.Record{Key: streamversion.Key(10_000 + n), Origin: streamversion.Origin{Service: "s", Version: "v1"}})
+		}
+		r.run(0, 50)
+		is.True(r.store.writes <= 7)
+		reader := newRig(r.store)
+		_, err := reader.Load(context.Background())
+		is.NoErr(err)
+		is.Equal(len(reader.learned), 2050)
+	})
+}
+
 // Guards against LOST: streams that began within the last second before the loss of all instances can't be resumed.
 func TestRecordIsInTheStoreWithinAQuarterOfASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
