Let a call go on until a server accepts a connection

Cause: a call ended after four refused connections, the bound for attempts that reached a server which did not run it. After several servers had crashed it was rejected though others were sound (seen in TestQuarantineOutlastsTheLossOfAllInstances beside load: four of nine servers refused, 503 after 3.4 ms).

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -21,7 +21,7 @@
 	secondSendFraction = 0.4
 	// minCheckInterval bounds the time between two checks of the answers that have begun.
 	minCheckInterval = 50 * time.Millisecond
-	// maxNotRunSends bounds the attempts of a call that certainly did not run.
+	// maxNotRunSends bounds the attempts of a call that reached a server and certainly did not run.
 	maxNotRunSends = 3
 )
 
@@ -32,8 +32,10 @@
 	service *route.Service
 	results chan callResult
 	pending int
-	// notRunAttempts counts the attempts that certainly did not run.
+	// notRunAttempts counts the attempts that certainly did not run, unreachable those of them that opened no
+	// connection.
 	notRunAttempts int
+	unreachable    int
 	// relays counts the peers to which the call was handed.
 	relays int
 	// mayHaveRun is set when an attempt may have run the call.
@@ -151,6 +153,9 @@
 	}
 	if result.notRun {
 		r.notRunAttempts++
+		if result.code == fault.UpstreamUnreachable {
+			r.unreachable++
+		}
 	} else {
 		r.mayHaveRun = true
 	}
@@ -167,7 +172,7 @@
 // maySendAgain reports whether the call may be sent to another server.
 func (r *callRun) maySendAgain(result *callResult) bool {
 	if result.notRun {
-		return r.notRunAttempts <= maxNotRunSends
+		return r.notRunAttempts-r.unreachable <= maxNotRunSends && r.unreachable <= maxUnreachableSends
 	}
 	return r.j.route.Kind == route.Idempotent && r.j.sends-r.notRunAttempts < r.j.route.Attempts
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -68,7 +68,7 @@
 const maxNotRunStreamSends = 6
 
 // maxUnreachableSends bounds the connection attempts to unreachable servers for
-// one stream. It exceeds the number of servers in a data centre of the users.
+// one request. It exceeds the number of servers in a data centre of the users.
 const maxUnreachableSends = 40
 
 // streamResult is the outcome of one attempt of a stream.
