Be ready only once the quarantined requests were read from the store

Cause: an instance that had just started was ready before the store had answered which requests are quarantined, and ran one (502 for 503).

Change: an instance is unready until the store has answered or failed, for half a second at most.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,8 @@
 	archive *streamarchive.Archive
 	// served keeps the software versions that services had lately in the store.
 	served *versionarchive.Archive
+	// startedAt is when the background tasks were started; nil until then.
+	startedAt atomic.Pointer[time.Time]
 	// quarantines keeps the quarantined requests in the store.
 	quarantines *quarantinearchive.Archive
 	monitor     *monitor
@@ -152,6 +154,8 @@
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
 	g.duties.Go("reach", g.forwarder.RunReach)
+	now := time.Now()
+	g.startedAt.Store(&now)
 	g.duties.Go("quarantines", g.quarantines.Run)
 	g.duties.Go("served versions", g.served.Run)
 	g.duties.Go("stream records", g.archive.Run)
@@ -188,7 +192,7 @@
 // Ready reports whether the instance accepts requests: it has a configuration and
 // backend servers and is not stopping. It logs changes.
 func (g *Gateway) Ready() bool {
-	ready := !g.stopping.Load() && g.state.Current() != nil && len(g.directory.Snapshot().All) > 0
+	ready := !g.stopping.Load() && g.state.Current() != nil && len(g.directory.Snapshot().All) > 0 && g.knowsQuarantines()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if ready != g.ready {
@@ -199,6 +203,16 @@
 	return ready
 }
 
+// quarantineWait is how long after its start an instance is unready because the store has not answered
+// which requests are quarantined.
+const quarantineWait = 500 * time.Millisecond
+
+// knowsQuarantines reports whether the quarantined requests were read from the store, or can't be had soon.
+func (g *Gateway) knowsQuarantines() bool {
+	started := g.startedAt.Load()
+	return g.quarantines.Asked() || (started != nil && time.Since(*started) >= quarantineWait)
+}
+
 // Version returns the version of the in-force configuration, 0 for none.
 func (g *Gateway) Version() uint64 { return g.state.Version() }
 
--- a/gateway/quarantinearchive/archive.go
+++ b/gateway/quarantinearchive/archive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,11 +38,13 @@
 	Logger zerolog.Logger
 }
 
-// Archive reads and writes quarantines. Run uses it from one goroutine.
+// Archive reads and writes quarantines. Run uses it from one goroutine; Asked is safe for concurrent use.
 type Archive struct {
 	options   Options
 	written   []poison.Quarantine
 	writtenAt time.Time
+	// asked is set when the store has answered or failed once.
+	asked atomic.Bool
 }
 
 // New returns an archive that neither reads nor writes yet.
@@ -62,8 +65,12 @@
 	}
 }
 
+// Asked reports whether the store has answered or failed once since the start.
+func (a *Archive) Asked() bool { return a.asked.Load() }
+
 // load passes the quarantines in the store to Learn, and reports whether they could be read.
 func (a *Archive) load(ctx context.Context) bool {
+	defer a.asked.Store(true)
 	quarantines, err := a.options.Store.Quarantines(ctx)
 	if err != nil {
 		event.Log(a.options.Logger, event.QuarantinesNotRead).Err(err).Send()
