--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -161,7 +161,7 @@
 		r.cacheCopyServer = a.copyHolder()
 	}
 	if a.connectionBroke(result) {
-		r.allowReconnect(a.server)
+		r.allowReconnect(a)
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
@@ -209,6 +209,7 @@
 	if sent, err := conn.Send(head, r.j.exchange.Body); err != nil {
 		return &streamResult{notRun: !sent, code: fault.UpstreamBroken, err: err}
 	}
+	r.lastRunAt = a.server.ID
 	return nil
 }
 
