--- a/decision/fairqueue/queue.go
+++ b/decision/fairqueue/queue.go
@@ -1,6 +1,11 @@
 package fairqueue
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // Queue holds up to capacity waiting requests. It is not safe for concurrent use.
 type Queue struct {
@@ -70,6 +75,44 @@
 	return q.removeAt(next, 0), true
 }
 
+// Heads returns the first waiting request of each account, in the order in which Pop returns them.
+func (q *Queue) Heads() []Item {
+	accounts := slices.SortedFunc(maps.Values(q.activeAccounts), func(a, b *account) int {
+		return cmp.Or(cmp.Compare(a.virtualTime, b.virtualTime), cmp.Compare(a.name, b.name))
+	})
+	heads := make([]Item, 0, len(accounts))
+	for _, a := range accounts {
+		heads = append(heads, a.items[0])
+	}
+	return heads
+}
+
+// Take removes a request as Pop does, though it may not be the next one, and reports whether it was waiting.
+func (q *Queue) Take(name, id string) bool {
+	a, ok := q.activeAccounts[name]
+	if !ok {
+		return false
+	}
+	for at := range a.items {
+		if a.items[at].ID == id {
+			q.virtualTime = max(q.virtualTime, a.virtualTime)
+			a.virtualTime += float64(a.items[at].Cost) / float64(a.weight)
+			q.removeAt(a, at)
+			return true
+		}
+	}
+	return false
+}
+
+// Drop removes and returns the last request of the account with the longest backlog for its weight; false when none waits.
+func (q *Queue) Drop() (Item, bool) {
+	longest := q.longestBacklog()
+	if longest == nil {
+		return Item{}, false
+	}
+	return q.removeAt(longest, len(longest.items)-1), true
+}
+
 // Expire removes and returns the requests whose deadline has passed, ordered by
 // account and then by their order in it.
 func (q *Queue) Expire(now time.Duration) []Item {
