Let requests wait by rank until a backend server has room

Cause: a request for which no server had room was sent to a full one, in the order of arrival; instances didn't agree on free room, and nothing was refused before its deadline passed at a server. Change: where the ranks of a service differ, or its servers state how long work takes, a stream or call that finds no server with room waits at its instance, at most half of its target latency and of its spare time, and is refused at once when none is expected. Waiting requests end when the instance stops, the configuration changes their route or key, they are quarantined, or the client leaves. Choice.HasRoom is FreePlaces > 0.

--- a/decision/admission/waiting_list.go
+++ b/decision/admission/waiting_list.go
@@ -242,3 +242,9 @@
 	r.decay(now)
 	return r
 }
+
+// MayStart reports whether a new request of a rank would start before all that wait.
+func (l *WaitingList) MayStart(rank int) bool {
+	l.grow(rank)
+	return !l.before(rank)
+}
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -59,9 +59,7 @@
 	if candidate.MemoryTokens > 0 && load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
 		wait += l.policy.FullCost
 	}
-	hasRoom := (candidate.Slots == 0 || load.Requests < candidate.Slots) &&
-		(candidate.MemoryTokens == 0 || load.MemoryTokens+generation.MemoryTokens <= candidate.MemoryTokens)
-	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: hasRoom, Load: load}
+	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: l.FreePlaces(generation, candidate) > 0, Load: load}
 }
 
 func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
--- /dev/null
+++ b/decision/placement/places.go
@@ -0,0 +1,16 @@
+package placement
+
+import "math"
+
+// FreePlaces returns for how many generations of a size a candidate has, as far as is known, a free slot and enough memory now,
+// also when all that run there hold what they hold at their end. For a call the size is zero.
+func (l *Ledger) FreePlaces(generation Generation, candidate *Candidate) int {
+	load, free := l.load(candidate.ID), math.MaxInt
+	if candidate.Slots > 0 {
+		free = candidate.Slots - load.Requests
+	}
+	if candidate.MemoryTokens > 0 && generation.MemoryTokens > 0 {
+		free = min(free, (candidate.MemoryTokens-load.MemoryTokens)/generation.MemoryTokens)
+	}
+	return max(0, free)
+}
--- a/fault/code.go
+++ b/fault/code.go
@@ -20,6 +20,7 @@
 	requestDefinitions,
 	platformDefinitions,
 	forwardingDefinitions,
+	admissionDefinitions,
 	generationDefinitions,
 	callDefinitions,
 	routingDefinitions,
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -34,6 +34,8 @@
 	pending int
 	// notRunAttempts counts the attempts that certainly did not run.
 	notRunAttempts int
+	// granted is the room that is kept for the first attempt; nil for none.
+	granted *grant
 	// relays counts the peers to which the call was handed.
 	relays int
 	// mayHaveRun is set when an attempt may have run the call.
@@ -52,6 +54,9 @@
 		j.sends = j.relayed.UsedAttempts
 	}
 	run := &callRun{f: f, j: j, service: service, results: make(chan callResult, j.route.Attempts+maxNotRunSends+maxRelays+1)}
+	if !run.admit(ctx) {
+		return
+	}
 	if !run.send(ctx) {
 		f.reject(j, f.selector.noServerAnswer(service))
 		return
@@ -95,7 +100,10 @@
 			return false
 		}
 	}
-	server := r.f.selector.chooseForCall(r.service, r.j.hasFailed)
+	server := r.takeGranted()
+	if server == nil {
+		server = r.f.selector.chooseForCall(r.service, r.j.hasFailed)
+	}
 	if server == nil {
 		return false
 	}
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -44,6 +44,9 @@
 	askPeers        func(key streamversion.Key) bool
 	loadStreams     func(ctx context.Context) (recent bool, err error)
 	streamDurations streamDuration
+	admissions      *admissions
+	// instance is the name of this instance.
+	instance string
 	// answers bounds the memory of all buffered answers.
 	answers answerBudget
 	// stop is nil until a planned stop begins.
@@ -59,6 +62,7 @@
 		selector:  newSelector(options),
 		pool:      upstream.NewPool(),
 		logger:    options.Logger,
+		instance:  options.Instance,
 		meters:    newMeters(options.Metrics),
 		versions:  newStreamVersions(options.ArchiveStream),
 		onCutOff:  options.OnCutOff,
@@ -67,6 +71,8 @@
 	if options.DialServer != nil {
 		f.pool = upstream.NewPoolBy(options.DialServer)
 	}
+	f.admissions = newAdmissions(f)
+	f.selector.admissions = f.admissions
 	f.adopter = &adopter{f: f, probing: make(map[string]bool)}
 	f.poison = newPoisonGuard(options, f.meters)
 	f.crashes = newCrashDetector(f)
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -32,8 +32,10 @@
 	limits        secondsends.Limits
 	logger        zerolog.Logger
 	started       time.Time
-	mu            sync.Mutex
-	ledger        *placement.Ledger
+	// admissions holds the requests that wait for room.
+	admissions *admissions
+	mu         sync.Mutex
+	ledger     *placement.Ledger
 	// rejections holds the rejection limits of servers, and shares what this instance may use of those that have one.
 	rejections *rejections.Table
 	shareAt    func(servers []*directory.Server) map[string]rejections.Share
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -25,6 +25,7 @@
 	if answer.Invalid != nil {
 		event.Log(f.logger, event.AnswerFieldInvalid).Str("server", server.ID).Err(answer.Invalid).Send()
 	}
+	f.admissions.recordLoad(server.Service, answer.Load)
 	if f.selector.recordRejectionLimit(server, answer) {
 		f.meters.count("servers.rejections")
 		f.onRejection(server)
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -58,6 +58,8 @@
 	ranAtPeers int
 	// unboundHere is set when only a peer may bind the stream to its software version.
 	unboundHere bool
+	// granted is the room that is kept for the first attempt; nil for none.
+	granted *grant
 	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
 	relayRetryAfter time.Duration
 }
@@ -112,6 +114,10 @@
 		return
 	}
 	run.findPrompt(ctx)
+	if !run.admit(ctx) {
+		return
+	}
+	defer run.releaseGranted()
 	defer run.dropSuccessor(ctx)
 	for {
 		delivered := run.deliveredEvents
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -99,6 +99,7 @@
 	r.j.sends++
 	a.logSent(to)
 	a.addLoad()
+	r.releaseGranted()
 	return a
 }
 
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -32,6 +32,9 @@
 	}
 	reconnect, holder := r.reconnectServer, r.cacheCopyServer
 	r.reconnectServer = nil
+	if to := r.takeGranted(); to.server != nil {
+		return to, streamResult{}
+	}
 	switch {
 	case reconnect != nil && r.ranAt(reconnect):
 		return destination{server: reconnect, reconnecting: true}, streamResult{}
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -62,7 +62,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads and peer addresses.
+// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, waiting requests, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -90,6 +90,9 @@
 	for i := range digest.Rejections {
 		b = appendIfFits(b, tagRejections, encodeRejections(&digest.Rejections[i]))
 	}
+	for i := range digest.Waiting {
+		b = appendIfFits(b, tagServiceWaiting, encodeWaiting(&digest.Waiting[i]))
+	}
 	for i := range digest.Usages {
 		b = appendIfFits(b, tagUsage, encodeUsage(&digest.Usages[i]))
 	}
@@ -224,6 +227,8 @@
 			return digest.Poison.decodePoison(tag, text)
 		case tagRejectionLimit:
 			return digest.decodeLimit(text)
+		case tagServiceWaiting:
+			return digest.decodeWaiting(text)
 		case tagRejections:
 			return digest.decodeRejections(text)
 		case tagFailedServer:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -60,6 +60,8 @@
 	// rejected.
 	RejectionLimits []rejections.ServiceLimit
 	Rejections      []RejectionReport
+	// Waiting are the sender's requests that wait for room, for instances of the same data centre.
+	Waiting []ServiceWaiting
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -34,6 +34,8 @@
 	return nil, nil
 }
 func (discardingLedger) ReportRejections(string, []rejections.ServiceLimit, []RejectionReport) {}
+func (discardingLedger) Waiting() []ServiceWaiting                                             { return nil }
+func (discardingLedger) ReportWaiting(string, []ServiceWaiting)                                {}
 func (discardingLedger) ReportFailure(FailedServer)                                            {}
 func (discardingLedger) Expire(time.Duration)                                                  {}
 
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -29,6 +29,9 @@
 	// rejected. ReportRejections records those of a peer.
 	Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections)
 	ReportRejections(instance string, limits []rejections.ServiceLimit, reported []RejectionReport)
+	// Waiting returns this instance's requests that wait for room. ReportWaiting replaces those of a peer in the same data centre.
+	Waiting() []ServiceWaiting
+	ReportWaiting(instance string, waiting []ServiceWaiting)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -51,6 +51,9 @@
 	}
 	if digest.HasLoads {
 		s.options.Ledger.Report(digest.Instance, digest.Loads)
+		if digest.DataCentre == s.options.DataCentre {
+			s.options.Ledger.ReportWaiting(digest.Instance, digest.Waiting)
+		}
 	}
 	if len(digest.Usages) > 0 && digest.DataCentre == s.options.DataCentre {
 		s.options.Ledger.ReportUsages(digest.Instance, digest.Usages)
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -15,6 +15,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
+	waiting := s.options.Ledger.Waiting()
 	servers := s.options.Directory.Snapshot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -40,6 +41,9 @@
 			})
 		}
 		loadsHash := hashLoads(needed)
+		if local {
+			loadsHash ^= hashWaiting(waiting)
+		}
 		if !needsDigest(now, p, local, s.options.Follower.Following(), intervals, loadsHash) {
 			continue
 		}
@@ -51,7 +55,7 @@
 		digest := s.digest()
 		digest.HasLoads, digest.Loads = true, needed
 		if local {
-			digest.Usages = usages
+			digest.Usages, digest.Waiting = usages, waiting
 			if rand.IntN(rateDigestSpacing) == 0 {
 				digest.Rates = rates
 			}
