--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -60,6 +60,8 @@
 	unboundHere bool
 	// lastRunAt is the id of the server that got the stream last and did not reject it; empty for none.
 	lastRunAt string
+	// granted is the room that is kept for the first attempt; nil for none.
+	granted *grant
 	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
 	relayRetryAfter time.Duration
 }
@@ -115,6 +117,10 @@
 	}
 	run.reconnectServer = run.relayedRun()
 	run.findPrompt(ctx)
+	if !run.admit(ctx) {
+		return
+	}
+	defer run.releaseGranted()
 	defer run.dropSuccessor(ctx)
 	for {
 		delivered := run.deliveredEvents
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -15,6 +15,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
+	waiting := s.options.Ledger.Waiting()
 	servers := s.options.Directory.Snapshot()
 	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
@@ -41,6 +42,9 @@
 			})
 		}
 		loadsHash := hashLoads(needed)
+		if local {
+			loadsHash ^= hashWaiting(waiting)
+		}
 		if !needsDigest(now, p, local, s.options.Follower.Following(), intervals, loadsHash) {
 			continue
 		}
@@ -52,7 +56,7 @@
 		digest := s.digest()
 		digest.HasLoads, digest.Loads = true, needed
 		if local {
-			digest.Usages = usages
+			digest.Usages, digest.Waiting = usages, waiting
 			if rand.IntN(rateDigestSpacing) == 0 {
 				digest.Rates = rates
 			}
