Keep a picture of each server's load and speed, and place by it

Cause: servers differ in speed by more than two and change several times a second, and state so in answers; placement assumed one reading speed for all and read nothing of it. Placement multiplies the time to read and to produce by the expected factor, counts requests and memory that only the server knows of, and leaves servers that would miss the pause or the deadline for last. Measured: nothing yet. The tests of the packages pass.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -18,24 +18,30 @@
 // callCost returns the expected time of a call, with an addition for failures.
 func (l *Ledger) callCost(now time.Time, candidate *Candidate) time.Duration {
 	distance := l.distanceCost(candidate.Place, l.policy.CallNearCost, l.policy.CallFarCost)
+	work := candidate.readWork()
 	server := l.servers[candidate.ID]
 	if server == nil {
-		return l.addJitter(l.policy.DefaultCallDuration + distance)
+		return l.addJitter(time.Duration(work*float64(l.policy.DefaultCallDuration)) + l.queueTime(candidate.Unknown, candidate, work) + distance)
 	}
 	server.decay(now, l.policy.CallHalfLife)
 	// The assumed duration counts as one call, so that it determines the mean
 	// again when the weight of the measured calls has decayed.
 	duration := (time.Duration(server.weight*float64(server.meanDuration)) + l.policy.DefaultCallDuration) / time.Duration(server.weight+1)
-	duration = max(duration, server.oldestPending(now))
+	duration = max(time.Duration(work*float64(duration)), server.oldestPending(now))
 	failed := server.failedFraction * server.weight / (server.weight + 1)
-	load := server.load()
-	queue := time.Duration(0)
-	if waiting := load.Requests + 1 - candidate.Slots; waiting > 0 {
-		queue = l.policy.DefaultCallDuration * time.Duration(waiting) / time.Duration(candidate.Slots)
-	}
+	queue := l.queueTime(server.load().plus(candidate.Unknown), candidate, work)
 	return l.addJitter(duration + distance + queue + time.Duration(failed*float64(l.policy.FailureCost)))
 }
 
+// queueTime returns the expected wait for a slot of a candidate with a load.
+func (l *Ledger) queueTime(load Load, candidate *Candidate, work float64) time.Duration {
+	waiting := max(load.Requests+1-candidate.Slots, candidate.Waiting)
+	if waiting <= 0 {
+		return 0
+	}
+	return time.Duration(work * float64(l.policy.DefaultCallDuration) * float64(waiting) / float64(max(1, candidate.Slots)))
+}
+
 // CallStarted records that a call was sent to a server.
 func (l *Ledger) CallStarted(now time.Time, id string) {
 	server := l.record(id)
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -53,21 +53,49 @@
 
 // expectedAt returns a candidate's load and the expected wait of a generation there.
 func (l *Ledger) expectedAt(generation Generation, candidate *Candidate) Choice {
-	load := l.load(candidate.ID)
+	load := l.load(candidate.ID).plus(candidate.Unknown)
 	unread := generation.unreadTokens(candidate.ID)
-	wait := l.prefillTime(load.PrefillTokens + unread)
-	if candidate.MemoryTokens > 0 && load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
+	wait := l.readTime(candidate, load.PrefillTokens+unread)
+	fits := candidate.MemoryTokens == 0 || load.MemoryTokens+generation.MemoryTokens <= candidate.MemoryTokens
+	if !fits || candidate.MemoryTokens > 0 && candidate.Waiting > 0 {
 		wait += l.policy.FullCost
 	}
-	hasRoom := (candidate.Slots == 0 || load.Requests < candidate.Slots) &&
-		(candidate.MemoryTokens == 0 || load.MemoryTokens+generation.MemoryTokens <= candidate.MemoryTokens)
+	hasRoom := (candidate.Slots == 0 || load.Requests < candidate.Slots) && fits && candidate.Waiting == 0
 	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: hasRoom, Load: load}
 }
 
 func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
 	expected := l.expectedAt(generation, candidate)
-	return l.addJitter(expected.Wait + time.Duration(expected.Load.Requests)*l.policy.RequestCost +
+	cost := l.addJitter(expected.Wait + time.Duration(expected.Load.Requests)*l.policy.RequestCost +
 		l.distanceCost(candidate.Place, l.policy.NearCost, l.policy.FarCost))
+	cost += l.paceCost(generation, candidate)
+	if generation.misses(expected.Wait, candidate) {
+		cost += unfitCost
+	}
+	return cost
+}
+
+// paceCost returns what a server costs for producing the answer more slowly than usual, negative for a faster one.
+func (l *Ledger) paceCost(generation Generation, candidate *Candidate) time.Duration {
+	return time.Duration(l.policy.PaceWeight * (candidate.produceWork() - 1) * float64(generation.ProduceTime))
+}
+
+// misses reports whether a server, after a wait, is expected to pause for longer than the caller accepts, or to end
+// after the deadline.
+func (g *Generation) misses(wait time.Duration, candidate *Candidate) bool {
+	if g.MaxPause > 0 && candidate.Pause > g.MaxPause {
+		return true
+	}
+	end := wait + time.Duration(candidate.produceWork()*float64(g.ProduceTime))
+	return g.Remaining > 0 && g.ProduceTime > 0 && end > g.Remaining
+}
+
+// readTime returns the time that a candidate needs to read prompt tokens.
+func (l *Ledger) readTime(candidate *Candidate, tokens int) time.Duration {
+	if candidate.ReadingSpeed > 0 {
+		return time.Duration(candidate.readWork() * float64(tokens) / candidate.ReadingSpeed * float64(time.Millisecond))
+	}
+	return time.Duration(candidate.readWork() * float64(l.prefillTime(tokens)))
 }
 
 // prefillTime returns the time that an engine needs to read prompt tokens.
@@ -86,11 +114,11 @@
 		if candidate.ID == running.ID || l.Refusing(now, candidate.ID) > 0 || l.Avoided(now, candidate.ID, candidate.Place.DataCentre) {
 			continue
 		}
-		load := l.load(candidate.ID)
+		load := l.load(candidate.ID).plus(candidate.Unknown)
 		if load.MemoryTokens+generation.MemoryTokens > candidate.MemoryTokens {
 			continue
 		}
-		cost := l.prefillTime(load.MemoryTokens+load.PrefillTokens) + l.distanceCost(candidate.Place, l.policy.NearCost, l.policy.FarCost)
+		cost := l.prefillTime(load.MemoryTokens+load.PrefillTokens) + l.paceCost(generation, candidate) + l.distanceCost(candidate.Place, l.policy.NearCost, l.policy.FarCost)
 		if candidate.Place.DataCentre == running.Place.DataCentre {
 			cost += sameCentreCost
 		}
@@ -102,6 +130,10 @@
 	return best, found
 }
 
+// unfitCost is the cost of a server that can't meet the pause or the deadline of a generation. It is higher than any other
+// cost of a server without a failure, so that it is chosen only when none can.
+const unfitCost = time.Hour
+
 // sameCentreCost keeps copies out of the data centre of the generation, because
 // one data centre fails more often than two do together. It is higher than the
 // cost of any load.
--- a/gateway/forward/liveness_checker.go
+++ b/gateway/forward/liveness_checker.go
@@ -189,6 +189,7 @@
 		if finding.report, err = f.protocol.ParseReport(body); err != nil {
 			event.Log(f.logger, event.ReportInvalid).Str("server", server.ID).Err(err).Send()
 		}
+		f.recordReport(server, &finding.report)
 	}
 	service := f.service(server.Service)
 	if service == nil || service.HealthPath == "" || f.selector.refusing(server) > 0 {
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
@@ -34,6 +35,9 @@
 	started       time.Time
 	mu            sync.Mutex
 	ledger        *placement.Ledger
+	// picture holds the load and speed of servers; readingSpeed is the declared one in prompt tokens a millisecond.
+	picture      *load.Picture
+	readingSpeed float64
 	// rejections holds the rejection limits of servers, and shares what this instance may use of those that have one.
 	rejections *rejections.Table
 	shareAt    func(servers []*directory.Server) map[string]rejections.Share
@@ -61,6 +65,8 @@
 		logger:         options.Logger,
 		started:        time.Now(),
 		ledger:         placement.NewLedger(options.Policy, options.Place, random),
+		picture:        load.NewPicture(),
+		readingSpeed:   options.Policy.PrefillPerMillisecond,
 		rejections:     rejections.NewTable(),
 		shareAt:        options.SharesAt,
 		shares:         make(map[string]serviceShares),
@@ -75,7 +81,7 @@
 // there are no others. The caller holds mu.
 func (s *selector) candidates(service *route.Service, servers []*directory.Server, skip func(id string) bool) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(servers))
-	skipped := 0
+	skipped, now := 0, time.Now()
 	for _, server := range servers {
 		s.trackProcess(server)
 		candidate := placement.Candidate{
@@ -86,6 +92,7 @@
 		if service.Engine != nil {
 			candidate.MemoryTokens = service.Engine.MemoryTokens
 		}
+		s.describe(now, service, &candidate)
 		candidates = append(candidates, candidate)
 		if skip(server.ID) {
 			// Skipped servers are moved to the front.
@@ -124,6 +131,7 @@
 func (s *selector) trackProcess(server *directory.Server) {
 	if old := s.processes[server.ID]; old != nil && !old.MayBeSameProcess(server) {
 		s.ledger.Forget(server.ID)
+		s.picture.Forget(server.ID)
 		s.rejections.Forget(server.ID)
 	}
 	s.processes[server.ID] = server
@@ -142,6 +150,7 @@
 		if snapshot.Find(id) == nil {
 			delete(s.processes, id)
 			s.ledger.Forget(id)
+			s.picture.Forget(id)
 		}
 	}
 }
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -23,8 +23,10 @@
 		return
 	}
 	if answer.Invalid != nil {
+		f.meters.count("servers.answer_fields_invalid")
 		event.Log(f.logger, event.AnswerFieldInvalid).Str("server", server.ID).Err(answer.Invalid).Send()
 	}
+	f.recordLoad(server, answer.Load)
 	if f.selector.recordRejectionLimit(server, answer) {
 		f.meters.count("servers.rejections")
 		f.onRejection(server)
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -58,6 +58,10 @@
 	// waiting is set once the server was silent and no other could take over.
 	waiting bool
 	load    placement.Load
+	// pace gathers the intervals between events. readsAlone is set when no other prompt was known to be read at the server
+	// when the attempt began.
+	pace       streamPace
+	readsAlone bool
 	// hop is set when the stream is handed to a peer; server is the peer then, with the software version of its server.
 	hop *hop
 }
@@ -89,6 +93,7 @@
 		return r.newRelay(to)
 	}
 	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting}
+	a.readsAlone = to.choice.ID != "" && to.choice.Load.PrefillTokens == 0
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
 	case a.reconnecting && r.cacheCopyServer != nil:
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -54,6 +54,8 @@
 // chooseDestination chooses a server by cost; one for which skip returns true only when there are
 // no others.
 func (r *streamRun) chooseDestination(skip func(id string) bool) (destination, streamResult) {
+	r.size.Remaining, r.size.MaxPause = r.j.remaining(), r.j.route.MaxPause
+	r.size.ProduceTime = r.f.selector.minTimeToEnd(r.j.service, 0, r.j.request.OutputTokens, r.events.position)
 	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.binding, skip)
 	if server == nil && r.binding.bound {
 		return destination{}, streamResult{code: fault.SoftwareVersionUnavailable}
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -104,6 +104,7 @@
 	defer memory.release()
 	for {
 		var data []byte
+		a.pace.waits(time.Now())
 		err := a.awaitData(ctx, func() (err error) {
 			data, err = body.Next()
 			return err
@@ -167,6 +168,7 @@
 	now := time.Now()
 	if a.hop == nil && !a.awaitsFirstEvent() {
 		a.eventIntervals.Observe(now.Sub(a.receivedAt))
+		a.observePace(now, count)
 		a.recordResponse()
 	}
 	a.progressed(now)
@@ -189,4 +191,5 @@
 	change := placement.Load{PrefillTokens: -a.load.PrefillTokens}
 	a.load.PrefillTokens = 0
 	r.f.selector.withLedger(func(ledger *placement.Ledger, _ time.Time) { ledger.Add(a.server.ID, change) })
+	a.observeRead()
 }
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
@@ -50,6 +51,9 @@
 	// Rates are the sender's estimates of how fast generations proceed. Only some digests to
 	// instances of the same data centre hold them.
 	Rates []ServiceRate
+	// Speeds are what the sender observed last about the speed of servers. Only digests to instances of the same data
+	// centre hold them.
+	Speeds []load.Share
 	// StreamRecords state which software versions began streams at the sender, or those that the
 	// receiver has asked for. WantedStreams are the keys of records that the sender asks for.
 	StreamRecords []streamversion.Record
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -33,6 +34,8 @@
 func (discardingLedger) Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections) {
 	return nil, nil
 }
+func (discardingLedger) Speeds() []load.Share                                                  { return nil }
+func (discardingLedger) ReportSpeeds([]load.Share) int                                         { return 0 }
 func (discardingLedger) ReportRejections(string, []rejections.ServiceLimit, []RejectionReport) {}
 func (discardingLedger) ReportFailure(FailedServer)                                            {}
 func (discardingLedger) Expire(time.Duration)                                                  {}
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -29,6 +30,10 @@
 	// rejected. ReportRejections records those of a peer.
 	Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections)
 	ReportRejections(instance string, limits []rejections.ServiceLimit, reported []RejectionReport)
+	// Speeds returns what this instance observed last about the speed of servers. ReportSpeeds records what a peer observed,
+	// and returns the number of servers whose figures are impossible or too old.
+	Speeds() []load.Share
+	ReportSpeeds(shares []load.Share) (invalid int)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -61,6 +61,7 @@
 	if len(digest.Rates) > 0 {
 		s.options.Ledger.ReportRates(digest.Instance, digest.Rates)
 	}
+	s.reportSpeeds(digest)
 	s.recordLeaving(digest.LeavingServers)
 	for _, failed := range digest.FailedServers {
 		s.options.Ledger.ReportFailure(failed)
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -15,6 +15,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
+	speeds := s.options.Ledger.Speeds()
 	servers := s.options.Directory.Snapshot()
 	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
@@ -52,7 +53,7 @@
 		digest := s.digest()
 		digest.HasLoads, digest.Loads = true, needed
 		if local {
-			digest.Usages = usages
+			digest.Usages, digest.Speeds = usages, speeds
 			if rand.IntN(rateDigestSpacing) == 0 {
 				digest.Rates = rates
 			}
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -18,6 +18,8 @@
 	// TargetLatency is the time to the answer, or to the first event of a
 	// stream, that callers expect.
 	TargetLatency time.Duration
+	// MaxPause is the longest pause between two events of a stream that callers accept; 0 when it isn't stated.
+	MaxPause time.Duration
 	// Split distributes the requests over services by weight.
 	Split []Share
 	// Attempts bounds the backend servers that one request is sent to.
