Decide which share of requests leaves the data centre

Cause: how far a request may go was a constant cost, and an instance knew nothing of the load that others put on servers elsewhere. Change: decision/overflow gets a Balance beside its Chooser.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -17,7 +17,7 @@
 
 // callCost returns the expected time of a call, with an addition for failures.
 func (l *Ledger) callCost(now time.Time, candidate *Candidate) time.Duration {
-	distance := l.distanceCost(candidate.Place, l.policy.CallNearCost, l.policy.CallFarCost)
+	distance := l.detourCost(candidate, 0, l.policy.CallNearCost, l.policy.CallFarCost)
 	work := candidate.readWork()
 	server := l.servers[candidate.ID]
 	if server == nil {
--- a/decision/placement/generation.go
+++ b/decision/placement/generation.go
@@ -16,6 +16,8 @@
 	Load Load
 	// HasRoom reports whether the server has, as far as is known, a free slot and enough memory now.
 	HasRoom bool
+	// ProduceWork is how long producing the answer takes there, as a multiple of the usual time.
+	ProduceWork float64
 	// AffinityServer is the server that is preferred for the prompt; empty for none.
 	AffinityServer string
 }
@@ -61,13 +63,13 @@
 		wait += l.policy.FullCost
 	}
 	hasRoom := (candidate.Slots == 0 || load.Requests < candidate.Slots) && fits && candidate.Waiting == 0
-	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: hasRoom, Load: load}
+	return Choice{ID: candidate.ID, Wait: wait, MinReadTokens: load.PrefillTokens/2 + unread, HasRoom: hasRoom, Load: load, ProduceWork: candidate.produceWork()}
 }
 
 func (l *Ledger) generationCost(generation Generation, candidate *Candidate) time.Duration {
 	expected := l.expectedAt(generation, candidate)
 	cost := l.addJitter(expected.Wait + time.Duration(expected.Load.Requests)*l.policy.RequestCost +
-		l.distanceCost(candidate.Place, l.policy.NearCost, l.policy.FarCost))
+		l.detourCost(candidate, expected.Wait, l.policy.NearCost, l.policy.FarCost))
 	cost += l.paceCost(generation, candidate)
 	if generation.misses(expected.Wait, candidate) {
 		cost += unfitCost
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -28,6 +28,9 @@
 	// usual time; 0 when unknown, which counts as 1.
 	ReadWork    float64
 	ProduceWork float64
+	// Detour says how its distance counts, CentreWait is the wait that the instances of its data centre state; 0 when unknown.
+	Detour     Detour
+	CentreWait time.Duration
 	// Pause is the longest pause between two events that it makes now; 0 when unknown.
 	Pause time.Duration
 }
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -95,7 +95,7 @@
 			return false
 		}
 	}
-	server := r.f.selector.chooseForCall(r.service, r.j.hasFailed)
+	server := r.f.selector.chooseForCall(r.service, r.j.request.ID, r.j.hasFailed)
 	if server == nil {
 		return false
 	}
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -125,6 +125,7 @@
 func (f *Forwarder) Tick(now time.Time) {
 	f.pool.Tick(now)
 	f.selector.Tick()
+	f.refreshLeaving()
 	f.meters.set("requests.quarantined", int64(len(f.Quarantines())))
 }
 
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
@@ -38,6 +39,9 @@
 	// picture holds the load and speed of servers; readingSpeed is the declared one in prompt tokens a millisecond.
 	picture      *load.Picture
 	readingSpeed float64
+	// balances decide for each service which share of the requests leaves the data centre; statements are what peers are told.
+	balances   map[string]*overflow.Balance
+	statements map[string]overflow.Statement
 	// rejections holds the rejection limits of servers, and shares what this instance may use of those that have one.
 	rejections *rejections.Table
 	shareAt    func(servers []*directory.Server) map[string]rejections.Share
@@ -67,6 +71,8 @@
 		ledger:         placement.NewLedger(options.Policy, options.Place, random),
 		picture:        load.NewPicture(),
 		readingSpeed:   options.Policy.PrefillPerMillisecond,
+		balances:       make(map[string]*overflow.Balance),
+		statements:     make(map[string]overflow.Statement),
 		rejections:     rejections.NewTable(),
 		shareAt:        options.SharesAt,
 		shares:         make(map[string]serviceShares),
@@ -156,12 +162,14 @@
 }
 
 // chooseForCall chooses the server of a call; nil when there is none.
-func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
+func (s *selector) chooseForCall(service *route.Service, key string, skip func(string) bool) *directory.Server {
 	ready := s.ready(service, versionBinding{})
 	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, s.withRoom(service, ready, 0, shares), skip))
+	candidates := s.candidates(service, s.withRoom(service, ready, 0, shares), skip)
+	s.decideLeaving(service, key, nil, candidates)
+	id, found := s.ledger.ChooseCall(time.Now(), candidates)
 	if !found {
 		return nil
 	}
@@ -177,6 +185,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares), skip)
+	s.decideLeaving(service, size.PromptKey, &size, candidates)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -294,7 +294,7 @@
 	if !to.fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.PrefillTokens).Int("memory_tokens", choice.Load.MemoryTokens).
-			Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
+			Float64("work", choice.ProduceWork).Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
 	}
 	if a.cacheCopyServer != nil {
 		line = line.Str("copy_to", a.cacheCopyServer.ID)
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -62,7 +62,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads, speeds of servers and peer addresses.
+// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads, statements about the data centre, speeds of servers and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -99,6 +99,9 @@
 	for i := range digest.Loads {
 		b = appendIfFits(b, tagLoad, encodeLoad(&digest.Loads[i]))
 	}
+	for i := range digest.Centres {
+		b = appendIfFits(b, tagCentre, encodeCentre(&digest.Centres[i]))
+	}
 	for i := range digest.Speeds {
 		b = appendIfFits(b, tagServerSpeed, encodeSpeed(&digest.Speeds[i]))
 	}
@@ -217,6 +220,8 @@
 			return digest.decodeUsage(text)
 		case tagRate:
 			return digest.decodeRate(text)
+		case tagCentre:
+			return digest.decodeCentre(text)
 		case tagServerSpeed:
 			return digest.decodeSpeed(text)
 		case tagStreamRecords:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
@@ -54,6 +55,9 @@
 	// Speeds are what the sender observed last about the speed of servers. Only digests to instances of the same data
 	// centre hold them.
 	Speeds []load.Share
+	// Centres are the sender's statements about services in its data centre. Only some digests to other data centres hold
+	// them.
+	Centres []overflow.Statement
 	// StreamRecords state which software versions began streams at the sender, or those that the
 	// receiver has asked for. WantedStreams are the keys of records that the sender asks for.
 	StreamRecords []streamversion.Record
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -36,6 +37,8 @@
 }
 func (discardingLedger) Speeds() []load.Share                                                  { return nil }
 func (discardingLedger) ReportSpeeds([]load.Share) int                                         { return 0 }
+func (discardingLedger) CentreStatements() []overflow.Statement                                { return nil }
+func (discardingLedger) ReportCentre(string, string, []overflow.Statement) int                 { return 0 }
 func (discardingLedger) ReportRejections(string, []rejections.ServiceLimit, []RejectionReport) {}
 func (discardingLedger) ReportFailure(FailedServer)                                            {}
 func (discardingLedger) Expire(time.Duration)                                                  {}
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -34,6 +35,10 @@
 	// and returns the number of servers whose figures are impossible or too old.
 	Speeds() []load.Share
 	ReportSpeeds(shares []load.Share) (invalid int)
+	// CentreStatements returns what this instance states about services in its data centre. ReportCentre records what a peer
+	// of a data centre states, and returns the number of statements that can't be used.
+	CentreStatements() []overflow.Statement
+	ReportCentre(instance, dataCentre string, statements []overflow.Statement) (invalid int)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -62,6 +62,7 @@
 		s.options.Ledger.ReportRates(digest.Instance, digest.Rates)
 	}
 	s.reportSpeeds(digest)
+	s.reportCentre(digest)
 	s.recordLeaving(digest.LeavingServers)
 	for _, failed := range digest.FailedServers {
 		s.options.Ledger.ReportFailure(failed)
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -15,7 +15,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
-	speeds := s.options.Ledger.Speeds()
+	speeds, centres := s.options.Ledger.Speeds(), s.options.Ledger.CentreStatements()
 	servers := s.options.Directory.Snapshot()
 	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
@@ -58,6 +58,9 @@
 				digest.Rates = rates
 			}
 		}
+		if local || rand.IntN(centreSpacing) == 0 {
+			digest.Centres = centres
+		}
 		digest.StreamRecords = p.takePendingRecords()
 		digest.Members = sampleAddresses(peers)
 		p.lastSentAt, p.sentLoadsHash = now, loadsHash
