Ask the servers of the data centre how long work takes, and smooth the gain of leaving

Change: where servers state how long work takes, each instance asks one server of its part each second at the health path if its figure is older than 2 s; statements count in full, observed intervals without their noise. The gain of leaving is smoothed, and must be larger.

--- a/decision/load/picture.go
+++ b/decision/load/picture.go
@@ -49,9 +49,9 @@
 	Age time.Duration
 }
 
-// Stated records a statement of a server of which a load was known when it came. An absurd or old statement is an error
+// Stated records a statement of a server of a service, of which a load was known when it came. An absurd or old statement is an error
 // with the code AnswerFieldInvalid that names the figure, and changes nothing.
-func (p *Picture) Stated(now time.Time, server string, statement Statement, known Known) error {
+func (p *Picture) Stated(now time.Time, server, service string, statement Statement, known Known) error {
 	if err := statement.check(); err != nil {
 		return err
 	}
@@ -65,6 +65,7 @@
 	}
 	if statement.WorkPercent > 0 {
 		record.observePercent(at, statement.WorkPercent)
+		p.service(service).stated = true
 	}
 	return nil
 }
@@ -98,6 +99,20 @@
 	return declared
 }
 
+// States reports whether servers of a service state how long work takes there.
+func (p *Picture) States(service string) bool {
+	known := p.services[service]
+	return known != nil && known.stated
+}
+
+// Heard returns when a figure about the work of a server last came; zero for never.
+func (p *Picture) Heard(server string) time.Time {
+	if record := p.servers[server]; record != nil {
+		return record.percentAt
+	}
+	return time.Time{}
+}
+
 // View returns what is known about a server now.
 func (p *Picture) View(now time.Time, server string) View {
 	record := p.servers[server]
@@ -161,6 +176,6 @@
 		stated = float64(r.percent) / percentUsual
 	}
 	if relative := service.relative(usual, stated); relative > 0 {
-		r.speed.observe(at, relative)
+		r.speed.observe(at, withoutNoise(relative))
 	}
 }
--- a/decision/load/service_speed.go
+++ b/decision/load/service_speed.go
@@ -37,7 +37,6 @@
 // state it; for others that is the mean of what is observed.
 func (s *serviceSpeed) relative(interval time.Duration, stated float64) float64 {
 	value := math.Log(float64(interval))
-	s.stated = s.stated || stated > 0
 	switch {
 	case stated > 0:
 		s.add(value - math.Log(stated))
--- a/decision/load/share.go
+++ b/decision/load/share.go
@@ -65,6 +65,7 @@
 	}
 	if at := now.Add(-share.PercentAge); share.WorkPercent > 0 && at.After(record.percentAt) {
 		record.observePercent(at, share.WorkPercent)
+		p.service(service).stated = true
 	}
 	return true
 }
--- a/decision/load/speed.go
+++ b/decision/load/speed.go
@@ -11,10 +11,12 @@
 	presentHalfLife = 400 * time.Millisecond
 	// usualLifetime is the half-life of the weight of the usual speed without an observation. A slow server that gets few
 	// requests is observed seldom; with a shorter one it would be tried again by each instance each time.
-	usualLifetime = 15 * time.Second
+	usualLifetime = 20 * time.Second
 	// maxUsualWeight bounds the number of observations in the usual speed.
 	maxUsualWeight = 8.0
-	// noise is the difference from the usual time, as a logarithm, that counts for nothing.
+	// priorWeight is the weight of the assumption that a server is as usual, in observations.
+	priorWeight = 0.25
+	// noise is the difference of an observed interval from the usual one, as a logarithm, that counts for nothing.
 	noise = 0.14
 	// minFactor and maxFactor bound a single observation, so that one can't decide for long.
 	minFactor = 0.2
@@ -53,10 +55,10 @@
 	return s.usualWeight * decayed(now, s.usualAt, usualLifetime)
 }
 
-// usualValue returns the logarithm of the usual time; one assumed observation says that it is that of the service.
+// usualValue returns the logarithm of the usual time; an assumed observation says that it is that of the service.
 func (s *speed) usualValue(now time.Time) float64 {
 	weight := s.weight(now)
-	return s.usual * weight / (weight + 1)
+	return s.usual * weight / (weight + priorWeight)
 }
 
 // work returns the expected time of work that takes a time ahead, as a multiple. The present value counts for less with its
@@ -67,7 +69,12 @@
 	if halves := float64(ahead) / float64(presentHalfLife); halves > 0 {
 		part *= (1 - math.Exp2(-halves)) / (halves * math.Ln2)
 	}
-	value := math.Log(part*math.Exp(s.present) + (1-part)*usual)
+	return part*math.Exp(s.present) + (1-part)*usual
+}
+
+// withoutNoise returns an observed multiple without the part that may be noise.
+func withoutNoise(factor float64) float64 {
+	value := math.Log(factor)
 	switch {
 	case value > noise:
 		return math.Exp(value - noise)
--- a/decision/overflow/balance.go
+++ b/decision/overflow/balance.go
@@ -17,7 +17,9 @@
 	region string
 	// own is the share that this instance finds, agreed the one in force since the last change.
 	own       int
-	agreed    int
+	agreed int
+	// gain is the smoothed gain of leaving, as waiting time.
+	gain      time.Duration
 	changedAt time.Time
 	// targets are the data centres that may take requests.
 	targets []target
@@ -73,7 +75,8 @@
 	b.expire(now)
 	before := b.agreed
 	b.agreed = b.median()
-	gain := b.findTargets(home, others)
+	b.gain += time.Duration(b.policy.Smoothing * float64(b.findTargets(home, others)-b.gain))
+	gain := b.gain
 	margin := max(b.policy.MinGain, time.Duration(b.policy.GainPart*float64(home.Wait)))
 	switch {
 	case len(b.targets) == 0:
--- a/decision/overflow/policy.go
+++ b/decision/overflow/policy.go
@@ -12,6 +12,8 @@
 	// may be an error of figures that lag.
 	MinGain  time.Duration
 	GainPart float64
+	// Smoothing is the weight of a new gain in the mean that counts.
+	Smoothing float64
 	// Step is the share in percent by which the decision changes at once, MaxSteps how many of them for a large gain.
 	Step     int
 	MaxSteps int
@@ -24,14 +26,14 @@
 // StreamPolicy returns the policy for streams, CallPolicy that for calls, whose answers are expected sooner.
 func StreamPolicy() Policy {
 	return Policy{
-		NearCost: 30 * time.Millisecond, FarCost: 350 * time.Millisecond, MinGain: 200 * time.Millisecond, GainPart: 0.25,
-		Step: 5, MaxSteps: 4, Period: 500 * time.Millisecond, Lifetime: 4 * time.Second,
+		NearCost: 30 * time.Millisecond, FarCost: 350 * time.Millisecond, MinGain: 500 * time.Millisecond, GainPart: 0.25,
+		Smoothing: 0.35, Step: 5, MaxSteps: 2, Period: 500 * time.Millisecond, Lifetime: 4 * time.Second,
 	}
 }
 
 // CallPolicy returns the policy for calls.
 func CallPolicy() Policy {
 	policy := StreamPolicy()
-	policy.NearCost, policy.FarCost, policy.MinGain = 3*time.Millisecond, 120*time.Millisecond, 20*time.Millisecond
+	policy.NearCost, policy.FarCost, policy.MinGain = 3*time.Millisecond, 120*time.Millisecond, 60*time.Millisecond
 	return policy
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -37,6 +37,7 @@
 	crashes         *crashDetector
 	relays          *relays
 	liveness        *livenessChecker
+	watch           *loadWatch
 	onLeaving       func(server *directory.Server)
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
@@ -75,6 +76,7 @@
 	f.crashes = newCrashDetector(f)
 	f.relays = newRelays(options)
 	f.liveness = newLivenessChecker(f)
+	f.watch = &loadWatch{f: f, tried: make(map[string]bool)}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
@@ -126,6 +128,7 @@
 	f.pool.Tick(now)
 	f.selector.Tick()
 	f.refreshLeaving()
+	f.watch.tick(now)
 	f.meters.set("requests.quarantined", int64(len(f.Quarantines())))
 }
 
--- a/gateway/forward/server_load.go
+++ b/gateway/forward/server_load.go
@@ -48,7 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, all := s.ledger.LoadAt(server.ID)
-	return s.picture.Stated(time.Now(), server.ID, statement, load.Known{Requests: all.Requests, MemoryTokens: all.MemoryTokens})
+	return s.picture.Stated(time.Now(), server.ID, server.Service, statement, load.Known{Requests: all.Requests, MemoryTokens: all.MemoryTokens})
 }
 
 // describe completes a candidate by what is known about its load and speed. The caller holds mu.
