--- a/decision/overflow/balance.go
+++ b/decision/overflow/balance.go
@@ -16,7 +16,7 @@
 	home   string
 	region string
 	// own is the share that this instance finds, agreed the one in force since the last change.
-	own       int
+	own    int
 	agreed int
 	// gain is the smoothed gain of leaving, as waiting time.
 	gain      time.Duration
