--- a/decision/placement/policy.go
+++ b/decision/placement/policy.go
@@ -29,8 +29,8 @@
 	// for a prompt. It is higher than the prefill of one prompt, so that retries reach
 	// the server that has their prompt cached.
 	AffinityDiscount time.Duration
-	// PaceWeight is the part of the additional time for producing an answer at a slow server that counts as a cost: callers
-	// wait for the first event, but a longer answer holds memory and is more often interrupted.
+	// PaceWeight is the part of the additional time for producing an answer at a slow server that counts as a cost: the
+	// first event is what callers wait for, but a longer answer holds memory for longer and is interrupted more often.
 	PaceWeight float64
 	// FullCost is added for a server without enough free memory: about the time
 	// until one of its generations ends.
@@ -75,7 +75,7 @@
 		PartitionCost:         150 * time.Millisecond,
 		FailoverPartitionCost: 800 * time.Millisecond,
 		AffinityDiscount:      1200 * time.Millisecond,
-		PaceWeight:            0.25,
+		PaceWeight:            0.75,
 		FullCost:              2 * time.Second,
 		DefaultCallDuration:   30 * time.Millisecond,
 		FailureCost:           600 * time.Millisecond,
