Find the share that leaves from the growth of the wait at home

Cause: a share that follows the gain of leaving alone swings between 0 and 100 in 20 s, in a play of three instances in virtual time. Change: what stays makes the wait grow by the part that exceeds what the servers do, so the share at which the excess ends in 6 s is known; the decision moves there by two steps up or one down in half a second, and ignores small differences.

--- a/decision/overflow/balance.go
+++ b/decision/overflow/balance.go
@@ -18,8 +18,11 @@
 	// own is the share that this instance finds, agreed the one in force since the last change.
 	own    int
 	agreed int
-	// gain is the smoothed gain of leaving, as waiting time.
+	// gain is the smoothed gain of leaving, as waiting time; growth the smoothed change of the wait at home in a second, wait
+	// its last value.
 	gain      time.Duration
+	growth    float64
+	wait      time.Duration
 	changedAt time.Time
 	// targets are the data centres that may take requests.
 	targets []target
@@ -71,24 +74,18 @@
 // sees them, the wait and the capacity elsewhere as the instances there state them. It reports whether the share in force
 // has changed.
 func (b *Balance) Update(now time.Time, home Centre, others []Centre) (changed bool) {
-	b.changedAt = now
 	b.expire(now)
 	before := b.agreed
 	b.agreed = b.median()
-	b.gain += time.Duration(b.policy.Smoothing * float64(b.findTargets(home, others)-b.gain))
-	gain := b.gain
-	margin := max(b.policy.MinGain, time.Duration(b.policy.GainPart*float64(home.Wait)))
+	gain := b.findTargets(home, others)
+	b.observe(now, home.Wait, gain)
 	switch {
 	case len(b.targets) == 0:
 		b.own = 0
 	case home.Servers == 0:
 		b.own = whole
-	case gain > margin:
-		b.own = min(whole, b.agreed+b.policy.Step*int(min(int64(gain/margin), int64(b.policy.MaxSteps))))
-	case gain < 0:
-		b.own = max(0, b.agreed-b.policy.Step)
 	default:
-		b.own = b.agreed
+		b.own = b.next(home.Wait)
 	}
 	if b.own == 0 || b.own == whole && home.Servers == 0 {
 		// Neither a lack of targets nor a lost data centre waits for the others.
@@ -99,6 +96,50 @@
 	return b.agreed != before
 }
 
+// observe smooths the gain of leaving and the change of the wait at home in a second.
+func (b *Balance) observe(now time.Time, wait, gain time.Duration) {
+	elapsed := now.Sub(b.changedAt)
+	b.changedAt = now
+	if elapsed <= 0 || elapsed > b.policy.Lifetime {
+		b.gain, b.growth, b.wait = gain, 0, wait
+		return
+	}
+	growth := float64(wait-b.wait) / float64(elapsed)
+	b.wait = wait
+	b.gain += time.Duration(b.policy.Smoothing * float64(gain-b.gain))
+	b.growth += b.policy.Smoothing * (growth - b.growth)
+}
+
+// next returns the share that follows the agreed one, at most MaxSteps more or one step less. What stays at home makes the
+// wait grow by the part by which it exceeds what the servers do: so the share is known at which it would end in DrainTime.
+func (b *Balance) next(wait time.Duration) int {
+	margin := max(b.policy.MinGain, time.Duration(b.policy.GainPart*float64(wait)))
+	wanted := 0
+	switch {
+	case b.gain > margin/2:
+		stays := 1 - float64(b.agreed)/whole
+		stays *= (1 - float64(b.gain-margin)/float64(b.policy.DrainTime)) / max(0.1, 1+b.growth)
+		wanted = int(whole * (1 - min(1, max(0, stays))))
+		if b.gain < margin {
+			// Too little to begin or to go on with more.
+			wanted = min(wanted, b.agreed)
+		}
+	case b.gain > 0 && b.growth > 0:
+		wanted = b.agreed
+	}
+	steps := (wanted - b.agreed) / b.policy.Step
+	switch {
+	case wanted > 0 && max(steps, -steps) <= b.policy.IgnoredSteps && b.agreed > 0:
+		return b.agreed
+	case steps > 0:
+		return min(whole, b.agreed+b.policy.Step*min((steps+1)/2, b.policy.MaxSteps))
+	case wanted < b.agreed:
+		return max(0, b.agreed-b.policy.Step)
+	default:
+		return b.agreed
+	}
+}
+
 // findTargets sets the data centres in which a request waits clearly less, distance included, and returns the largest gain.
 // When all of them gain less than nothing, those that were in use stay for the share that is left.
 func (b *Balance) findTargets(home Centre, others []Centre) (gain time.Duration) {
--- a/decision/overflow/policy.go
+++ b/decision/overflow/policy.go
@@ -12,11 +12,15 @@
 	// may be an error of figures that lag.
 	MinGain  time.Duration
 	GainPart float64
-	// Smoothing is the weight of a new gain in the mean that counts.
+	// Smoothing is the weight of a new gain, and of a new change of the wait at home, in the means that count.
 	Smoothing float64
+	// DrainTime is the time in which the wait beyond the minimum gain is to end.
+	DrainTime time.Duration
 	// Step is the share in percent by which the decision changes at once, MaxSteps how many of them for a large gain.
-	Step     int
-	MaxSteps int
+	Step int
+	// IgnoredSteps is the difference from the wanted share, in steps, that changes nothing.
+	MaxSteps     int
+	IgnoredSteps int
 	// Period is the time between two changes: the effect of one must be seen before the next.
 	Period time.Duration
 	// Lifetime is how long a statement counts.
@@ -27,7 +31,7 @@
 func StreamPolicy() Policy {
 	return Policy{
 		NearCost: 30 * time.Millisecond, FarCost: 350 * time.Millisecond, MinGain: 500 * time.Millisecond, GainPart: 0.25,
-		Smoothing: 0.35, Step: 5, MaxSteps: 2, Period: 500 * time.Millisecond, Lifetime: 4 * time.Second,
+		Smoothing: 0.35, DrainTime: 6 * time.Second, Step: 5, MaxSteps: 2, IgnoredSteps: 2, Period: 500 * time.Millisecond, Lifetime: 4 * time.Second,
 	}
 }
 
