Return to the share before a data centre lost its servers when they are back

Cause: after a loss of 1.2 s the share came back from 100 by one step each half second. Change: the share before the loss is kept and in force again; a share that gains nothing falls by a quarter. Measured: TestDataCentreThatLostItsServersSendsEverything asks for 0 within 3 s (30 s before) and passes.

--- a/decision/overflow/balance.go
+++ b/decision/overflow/balance.go
@@ -24,6 +24,9 @@
 	growth    float64
 	wait      time.Duration
 	changedAt time.Time
+	// lost is set while the data centre has no servers, beforeLoss the share before that.
+	lost       bool
+	beforeLoss int
 	// targets are the data centres that may take requests.
 	targets []target
 	// shares are the shares that peers of the data centre state, centres what is stated about other data centres; by instance.
@@ -31,6 +34,9 @@
 	centres map[string]statedCentre
 }
 
+// fastReturn is the part of the share that comes back at once when leaving no longer gains anything.
+const fastReturn = 4
+
 // target is a data centre that takes requests, with its weight among all.
 type target struct {
 	dataCentre string
@@ -83,7 +89,12 @@
 	case len(b.targets) == 0:
 		b.own = 0
 	case home.Servers == 0:
+		if !b.lost {
+			b.lost, b.beforeLoss = true, b.agreed
+		}
 		b.own = whole
+	case b.lost:
+		b.lost, b.own = false, b.beforeLoss
 	default:
 		b.own = b.next(home.Wait)
 	}
@@ -134,7 +145,12 @@
 	case steps > 0:
 		return min(whole, b.agreed+b.policy.Step*min((steps+1)/2, b.policy.MaxSteps))
 	case wanted < b.agreed:
-		return max(0, b.agreed-b.policy.Step)
+		down := 1
+		if b.gain < 0 {
+			// Leaving costs more than it gains.
+			down = max(1, b.agreed/fastReturn/b.policy.Step)
+		}
+		return max(0, b.agreed-down*b.policy.Step)
 	default:
 		return b.agreed
 	}
--- a/decision/overflow/balance_test.go
+++ b/decision/overflow/balance_test.go
@@ -187,7 +187,7 @@
 	is.Equal(f.lost, 0.0)
 	is.True(near.wait() < 500*time.Millisecond && far.wait() < 500*time.Millisecond)
 	lost.servers, lost.capacity = 20, 100
-	f.play(30 * time.Second)
+	f.play(3 * time.Second)
 	is.Equal(lost.instances[0].Share(), 0)
 }
 
