--- a/decision/overflow/balance.go
+++ b/decision/overflow/balance.go
@@ -223,7 +223,7 @@
 // Target returns the data centre for a request with a key, and false when it stays at home. Requests with the same key get
 // the same answer at all instances that know the same.
 func (b *Balance) Target(key string) (dataCentre string, leaves bool) {
-	if b.agreed == 0 || len(b.targets) == 0 {
+	if key == "" || b.agreed == 0 || len(b.targets) == 0 {
 		return "", false
 	}
 	digest := rendezvous.DigestOf(key)
--- a/decision/placement/request.go
+++ b/decision/placement/request.go
@@ -54,6 +54,8 @@
 	MemoryTokens int
 	// PromptKey identifies its prompt; empty when unknown.
 	PromptKey string
+	// LeaveKey decides whether it leaves the data centre while a share of the requests does; empty when it stays.
+	LeaveKey string
 	// CachedAt is the server that keeps CachedTokens of the prompt and need not read them
 	// again; empty when unknown.
 	CachedAt     string
--- a/decision/placement/uneven_test.go
+++ b/decision/placement/uneven_test.go
@@ -147,3 +147,38 @@
 	id, _ := ledger.ChooseCall(time.Unix(1, 0), []placement.Candidate{{ID: "slow", Slots: 6, ReadWork: 2.5}, {ID: "fast", Slots: 6, ReadWork: 1}})
 	is.Equal(id, "fast")
 }
+
+// Most prompts are preferred at fast servers, and at even ones nothing changes. All instances prefer the same server.
+func TestFastServersArePreferredForMorePrompts(t *testing.T) {
+	is := is.New(t)
+	here := placement.NewLedger(placement.DefaultPolicy(), placement.Place{DataCentre: "d"}, rand.New(rand.NewPCG(1, 1)))
+	there := placement.NewLedger(placement.DefaultPolicy(), placement.Place{DataCentre: "d"}, rand.New(rand.NewPCG(2, 2)))
+	preferred := func(ledger *placement.Ledger, key string, work func(server int) float64) string {
+		var candidates []placement.Candidate
+		for server := range 8 {
+			candidates = append(candidates, placement.Candidate{ID: fmt.Sprint(server), Place: placement.Place{DataCentre: "d"}, ProduceWork: work(server)})
+		}
+		choice, _ := ledger.ChooseGeneration(time.Unix(1, 0), placement.Generation{PromptTokens: 1000, PromptKey: key}, candidates)
+		return choice.AffinityServer
+	}
+	uneven := func(server int) float64 {
+		if server < 2 {
+			return 0.55
+		}
+		return 1.2
+	}
+	fast, same := 0, 0
+	for n := range 1000 {
+		key := fmt.Sprint("prompt", n)
+		server := preferred(here, key, uneven)
+		if server == "0" || server == "1" {
+			fast++
+		}
+		if preferred(there, key, func(server int) float64 { return uneven(server) * (1 + 0.05*float64(server%3)) }) == server {
+			same++
+		}
+		is.Equal(preferred(here, key, func(int) float64 { return 0 }), preferred(there, key, func(int) float64 { return 1 }))
+	}
+	is.True(fast > 650 && fast < 900)
+	is.True(same > 900)
+}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -95,7 +95,7 @@
 			return false
 		}
 	}
-	server := r.f.selector.chooseForCall(r.service, r.j.request.ID, r.j.hasFailed)
+	server := r.f.selector.chooseForCall(r.service, r.leaveKey(), r.j.hasFailed)
 	if server == nil {
 		return false
 	}
@@ -123,6 +123,14 @@
 	return true
 }
 
+// leaveKey returns the key that decides whether the call leaves the data centre; a call that a peer handed over stays.
+func (r *callRun) leaveKey() string {
+	if r.j.relayed != nil {
+		return ""
+	}
+	return r.j.request.ID
+}
+
 // sendBesides sends an idempotent call to another server while the attempts so far run.
 func (r *callRun) sendBesides(ctx context.Context) {
 	if r.j.route.Kind == route.Idempotent && r.j.sends < r.j.route.Attempts && r.f.selector.takeSecondSend(r.j.request.ID, r.j.service) {
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -185,7 +185,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares), skip)
-	s.decideLeaving(service, size.PromptKey, &size, candidates)
+	s.decideLeaving(service, size.LeaveKey, &size, candidates)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -54,6 +56,9 @@
 // chooseDestination chooses a server by cost; one for which skip returns true only when there are
 // no others.
 func (r *streamRun) chooseDestination(skip func(id string) bool) (destination, streamResult) {
+	if r.j.relayed == nil {
+		r.size.LeaveKey = cmp.Or(r.size.PromptKey, r.j.request.ID)
+	}
 	r.size.Remaining, r.size.MaxPause = r.j.remaining(), r.j.route.MaxPause
 	r.size.ProduceTime = r.f.selector.minTimeToEnd(r.j.service, 0, r.j.request.OutputTokens, r.events.position)
 	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.binding, skip)
