--- a/gateway/forward/admission_call.go
+++ b/gateway/forward/admission_call.go
@@ -39,7 +39,7 @@
 
 // findRoom looks for a server with room for the call.
 func (r *callRun) findRoom(takes takesPlace) *grant {
-	server, _, usable := r.f.selector.chooseWithRoom(r.service, placement.Generation{}, r.j.hasFailed, takes)
+	server, _, usable := r.f.selector.chooseWithRoom(r.service, placement.Generation{LeaveKey: r.leaveKey()}, r.j.hasFailed, takes)
 	if server == nil {
 		if usable {
 			return nil
--- a/gateway/forward/admission_grant.go
+++ b/gateway/forward/admission_grant.go
@@ -30,6 +30,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(service, s.withRoom(service, ready, size.MemoryTokens, shares), skip)
+	var generation *placement.Generation
+	if size.MemoryTokens > 0 {
+		generation = &size
+	}
+	s.decideLeaving(service, size.LeaveKey, generation, candidates)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	now := time.Now()
 	withRoom, usable := s.placesAt(now, candidates, size, takes)
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -37,6 +37,7 @@
 	crashes         *crashDetector
 	relays          *relays
 	liveness        *livenessChecker
+	watch           *loadWatch
 	onLeaving       func(server *directory.Server)
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
@@ -82,6 +83,7 @@
 	f.relays = newRelays(options)
 	f.liveness = newLivenessChecker(f)
 	f.selector.onPeerFailure = f.liveness.centres.failedAtPeer
+	f.watch = &loadWatch{f: f, tried: make(map[string]bool)}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
@@ -132,6 +134,8 @@
 func (f *Forwarder) Tick(now time.Time) {
 	f.pool.Tick(now)
 	f.selector.Tick()
+	f.refreshLeaving()
+	f.watch.tick(now)
 	f.meters.set("requests.quarantined", int64(len(f.Quarantines())))
 }
 
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/pace"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
@@ -38,6 +40,12 @@
 	admissions *admissions
 	mu         sync.Mutex
 	ledger     *placement.Ledger
+	// picture holds the load and speed of servers; readingSpeed is the declared one in prompt tokens a millisecond.
+	picture      *load.Picture
+	readingSpeed float64
+	// balances decide for each service which share of the requests leaves the data centre; statements are what peers are told.
+	balances   map[string]*overflow.Balance
+	statements map[string]overflow.Statement
 	// rejections holds the rejection limits of servers, and shares what this instance may use of those that have one.
 	rejections *rejections.Table
 	shareAt    func(servers []*directory.Server) map[string]rejections.Share
@@ -65,6 +73,10 @@
 		logger:         options.Logger,
 		started:        time.Now(),
 		ledger:         placement.NewLedger(options.Policy, options.Place, random),
+		picture:        load.NewPicture(),
+		readingSpeed:   options.Policy.PrefillPerMillisecond,
+		balances:       make(map[string]*overflow.Balance),
+		statements:     make(map[string]overflow.Statement),
 		rejections:     rejections.NewTable(),
 		shareAt:        options.SharesAt,
 		shares:         make(map[string]serviceShares),
@@ -79,7 +91,7 @@
 // there are no others. The caller holds mu.
 func (s *selector) candidates(service *route.Service, servers []*directory.Server, skip func(id string) bool) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(servers))
-	skipped := 0
+	skipped, now := 0, time.Now()
 	for _, server := range servers {
 		s.trackProcess(server)
 		candidate := placement.Candidate{
@@ -90,6 +102,7 @@
 		if service.Engine != nil {
 			candidate.MemoryTokens = service.Engine.MemoryTokens
 		}
+		s.describe(now, service, &candidate)
 		candidates = append(candidates, candidate)
 		if skip(server.ID) {
 			// Skipped servers are moved to the front.
@@ -128,6 +141,7 @@
 func (s *selector) trackProcess(server *directory.Server) {
 	if old := s.processes[server.ID]; old != nil && !old.MayBeSameProcess(server) {
 		s.ledger.Forget(server.ID)
+		s.picture.Forget(server.ID)
 		s.rejections.Forget(server.ID)
 	}
 	s.processes[server.ID] = server
@@ -146,17 +160,20 @@
 		if snapshot.Find(id) == nil {
 			delete(s.processes, id)
 			s.ledger.Forget(id)
+			s.picture.Forget(id)
 		}
 	}
 }
 
 // chooseForCall chooses the server of a call; nil when there is none.
-func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
+func (s *selector) chooseForCall(service *route.Service, key string, skip func(string) bool) *directory.Server {
 	ready := s.ready(service, versionBinding{})
 	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id, found := s.ledger.ChooseCall(time.Now(), s.candidates(service, s.withRoom(service, ready, 0, shares), skip))
+	candidates := s.candidates(service, s.withRoom(service, ready, 0, shares), skip)
+	s.decideLeaving(service, key, nil, candidates)
+	id, found := s.ledger.ChooseCall(time.Now(), candidates)
 	if !found {
 		return nil
 	}
@@ -172,6 +189,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares), skip)
+	s.decideLeaving(service, size.LeaveKey, &size, candidates)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
 	if !found {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -60,6 +60,10 @@
 	// triedLoss is set once the stream was to leave because its data centre was found lost.
 	triedLoss bool
 	load      placement.Load
+	// pace gathers the intervals between events. readsAlone is set when no other prompt was known to be read at the server
+	// when the attempt began.
+	pace       streamPace
+	readsAlone bool
 	// hop is set when the stream is handed to a peer; server is the peer then, with the software version of its server.
 	hop *hop
 }
@@ -91,6 +95,7 @@
 		return r.newRelay(to)
 	}
 	a := &streamAttempt{run: r, server: to.server, fromCopy: to.fromCopy, reconnecting: to.reconnecting}
+	a.readsAlone = to.choice.ID != "" && to.choice.Load.PrefillTokens == 0
 	switch {
 	case r.service.Engine == nil || !r.service.Engine.CopiesCache || !r.j.route.Resumable:
 	case a.reconnecting && r.cacheCopyServer != nil:
@@ -293,7 +298,7 @@
 	if !to.fromCopy {
 		line = line.Dur("expected_ms", choice.Wait).Int("running", choice.Load.Requests).
 			Int("waiting_tokens", choice.Load.PrefillTokens).Int("memory_tokens", choice.Load.MemoryTokens).
-			Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
+			Float64("work", choice.ProduceWork).Str("preferred", choice.AffinityServer).Str("cached_at", r.size.CachedAt).Int("cached_tokens", r.size.CachedTokens).Uint64("position", r.events.position)
 	}
 	if a.cacheCopyServer != nil {
 		line = line.Str("copy_to", a.cacheCopyServer.ID)
--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -33,6 +35,10 @@
 func (discardingLedger) Rejections() ([]rejections.ServiceLimit, []rejections.ServerRejections) {
 	return nil, nil
 }
+func (discardingLedger) Speeds() []load.Share                                                  { return nil }
+func (discardingLedger) ReportSpeeds([]load.Share) int                                         { return 0 }
+func (discardingLedger) CentreStatements() []overflow.Statement                                { return nil }
+func (discardingLedger) ReportCentre(string, string, []overflow.Statement) int                 { return 0 }
 func (discardingLedger) ReportRejections(string, []rejections.ServiceLimit, []RejectionReport) {}
 func (discardingLedger) Waiting() []ServiceWaiting                                             { return nil }
 func (discardingLedger) ReportWaiting(string, []ServiceWaiting)                                {}
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/load"
+	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
@@ -32,6 +34,14 @@
 	// Waiting returns this instance's requests that wait for room. ReportWaiting replaces those of a peer in the same data centre.
 	Waiting() []ServiceWaiting
 	ReportWaiting(instance string, waiting []ServiceWaiting)
+	// Speeds returns what this instance observed last about the speed of servers. ReportSpeeds records what a peer observed,
+	// and returns the number of servers whose figures are impossible or too old.
+	Speeds() []load.Share
+	ReportSpeeds(shares []load.Share) (invalid int)
+	// CentreStatements returns what this instance states about services in its data centre. ReportCentre records what a peer
+	// of a data centre states, and returns the number of statements that can't be used.
+	CentreStatements() []overflow.Statement
+	ReportCentre(instance, dataCentre string, statements []overflow.Statement) (invalid int)
 	// ReportFailure records that a peer could not reach a server.
 	ReportFailure(lost FailedServer)
 	// Expire drops reports of peers that are older than a lifetime.
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -16,6 +16,7 @@
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
 	waiting := s.options.Ledger.Waiting()
+	speeds, centres := s.options.Ledger.Speeds(), s.options.Ledger.CentreStatements()
 	servers := s.options.Directory.Snapshot()
 	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
@@ -56,11 +57,14 @@
 		digest := s.digest()
 		digest.HasLoads, digest.Loads = true, needed
 		if local {
-			digest.Usages, digest.Waiting = usages, waiting
+			digest.Usages, digest.Waiting, digest.Speeds = usages, waiting, speeds
 			if rand.IntN(rateDigestSpacing) == 0 {
 				digest.Rates = rates
 			}
 		}
+		if local || rand.IntN(centreSpacing) == 0 {
+			digest.Centres = centres
+		}
 		digest.StreamRecords = p.takePendingRecords()
 		digest.Members = sampleAddresses(peers)
 		p.lastSentAt, p.sentLoadsHash = now, loadsHash
