--- a/cmd/wisteriahaven/gateway.go
+++ b/cmd/wisteriahaven/gateway.go
@@ -29,7 +29,7 @@
 	logger := zerolog.New(lines).Level(level).With().Timestamp().Logger()
 	feed := platform.NewFeed(platform.NewClient(loaded.Gateway.Store), logger)
 	instance := gateway.New(loaded, gateway.Adapters{
-		Feed: feed, Streams: feed, Quarantines: feed, Protocol: platform.Protocol{}, Decode: platform.DecodeConfiguration, DroppedLogLines: lines.Dropped,
+		Feed: feed, Streams: feed, Quarantines: feed, Rollouts: feed, Protocol: platform.Protocol{}, Decode: platform.DecodeConfiguration, DroppedLogLines: lines.Dropped,
 	}, logger)
 	if err := instance.Start(); err != nil {
 		return fail(err, exitFailure)
--- a/fault/code.go
+++ b/fault/code.go
@@ -25,6 +25,7 @@
 	routingDefinitions,
 	controlDefinitions,
 	operatorDefinitions,
+	rolloutDefinitions,
 )
 
 func mergeDefinitions(parts ...map[Code]Definition) map[Code]Definition {
--- a/gateway/adapters.go
+++ b/gateway/adapters.go
@@ -4,6 +4,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/forward"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
@@ -13,7 +14,9 @@
 	Feed        discovery.Feed
 	Streams     streamarchive.Store
 	Quarantines quarantinearchive.Store
-	Protocol    Protocol
+	// Rollouts holds the orders to move services to other software versions.
+	Rollouts rollouts.Store
+	Protocol Protocol
 	// Decode parses a configuration document that another instance sent.
 	Decode func(document []byte) (*discovery.Configuration, error)
 	// DialServer opens connections to backend servers; nil for plain TCP.
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -95,10 +95,11 @@
 			return false
 		}
 	}
-	server := r.f.selector.chooseForCall(r.service, r.j.hasFailed)
+	server := r.f.chooseForCall(r.service, r.j)
 	if server == nil {
 		return false
 	}
+	measured := r.f.rollouts.Begin(server, r.j.route.Name, false, r.j.sends == 0 && r.j.relayed == nil)
 	r.j.failedServers = append(r.j.failedServers, server.ID)
 	r.j.sends++
 	r.pending++
@@ -108,6 +109,7 @@
 	go func() {
 		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
 		result.started = started
+		measured.End(evidenceOfCall(&result, ctx.Err()))
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The client disconnected, or another server answered first: only the
 			// wait so far is known of this server's latency.
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
@@ -37,6 +38,7 @@
 	crashes         *crashDetector
 	relays          *relays
 	liveness        *livenessChecker
+	rollouts        *rollouts.Manager
 	onLeaving       func(server *directory.Server)
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
@@ -61,6 +63,7 @@
 		logger:    options.Logger,
 		meters:    newMeters(options.Metrics),
 		versions:  newStreamVersions(options.ArchiveStream),
+		rollouts:  options.Rollouts,
 		onCutOff:  options.OnCutOff,
 		onLeaving: options.OnLeaving, onRejection: options.OnRejection, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
 	}
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 )
 
@@ -57,6 +58,8 @@
 	OnRejection func(server *directory.Server)
 	// SharesAt returns the shares of this instance at servers, by server.
 	SharesAt func(servers []*directory.Server) map[string]rejections.Share
+	// Rollouts divides requests over software versions; nil for none.
+	Rollouts *rollouts.Manager
 	Logger   zerolog.Logger
 	Metrics  metrics.Registry
 }
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -17,6 +17,7 @@
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
 
@@ -29,6 +30,7 @@
 	peerGroup     func() peers.Group
 	onUnreachable func(server *directory.Server, down bool)
 	reach         *reachMonitor
+	rollouts      *rollouts.Manager
 	limits        secondsends.Limits
 	logger        zerolog.Logger
 	started       time.Time
@@ -57,6 +59,7 @@
 		peerGroup:      options.Group,
 		onUnreachable:  options.OnUnreachable,
 		reach:          newReachMonitor(options.Directory),
+		rollouts:       options.Rollouts,
 		limits:         options.SecondSends,
 		logger:         options.Logger,
 		started:        time.Now(),
@@ -103,7 +106,7 @@
 // ready returns the servers of a service that take new requests and that the binding admits.
 func (s *selector) ready(service *route.Service, binding versionBinding) []*directory.Server {
 	return slices.DeleteFunc(slices.Clone(s.directory.Snapshot().ForService(service.Name)), func(server *directory.Server) bool {
-		return server.Draining || !binding.admits(server)
+		return server.Draining || !binding.admits(server) || s.rollouts.Stopped(server)
 	})
 }
 
@@ -115,7 +118,7 @@
 	}
 	now := time.Now()
 	return slices.DeleteFunc(slices.Clone(s.directory.Snapshot().ForService(service.Name)), func(server *directory.Server) bool {
-		return server.Leaving || !server.AcceptsResumption(now) || !binding.admits(server)
+		return server.Leaving || !server.AcceptsResumption(now) || !binding.admits(server) || s.rollouts.Stopped(server)
 	})
 }
 
@@ -146,9 +149,9 @@
 	}
 }
 
-// chooseForCall chooses the server of a call; nil when there is none.
-func (s *selector) chooseForCall(service *route.Service, skip func(string) bool) *directory.Server {
-	ready := s.ready(service, versionBinding{})
+// chooseForCall chooses the server of a call that the binding admits; nil when there is none.
+func (s *selector) chooseForCall(service *route.Service, binding versionBinding, skip func(string) bool) *directory.Server {
+	ready := s.ready(service, binding)
 	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -284,7 +284,7 @@
 // resumableAt returns the server if it takes streams that resume, else nil. An address at which
 // a copy was kept may belong to another service by now.
 func (r *streamRun) resumableAt(server *directory.Server) *directory.Server {
-	if server == nil || server.Service != r.service.Name || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 {
+	if server == nil || server.Service != r.service.Name || !server.AcceptsResumption(time.Now()) || r.f.selector.refusing(server) > 0 || r.f.rollouts.Stopped(server) {
 		return nil
 	}
 	return server
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
@@ -58,6 +59,8 @@
 	// waiting is set once the server was silent and no other could take over.
 	waiting bool
 	load    placement.Load
+	// measured compares software versions while the service moves to another one.
+	measured *rollouts.Attempt
 	// hop is set when the stream is handed to a peer; server is the peer then, with the software version of its server.
 	hop *hop
 }
@@ -96,6 +99,7 @@
 	default:
 		a.cacheCopyServer = r.f.selector.chooseForCopy(r.service, r.size, a.server)
 	}
+	a.measured = r.f.rollouts.Begin(a.server, r.j.route.Name, true, r.j.sends == 0 && r.j.relayed == nil)
 	r.j.sends++
 	a.logSent(to)
 	a.addLoad()
@@ -117,6 +121,7 @@
 		return result
 	}
 	a.removeLoad()
+	a.measured.End(evidenceOfStream(&result, ctx.Err()))
 	a.recordRun(ctx, &result)
 	if !result.complete && result.finalAnswer == nil && ctx.Err() == nil {
 		a.handleFailure(&result)
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -37,7 +37,7 @@
 		return destination{server: reconnect, reconnecting: true}, streamResult{}
 	case holder != nil:
 		r.cacheCopyServer = nil
-		if !r.binding.admits(holder) {
+		if !r.binding.admits(holder) || r.f.rollouts.Stopped(holder) {
 			break
 		}
 		return destination{server: holder, fromCopy: true}, streamResult{}
@@ -54,7 +54,7 @@
 // chooseDestination chooses a server by cost; one for which skip returns true only when there are
 // no others.
 func (r *streamRun) chooseDestination(skip func(id string) bool) (destination, streamResult) {
-	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.binding, skip)
+	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.bindingForChoice(), skip)
 	if server == nil && r.binding.bound {
 		return destination{}, streamResult{code: fault.SoftwareVersionUnavailable}
 	}
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -170,6 +170,7 @@
 		a.recordResponse()
 	}
 	a.progressed(now)
+	a.measured.Events(count)
 	r.deliveredEvents += count
 	r.deliveredBy = a.server.ID
 	r.recordVersion(a)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/keepalive"
@@ -43,9 +44,10 @@
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
 	// relay serves the requests that peers hand over.
-	relay   *ingress.Server
-	peers   *peers.Service
-	archive *streamarchive.Archive
+	relay    *ingress.Server
+	peers    *peers.Service
+	rollouts *rollouts.Manager
+	archive  *streamarchive.Archive
 	// quarantines keeps the quarantined requests in the store.
 	quarantines *quarantinearchive.Archive
 	monitor     *monitor
@@ -73,6 +75,7 @@
 	g.follower = discovery.NewFollower(adapters.Feed, g.state, g.directory,
 		func() discovery.RelayRole { return g.peers.RelayRole() }, func() { g.peers.Announce() }, logger)
 	gatewaySettings := s.Gateway
+	g.rollouts = rollouts.New(g.rolloutOptions())
 	g.forwarder = forward.New(forward.Options{
 		Protocol:          adapters.Protocol,
 		State:             g.state,
@@ -92,6 +95,7 @@
 		LoadStreams:       func(ctx context.Context) (bool, error) { return g.archive.Load(ctx) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
+		Rollouts:          g.rollouts,
 		Instance:          s.Instance,
 		RelayPort:         gatewaySettings.RelayPort(),
 		DialServer:        adapters.DialServer,
@@ -141,6 +145,11 @@
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
+	if gatewaySettings.Rollouts.Share > 0 {
+		g.duties.Go("rollouts", g.rollouts.Run)
+		g.duties.Go("orders of rollouts", g.rollouts.RunFollow)
+		g.duties.Go("states of rollouts", g.rollouts.RunWrite)
+	}
 	g.duties.Go("reach", g.forwarder.RunReach)
 	g.duties.Go("quarantines", g.quarantines.Run)
 	g.duties.Go("stream records", g.archive.Run)
@@ -170,7 +179,7 @@
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
 		StreamVersions: g.forwarder.StreamVersions(), Poison: g.forwarder.Poison(),
-		Decode: g.adapters.Decode, Logger: g.logger,
+		Rollouts: g.rollouts, Decode: g.adapters.Decode, Logger: g.logger,
 	}
 }
 
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -62,7 +62,7 @@
 )
 
 // Encode returns the datagram of a digest. Parts that do not fit are left out:
-// services of which the sender reaches no server are written first, then failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads and peer addresses.
+// services of which the sender reaches no server are written first, then orders to move services, failed servers, news about requests that crash servers, records of streams, leaving servers, rejection limits, rejections, usages, rates, loads and peer addresses.
 func Encode(digest *Digest) []byte {
 	b := appendText(make([]byte, 0, 256), tagInstance, digest.Instance)
 	b = appendText(b, tagDataCentre, digest.DataCentre)
@@ -73,6 +73,7 @@
 	b = appendNumber(b, tagServers, digest.Servers)
 	b = appendNumber(b, tagFlags, digest.flags())
 	b = appendCutOff(b, digest.CutOff)
+	b = appendRollouts(b, digest.Rollouts)
 	for i := range digest.FailedServers {
 		b = appendIfFits(b, tagFailedServer, encodeFailedServer(&digest.FailedServers[i]))
 	}
@@ -226,6 +227,8 @@
 			return digest.decodeLimit(text)
 		case tagRejections:
 			return digest.decodeRejections(text)
+		case tagRollout:
+			return digest.decodeRollout(text)
 		case tagFailedServer:
 			return digest.decodeFailedServer(text)
 		case tagLeavingServer:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 )
 
 // Digest is the message that instances send each other: the sender's state and
@@ -60,6 +61,8 @@
 	// rejected.
 	RejectionLimits []rejections.ServiceLimit
 	Rejections      []RejectionReport
+	// Rollouts are orders to move services to other software versions, with what the sender counted.
+	Rollouts []rollouts.News
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 )
 
 // Ledger supplies the data that digests carry and receives that of peers.
@@ -52,6 +53,8 @@
 	StreamVersions StreamVersions
 	// Poison holds what is known about requests that crash backend servers.
 	Poison PoisonTable
+	// Rollouts holds the orders to move services to other software versions; nil for none.
+	Rollouts *rollouts.Manager
 	// Decode parses a configuration document.
 	Decode func(document []byte) (*discovery.Configuration, error)
 	Logger zerolog.Logger
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/event"
@@ -49,6 +50,7 @@
 	if !recorded {
 		return
 	}
+	s.options.Rollouts.Learn(digest.Instance+"/"+strconv.FormatUint(digest.Incarnation, 36), digest.Rollouts)
 	if digest.HasLoads {
 		s.options.Ledger.Report(digest.Instance, digest.Loads)
 	}
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -15,7 +15,7 @@
 	loads := s.options.Ledger.Loads()
 	slices.SortFunc(loads, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
-	servers := s.options.Directory.Snapshot()
+	servers, evidence := s.options.Directory.Snapshot(), s.options.Rollouts.Fingerprint()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(now)
@@ -39,11 +39,11 @@
 				return server == nil || server.DataCentre != p.dataCentre
 			})
 		}
-		loadsHash := hashLoads(needed)
+		loadsHash := hashLoads(needed) ^ evidence
 		if !needsDigest(now, p, local, s.options.Follower.Following(), intervals, loadsHash) {
 			continue
 		}
-		if !local && len(needed) == 0 && loadsHash == p.sentLoadsHash && len(p.pendingRecords) == 0 {
+		if !local && len(needed) == 0 && evidence == 0 && loadsHash == p.sentLoadsHash && len(p.pendingRecords) == 0 {
 			if idleRemote++; idleRemote > maxIdleRemoteDigests {
 				continue
 			}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -67,6 +67,8 @@
 	// cutOff is what this instance states about itself. cutOffNews is signalled when it changes.
 	cutOff     CutOff
 	cutOffNews chan struct{}
+	// rolloutNews is signalled when orders have changed.
+	rolloutNews chan struct{}
 	// cutOffSentAt is when a digest was last sent because of a change.
 	cutOffSentAt time.Time
 	// regions is the region of each data centre.
@@ -97,7 +99,7 @@
 		},
 		wake:       make(chan struct{}, 1),
 		poisonNews: make(chan struct{}, 1),
-		cutOffNews: make(chan struct{}, 1),
+		cutOffNews: make(chan struct{}, 1), rolloutNews: make(chan struct{}, 1),
 		regions:    maps.Clone(options.Regions),
 		rejections: make(chan *directory.Server, rejectionQueueCapacity),
 		table:      NewTable(options.Instance, options.Address.Addr(), options.Seeds),
@@ -165,6 +167,8 @@
 			s.sendPoisonNews()
 		case <-s.cutOffNews:
 			s.sendCutOff()
+		case <-s.rolloutNews:
+			s.sendRollouts()
 		case first := <-s.rejections:
 			time.Sleep(failureGatherTime)
 			s.sendRejections(first)
@@ -207,7 +211,7 @@
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
 		Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
-		RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
+		Rollouts: s.options.Rollouts.News(), RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
 		Poison: reportsOf(now, s.options.Poison.News(rand.IntN(completeNewsSpacing) == 0)),
 	}
 }
--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table is one version of the configuration, indexed for lookups. It is immutable.
@@ -69,3 +70,14 @@
 
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routeCount }
+
+// LongestTimeout returns the longest timeout of a route.
+func (t *Table) LongestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,9 @@
 	AddressReuseSeconds float64 `json:"address_reuse_seconds,omitempty"`
 	// SecondSends bounds the second sends of all instances together.
 	SecondSends SecondSends `json:"second_sends,omitzero"`
+	// Rollouts bounds what a new software version gets while a service is moved to it on order; without it, orders
+	// are not followed.
+	Rollouts Rollouts `json:"rollouts,omitzero"`
 	// QuarantineSeconds is the time for which a request that crashes backend servers is rejected; 0 for the default of
 	// 15 minutes.
 	QuarantineSeconds float64 `json:"quarantine_seconds,omitempty"`
@@ -51,6 +54,19 @@
 	WindowSeconds float64 `json:"window_seconds,omitempty"`
 }
 
+// Rollouts bounds what a new version gets between an order and its deadline: Share of all requests of the service, and
+// Extra more; and the time after its 50th bad answer from which it gets none.
+type Rollouts struct {
+	Share            float64 `json:"share,omitempty"`
+	Extra            int     `json:"extra,omitempty"`
+	StopMilliseconds float64 `json:"stop_milliseconds,omitempty"`
+}
+
+// StopTime returns the time after the 50th bad answer of a version from which it gets no request.
+func (r Rollouts) StopTime() time.Duration {
+	return time.Duration(r.StopMilliseconds * float64(time.Millisecond))
+}
+
 // DataCentre is a data centre with its region.
 type DataCentre struct {
 	Name   string `json:"name"`
@@ -146,6 +162,9 @@
 	if g.QuarantineSeconds < 0 {
 		v.problems.Add("gateway.quarantine_seconds", "must not be negative")
 	}
+	if r := g.Rollouts; r != (Rollouts{}) && (r.Share <= 0 || r.Share > 1 || r.Extra < 0 || r.StopMilliseconds <= 0) {
+		v.problems.Add("gateway.rollouts", "share must be above 0 and at most 1, extra not negative, stop_milliseconds above 0")
+	}
 	if g.StopSeconds < 0 || g.AddressReuseSeconds < 0 || g.SecondSends.Ratio < 0 || g.SecondSends.Extra < 0 || g.SecondSends.WindowSeconds < 0 || g.MemoryMB < 0 {
 		v.problems.Add("gateway", "stop_seconds, address_reuse_seconds, second_sends and memory_mb must not be negative")
 	}
