--- a/gateway/rollouts/orders.go
+++ b/gateway/rollouts/orders.go
@@ -10,7 +10,7 @@
 )
 
 // applyEntries applies orders that were read from the store; complete says that there are no others.
-func (m *Manager) applyEntries(entries []Entry, asOf revision.Revision, complete bool) {
+func (m *Manager) applyEntries(entries []Entry, complete bool) {
 	m.mu.Lock()
 	listed := make(map[string]bool)
 	for i := range entries {
