--- a/gateway/forward/admission_grant.go
+++ b/gateway/forward/admission_grant.go
@@ -22,10 +22,10 @@
 
 type takesPlace func(server *directory.Server, free int) bool
 
-// chooseWithRoom chooses the server of a request of a size among those that have room for it; usable says whether there is a server at all.
-func (s *selector) chooseWithRoom(service *route.Service, size placement.Generation, skip func(string) bool, takes takesPlace) (server *directory.Server, choice placement.Choice, usable bool) {
+// chooseWithRoom chooses the server of a request of a size among those that the binding admits and that have room for it; usable says whether there is a server at all.
+func (s *selector) chooseWithRoom(service *route.Service, binding versionBinding, size placement.Generation, skip func(string) bool, takes takesPlace) (server *directory.Server, choice placement.Choice, usable bool) {
 	peerGroup := s.peerGroup()
-	ready := s.ready(service, versionBinding{})
+	ready := s.ready(service, binding)
 	shares := s.sharesOf(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/forward/admission_stream.go
+++ b/gateway/forward/admission_stream.go
@@ -49,7 +49,7 @@
 
 // findRoom looks for a server with room for the stream.
 func (r *streamRun) findRoom(takes takesPlace) *grant {
-	server, choice, usable := r.f.selector.chooseWithRoom(r.service, r.size, r.j.hasFailed, takes)
+	server, choice, usable := r.f.selector.chooseWithRoom(r.service, r.bindingForChoice(), r.size, r.j.hasFailed, takes)
 	switch {
 	case server == nil && usable:
 		return nil
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/message"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
 
@@ -35,6 +36,8 @@
 	answers answerMemory
 	// relayed is what a peer states that handed the request over; nil for a client's request.
 	relayed *message.Relay
+	// firstChoice is which servers the first attempt may use while the service moves to another version; nil until it is drawn.
+	firstChoice *rollouts.Choice
 	// failedServers holds the ids of the servers that failed the request.
 	failedServers []string
 }
--- a/gateway/forward/stream_destination.go
+++ b/gateway/forward/stream_destination.go
@@ -42,7 +42,7 @@
 		return destination{server: reconnect, reconnecting: true}, streamResult{}
 	case holder != nil:
 		r.cacheCopyServer = nil
-		if !r.binding.admits(holder) {
+		if !r.binding.admits(holder) || r.f.rollouts.Stopped(holder) {
 			break
 		}
 		return destination{server: holder, fromCopy: true}, streamResult{}
@@ -64,7 +64,7 @@
 	}
 	r.size.Remaining, r.size.MaxPause = r.j.remaining(), r.j.route.MaxPause
 	r.size.ProduceTime = r.f.selector.minTimeToEnd(r.j.service, 0, r.j.request.OutputTokens, r.events.position)
-	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.binding, skip)
+	server, choice := r.f.selector.chooseForGeneration(r.service, r.size, r.bindingForChoice(), skip)
 	if server == nil && r.binding.bound {
 		return destination{}, streamResult{code: fault.SoftwareVersionUnavailable}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/ingress"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/versionarchive"
 	"github.com/wisteriahaven/wisteriahaven/settings"
@@ -44,9 +45,10 @@
 	forwarder *forward.Forwarder
 	ingress   *ingress.Server
 	// relay serves the requests that peers hand over.
-	relay   *ingress.Server
-	peers   *peers.Service
-	archive *streamarchive.Archive
+	relay    *ingress.Server
+	peers    *peers.Service
+	rollouts *rollouts.Manager
+	archive  *streamarchive.Archive
 	// served keeps the software versions that services had lately in the store.
 	served *versionarchive.Archive
 	// startedAt is when the background tasks were started; nil until then.
@@ -78,6 +80,7 @@
 	g.follower = discovery.NewFollower(adapters.Feed, g.state, g.directory,
 		func() discovery.RelayRole { return g.peers.RelayRole() }, func() { g.peers.Announce() }, logger)
 	gatewaySettings := s.Gateway
+	g.rollouts = rollouts.New(g.rolloutOptions())
 	g.forwarder = forward.New(forward.Options{
 		Protocol:          adapters.Protocol,
 		State:             g.state,
@@ -99,6 +102,7 @@
 		VersionLeft:       func(service string) bool { return g.served.HasLeft(service) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
 		AskPeers:          func(key streamversion.Key) bool { return g.peers.AskStream(key) },
+		Rollouts:          g.rollouts,
 		Instance:          s.Instance,
 		RelayPort:         gatewaySettings.RelayPort(),
 		DialServer:        adapters.DialServer,
@@ -153,6 +157,11 @@
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
 	g.duties.Go("servers", g.follower.RunServers)
+	if gatewaySettings.Rollouts.Share > 0 {
+		g.duties.Go("rollouts", g.rollouts.Run)
+		g.duties.Go("orders of rollouts", g.rollouts.RunFollow)
+		g.duties.Go("states of rollouts", g.rollouts.RunWrite)
+	}
 	g.duties.Go("reach", g.forwarder.RunReach)
 	now := time.Now()
 	g.startedAt.Store(&now)
@@ -185,7 +194,7 @@
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
 		StreamVersions: g.forwarder.StreamVersions(), SeveralLately: func() bool { return g.served.HasSeveral() }, Poison: g.forwarder.Poison(),
-		Decode: g.adapters.Decode, Logger: g.logger,
+		Rollouts: g.rollouts, Decode: g.adapters.Decode, Logger: g.logger,
 	}
 }
 
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -12,6 +12,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/secondsends"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
+	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
 )
 
 // Digest is the message that instances send each other: the sender's state and
@@ -70,6 +71,8 @@
 	Rejections      []RejectionReport
 	// Waiting are the sender's requests that wait for room, for instances of the same data centre.
 	Waiting []ServiceWaiting
+	// Rollouts are orders to move services to other software versions, with what the sender counted.
+	Rollouts []rollouts.News
 	// Members are addresses of peers that the sender knows.
 	Members []netip.Addr
 }
--- a/gateway/peers/round.go
+++ b/gateway/peers/round.go
@@ -17,7 +17,7 @@
 	usages, rates := s.options.Ledger.Usages(), s.options.Ledger.Rates()
 	waiting := s.options.Ledger.Waiting()
 	speeds, centres := s.options.Ledger.Speeds(), s.options.Ledger.CentreStatements()
-	servers := s.options.Directory.Snapshot()
+	servers, evidence := s.options.Directory.Snapshot(), s.options.Rollouts.Fingerprint()
 	lately := s.options.SeveralLately != nil && s.options.SeveralLately()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,14 +42,14 @@
 				return server == nil || server.DataCentre != p.dataCentre
 			})
 		}
-		loadsHash := hashLoads(needed)
+		loadsHash := hashLoads(needed) ^ evidence
 		if local {
 			loadsHash ^= hashWaiting(waiting)
 		}
 		if !needsDigest(now, p, local, s.options.Follower.Following(), intervals, loadsHash) {
 			continue
 		}
-		if !local && len(needed) == 0 && loadsHash == p.sentLoadsHash && len(p.pendingRecords) == 0 {
+		if !local && len(needed) == 0 && evidence == 0 && loadsHash == p.sentLoadsHash && len(p.pendingRecords) == 0 {
 			if idleRemote++; idleRemote > maxIdleRemoteDigests {
 				continue
 			}
