End one request at an unexpected error, not the process

Callers would lose all their requests and streams when the code of one request panics: nothing contained it, neither in the goroutines of connections and attempts nor in those for datagrams, peers' documents, checks and readings of the store. Change: internal/contain logs (work_panicked, 7070) and counts (panics.PART) a panic and ends the request, connection, message or check in which it occurred. The caller gets 502, since the request may have run; a started answer is broken off. The load and the connection of a stream's attempt are released. Measured: TestUnexpectedErrorEndsOneRequestOnly ended the test process before (panic: unexpected: request), passes after, in four steps on three kinds of route beside another stream that goes on.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -8,7 +8,7 @@
 
 // Catalogue returns every event in the order of its number.
 func Catalogue() []Definition {
-	all := slices.Concat(processEvents, generationEvents, callEvents, routingEvents, controlEvents, ordersEvents, operatorEvents, forwardingEvents)
+	all := slices.Concat(processEvents, generationEvents, callEvents, routingEvents, controlEvents, ordersEvents, operatorEvents, forwardingEvents, containedEvents)
 	slices.SortFunc(all, func(a, b Definition) int { return a.Number - b.Number })
 	return all
 }
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -50,7 +50,7 @@
 		return
 	}
 	a.probing[server.ID] = true
-	go a.probeUntilAdopted(server, service.HealthPath, lastResponse, end)
+	go a.f.guard.Run("check", func() { a.probeUntilAdopted(server, service.HealthPath, lastResponse, end) })
 }
 
 // addressWindow returns when a server last responded, and until when its address
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -106,7 +106,8 @@
 	r.f.requestSentEvent(r.j, server).Send()
 	r.f.selector.callStarted(started, server)
 	go func() {
-		result := r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent)
+		result := callResult{server: server, started: started, code: fault.Internal, err: errPanicked}
+		r.f.guard.Run("attempt", func() { result = r.f.attemptCall(ctx, r.j, server, r.j.route.Kind == route.Idempotent) })
 		result.started = started
 		if errors.Is(ctx.Err(), context.Canceled) {
 			// The client disconnected, or another server answered first: only the
--- a/gateway/forward/crash_detector.go
+++ b/gateway/forward/crash_detector.go
@@ -59,7 +59,7 @@
 	if probe == nil {
 		probe = &serverProbe{done: make(chan struct{})}
 		d.probed[server.ID] = probe
-		go d.run(server, probe)
+		go d.f.guard.Run("check", func() { d.run(server, probe) })
 	}
 	probe.broken = append(probe.broken, brokenRun{request: j.request.ID, keys: j.run, at: time.Now()})
 	return probe.done
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+	"github.com/wisteriahaven/wisteriahaven/internal/contain"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -37,6 +38,7 @@
 	crashes         *crashDetector
 	relays          *relays
 	liveness        *livenessChecker
+	guard           *contain.Guard
 	onLeaving       func(server *directory.Server)
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
@@ -71,6 +73,7 @@
 	f.poison = newPoisonGuard(options, f.meters)
 	f.crashes = newCrashDetector(f)
 	f.relays = newRelays(options)
+	f.guard = contain.New(options.Logger, options.Metrics)
 	f.liveness = newLivenessChecker(f)
 	f.selector.onPeerFailure = f.liveness.centres.failedAtPeer
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
@@ -141,6 +144,17 @@
 	f.answer(exchange, id, localAnswer{status: 503, code: fault.BodyMemoryFull, cause: cause, retryAfter: bodiesFullRetryAfter})
 }
 
+// Failed implements ingress.Handler.
+func (f *Forwarder) Failed(exchange *ingress.Exchange) {
+	id := ""
+	f.guard.Run("request", func() {
+		if request, err := f.protocol.ParseRequest(exchange.Head); err == nil {
+			id = request.ID
+		}
+	})
+	f.answer(exchange, id, localAnswer{status: 502, code: fault.Internal})
+}
+
 // Serve implements ingress.Handler.
 func (f *Forwarder) Serve(ctx context.Context, exchange *ingress.Exchange) {
 	f.serve(ctx, exchange, nil)
--- a/gateway/forward/prompt_finder.go
+++ b/gateway/forward/prompt_finder.go
@@ -144,7 +144,11 @@
 	}
 	p.sweeps[service.Name] = started
 	for _, server := range servers {
-		go p.ask(started, server)
+		go func() {
+			if p.f.guard.Run("check", func() { p.ask(started, server) }) {
+				started.add(server, message.CacheReport{Partial: true})
+			}
+		}()
 	}
 	return started
 }
--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -62,7 +62,8 @@
 	r.f.logRelayed(r.j, next, reason, 0)
 	go func() {
 		defer next.end()
-		result := r.f.relayCall(ctx, r.j, next, relayed)
+		result := callResult{server: &next.peer, started: time.Now(), code: fault.Internal, err: errPanicked}
+		r.f.guard.Run("attempt", func() { result = r.f.relayCall(ctx, r.j, next, relayed) })
 		result.hop = next
 		r.results <- result
 	}()
--- a/gateway/forward/relay_receive.go
+++ b/gateway/forward/relay_receive.go
@@ -48,6 +48,9 @@
 	h.f.Overloaded(exchange, cause)
 }
 
+// Failed implements ingress.Handler.
+func (h RelayHandler) Failed(exchange *ingress.Exchange) { h.f.Failed(exchange) }
+
 // Serve implements ingress.Handler. A request that this instance can't serve is rejected at once, so that the
 // peer hands it to another instance.
 func (h RelayHandler) Serve(ctx context.Context, exchange *ingress.Exchange) {
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -70,19 +70,50 @@
 // there is none, or none at which the stream can end in time. A successor that has
 // taken the stream over already is continued with.
 func (r *streamRun) attempt(ctx context.Context) (result streamResult, found bool) {
-	a := r.successor
-	r.successor = nil
-	if a == nil {
-		to, failure := r.nextDestination()
-		if to.server == nil {
-			return failure, false
-		}
-		a = r.newAttempt(to)
-		if failure := a.start(ctx); failure != nil {
-			return a.end(ctx, *failure), true
+	if a := r.successor; a != nil {
+		r.successor = nil
+		return a.complete(ctx, true), true
+	}
+	to, failure := r.nextDestination()
+	if to.server == nil {
+		return failure, false
+	}
+	return r.newAttempt(to).complete(ctx, false), true
+}
+
+// complete runs an attempt, which may have been started, to its end. At a panic the connection and the load are released.
+func (a *streamAttempt) complete(ctx context.Context, started bool) streamResult {
+	panicked := true
+	defer func() {
+		if panicked {
+			a.abandon()
 		}
+	}()
+	var failure *streamResult
+	if !started {
+		failure = a.start(ctx)
+	}
+	var result streamResult
+	if failure != nil {
+		result = a.end(ctx, *failure)
+	} else {
+		result = a.end(ctx, a.proceed(ctx))
+	}
+	panicked = false
+	return result
+}
+
+// abandon releases the connection and the load of an attempt that an unexpected error ended.
+func (a *streamAttempt) abandon() {
+	if a.conn != nil {
+		a.stopClosing()
+		a.conn.Close()
+	}
+	if a.hop != nil {
+		a.hop.end()
+		return
 	}
-	return a.end(ctx, a.proceed(ctx)), true
+	a.removeLoad()
 }
 
 // newAttempt returns an attempt at a server, and counts it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/quarantinearchive"
 	"github.com/wisteriahaven/wisteriahaven/gateway/streamarchive"
+	"github.com/wisteriahaven/wisteriahaven/internal/contain"
 	"github.com/wisteriahaven/wisteriahaven/settings"
 	"github.com/wisteriahaven/wisteriahaven/transport/keepalive"
 )
@@ -36,6 +37,7 @@
 	adapters  Adapters
 	logger    zerolog.Logger
 	metrics   metrics.Registry
+	guard     *contain.Guard
 	duties    *duty.Group
 	state     *discovery.State
 	directory *directory.Directory
@@ -70,6 +72,7 @@
 		state:     discovery.NewState(),
 		directory: directory.New(),
 	}
+	g.guard = contain.New(logger, g.metrics)
 	g.follower = discovery.NewFollower(adapters.Feed, g.state, g.directory,
 		func() discovery.RelayRole { return g.peers.RelayRole() }, func() { g.peers.Announce() }, logger)
 	gatewaySettings := s.Gateway
@@ -98,11 +101,12 @@
 		Logger:            logger,
 		Metrics:           g.metrics,
 	})
-	g.ingress = ingress.NewServer(g.forwarder, clientLimits(gatewaySettings), logger)
-	g.relay = ingress.NewServer(g.forwarder.RelayHandler(), relayLimits(gatewaySettings), logger)
+	g.ingress = ingress.NewServer(g.forwarder, clientLimits(gatewaySettings), g.guard, logger)
+	g.relay = ingress.NewServer(g.forwarder.RelayHandler(), relayLimits(gatewaySettings), g.guard, logger)
 	g.stopTime.Store(int64(gatewaySettings.StopTime()))
 	g.peers = peers.New(g.peerOptions())
 	g.archive = streamarchive.New(streamarchive.Options{
+		Guard:    g.guard,
 		Instance: s.Instance, Store: adapters.Streams, Directory: g.directory, Logger: logger,
 		Writes: func() bool { return g.peers.RelayRole() == discovery.Primary },
 		Learn:  g.forwarder.StreamVersions().Learn,
@@ -170,7 +174,7 @@
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
 		StreamVersions: g.forwarder.StreamVersions(), Poison: g.forwarder.Poison(),
-		Decode: g.adapters.Decode, Logger: g.logger,
+		Decode: g.adapters.Decode, Logger: g.logger, Guard: g.guard,
 	}
 }
 
--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -76,7 +76,9 @@
 	defer c.server.active.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
 	stop := c.watchDisconnect(cancel)
-	c.server.handler.Serve(ctx, exchange)
+	if c.server.guard.Run("request", func() { c.server.handler.Serve(ctx, exchange) }) {
+		c.fail(exchange)
+	}
 	stop()
 	cancel()
 	if !exchange.reusable() {
@@ -158,6 +160,16 @@
 	c.linger()
 }
 
+// fail ends a request in whose code an unexpected error occurred.
+func (c *clientConn) fail(exchange *Exchange) {
+	if exchange.Started() {
+		exchange.Abort()
+		return
+	}
+	exchange.CloseAfter()
+	c.server.handler.Failed(exchange)
+}
+
 // linger gives the client time to read the answer before the connection is reset.
 func (c *clientConn) linger() {
 	tcp, ok := c.conn.(*net.TCPConn)
--- a/gateway/ingress/server.go
+++ b/gateway/ingress/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+	"github.com/wisteriahaven/wisteriahaven/internal/contain"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -23,6 +24,8 @@
 	Reject(exchange *Exchange, err *http1.ProtocolError)
 	// Overloaded answers a request for whose body there is no memory.
 	Overloaded(exchange *Exchange, err error)
+	// Failed answers a request in whose code an unexpected error occurred: it may have run.
+	Failed(exchange *Exchange)
 	// Limits returns the limits of the in-force configuration.
 	Limits() route.Limits
 }
@@ -31,6 +34,7 @@
 type Server struct {
 	handler Handler
 	logger  zerolog.Logger
+	guard   *contain.Guard
 	mu      sync.Mutex
 	// maxConnections bounds the open connections.
 	maxConnections int
@@ -49,9 +53,9 @@
 	BodyBytes int64
 }
 
-// NewServer returns a server with the given limits.
-func NewServer(handler Handler, limits Limits, logger zerolog.Logger) *Server {
-	s := &Server{handler: handler, logger: logger, open: make(map[*clientConn]struct{})}
+// NewServer returns a server with the given limits. The guard contains panics.
+func NewServer(handler Handler, limits Limits, guard *contain.Guard, logger zerolog.Logger) *Server {
+	s := &Server{handler: handler, logger: logger, guard: guard, open: make(map[*clientConn]struct{})}
 	s.SetLimits(limits)
 	return s
 }
@@ -77,7 +81,7 @@
 			_ = conn.Close() // Over the limit; the client tries another instance.
 			continue
 		}
-		go client.run()
+		go s.guard.Run("connection", client.run)
 	}
 }
 
--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -19,7 +19,7 @@
 func newMonitor(g *Gateway) *monitor {
 	m := &monitor{gateway: g}
 	m.server = &fasthttp.Server{
-		Handler:               m.handle,
+		Handler:               g.contained(m.handle),
 		NoDefaultServerHeader: true,
 		// Requests are small; larger ones are rejected.
 		MaxRequestBodySize: 1 << 10,
@@ -28,6 +28,16 @@
 	return m
 }
 
+// contained returns a handler that answers 500 to a request in whose code an unexpected error occurred.
+func (g *Gateway) contained(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if g.guard.Run("request", func() { handler(ctx) }) {
+			ctx.Response.Reset()
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		}
+	}
+}
+
 func (m *monitor) start() error {
 	gatewaySettings := m.gateway.settings.Gateway
 	readinessListener, err := m.gateway.listen("readiness", gatewaySettings.Readiness)
@@ -42,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	peersServer := &fasthttp.Server{Handler: m.gateway.peers.Handler(), NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
+	peersServer := &fasthttp.Server{Handler: m.gateway.contained(m.gateway.peers.Handler()), NoDefaultServerHeader: true, MaxRequestBodySize: 1 << 10}
 	for _, serve := range []func() error{
 		func() error { return m.server.Serve(readinessListener) },
 		func() error { return m.server.Serve(metricsListener) },
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -119,7 +119,7 @@
 }
 
 func (s *Service) runConfigurationFetch(source *peer) {
-	s.recordFetch(source, s.fetchConfiguration(source.address))
+	s.fetch(source, func() error { return s.fetchConfiguration(source.address) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fetches.configurations--
@@ -127,12 +127,22 @@
 }
 
 func (s *Service) runServerFetch(source *peer) {
-	s.recordFetch(source, s.fetchServers(source))
+	s.fetch(source, func() error { return s.fetchServers(source) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fetches.servers = false
 }
 
+// fetch reads from a peer and records how it ended.
+func (s *Service) fetch(source *peer, read func() error) {
+	var err error = errReadPanicked
+	s.options.Guard.Run("read", func() { err = read() })
+	s.recordFetch(source, err)
+}
+
+// errReadPanicked is the result of a read that an unexpected error ended.
+var errReadPanicked = fault.New(fault.Internal, "an unexpected error ended the read")
+
 // recordFetch logs a failed fetch and records its time, so that other peers are preferred for a
 // while.
 func (s *Service) recordFetch(source *peer, err error) {
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/rejections"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/internal/contain"
 )
 
 // Ledger supplies the data that digests carry and receives that of peers.
@@ -55,4 +56,6 @@
 	// Decode parses a configuration document.
 	Decode func(document []byte) (*discovery.Configuration, error)
 	Logger zerolog.Logger
+	// Guard contains the panics of messages and reads; nil for none.
+	Guard *contain.Guard
 }
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -8,28 +8,22 @@
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 )
 
-// receive handles one datagram. It uses the given transport for replies, because a
-// datagram may arrive before Listen has stored the transport.
+// receive handles one datagram. An unexpected error ends its handling only.
 func (s *Service) receive(transport *datagram.Transport, payload []byte, from netip.AddrPort) {
+	s.options.Guard.Run("message", func() { s.handleDigest(transport, payload, from) })
+}
+
+// handleDigest handles one datagram. It uses the given transport for replies, because a
+// datagram may arrive before Listen has stored the transport.
+func (s *Service) handleDigest(transport *datagram.Transport, payload []byte, from netip.AddrPort) {
 	digest, err := Decode(payload)
 	if err != nil {
 		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
 		return
 	}
 	now, address := time.Now(), from.Addr().Unmap()
-	s.mu.Lock()
-	recorded := s.table.Record(now, address, digest)
-	s.table.AddCandidates(s.options.Address.Addr(), digest.Members)
-	var answer []byte
-	if digest.Probe && digest.Instance != s.options.Instance {
-		reply := s.digest()
-		reply.Members = sampleAddresses(s.table.Members())
-		reply.Poison = reportsOf(now, s.options.Poison.News(true))
-		answer = Encode(&reply)
-	}
-	configuration, servers := s.table.FetchSources(now, s.localState())
-	s.mu.Unlock()
-	if configuration != nil || servers != nil {
+	recorded, answer, wanted := s.record(now, address, digest)
+	if wanted {
 		select {
 		case s.wake <- struct{}{}:
 		default:
@@ -66,3 +60,20 @@
 		s.options.Ledger.ReportFailure(failed)
 	}
 }
+
+// record records a digest in the table. It returns whether it is news of a peer, the datagram that answers a probe, nil for
+// none, and whether a peer has newer state.
+func (s *Service) record(now time.Time, address netip.Addr, digest *Digest) (recorded bool, answer []byte, wanted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recorded = s.table.Record(now, address, digest)
+	s.table.AddCandidates(s.options.Address.Addr(), digest.Members)
+	if digest.Probe && digest.Instance != s.options.Instance {
+		reply := s.digest()
+		reply.Members = sampleAddresses(s.table.Members())
+		reply.Poison = reportsOf(now, s.options.Poison.News(true))
+		answer = Encode(&reply)
+	}
+	configuration, servers := s.table.FetchSources(now, s.localState())
+	return recorded, answer, configuration != nil || servers != nil
+}
--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/internal/contain"
 )
 
 const (
@@ -36,6 +37,8 @@
 	Directory *directory.Directory
 	// Writes reports whether this instance writes the records of its data centre.
 	Writes func() bool
+	// Guard contains the panics of reads; nil for none.
+	Guard *contain.Guard
 	// Learn is called with the records that were read.
 	Learn  func(records []streamversion.Record)
 	Logger zerolog.Logger
--- a/gateway/streamarchive/reads.go
+++ b/gateway/streamarchive/reads.go
@@ -8,6 +8,9 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
+// errReadPanicked is the result of a read that an unexpected error ended.
+var errReadPanicked = fault.New(fault.Internal, "an unexpected error ended the read")
+
 // reads shares the results of reading the store between the requests that need them.
 type reads struct {
 	mu sync.Mutex
@@ -47,7 +50,9 @@
 	}
 	a.reads.running = done
 	go func() {
-		segments, err := a.read(context.Background())
+		var segments []Segment
+		var err error = errReadPanicked
+		a.options.Guard.Run("read", func() { segments, err = a.read(context.Background()) })
 		a.reads.mu.Lock()
 		defer a.reads.mu.Unlock()
 		a.reads.readAt, a.reads.recent, a.reads.err, a.reads.running = time.Now(), len(segments) > 0, err, nil
