Ask silent servers only when a stream needs the answers

Change: a check begins with connection attempts only; the questions follow when the stream is still silent at its time. Others are checked once the silent server has not accepted a connection for 45 ms, by connection attempts that end at the same time.

--- a/gateway/forward/centre_loss.go
+++ b/gateway/forward/centre_loss.go
@@ -15,6 +15,9 @@
 const (
 	// maxNeighbourChecks is the number of other servers of a service in a data centre that are checked beside one.
 	maxNeighbourChecks = 8
+	// neighbourDelay is how long a server may take to accept a connection, a round trip between regions and some time more,
+	// before others are checked beside it.
+	neighbourDelay = 45 * time.Millisecond
 	// neighbourSilence is the time after the last response of a server after which it is checked beside another one.
 	neighbourSilence = 60 * time.Millisecond
 )
@@ -123,7 +126,7 @@
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, other := range others[:min(maxNeighbourChecks, len(others))] {
-		begun := c.join(other, true)
+		begun := c.join(other, acceptTimeout-neighbourDelay)
 		c.mu.Lock()
 		check.neighbours = append(check.neighbours, begun)
 		c.mu.Unlock()
--- a/gateway/forward/liveness_checker.go
+++ b/gateway/forward/liveness_checker.go
@@ -38,14 +38,19 @@
 	centres *centreMonitor
 }
 
-// livenessCheck is one check of a server.
+// livenessCheck is one check of a server: connection attempts first, then questions over the connection if a stream needs
+// the answers.
 type livenessCheck struct {
 	started time.Time
-	// done is closed when finding is set.
+	// connected is closed when it is known whether the machine accepts connections; conn is the connection then, nil for none.
+	connected chan struct{}
+	conn      *upstream.Conn
+	// asking begins the questions once. done is closed when finding is set.
+	asking  sync.Once
 	done    chan struct{}
 	finding livenessFinding
-	// connected is closed when it is known whether the machine accepts connections.
-	connected chan struct{}
+	// unused is set when the check ended before a stream asked.
+	unused bool
 	// neighbours are the checks of other servers of the data centre that it began.
 	neighbours []*livenessCheck
 }
@@ -58,23 +63,31 @@
 // twice that when another check runs that began before. The finding is undecided when the context ends first.
 func (c *livenessChecker) check(ctx context.Context, server *directory.Server, after time.Time) livenessFinding {
 	for {
-		check := c.join(server, false)
+		check := c.join(server, acceptTimeout)
 		select {
 		case <-ctx.Done():
 			return livenessFinding{}
-		case <-check.done:
+		case <-check.connected:
 		}
 		if check.started.After(after) {
-			c.awaitNeighbours(ctx, check)
-			return check.finding
+			check.asking.Do(func() { go c.askOnce(server, check) })
+			select {
+			case <-ctx.Done():
+				return livenessFinding{}
+			case <-check.done:
+			}
+			if !check.unused {
+				c.awaitNeighbours(ctx, check)
+				return check.finding
+			}
 		}
 		c.drop(server, check)
 	}
 }
 
-// join returns the running or valid check of a server; it starts one when there is none. With alone it checks no
-// other server as well.
-func (c *livenessChecker) join(server *directory.Server, alone bool) *livenessCheck {
+// join returns the running or valid check of a server; it starts one when there is none, in which connection attempts
+// last for a time at most. Only with acceptTimeout others are checked as well.
+func (c *livenessChecker) join(server *directory.Server, timeout time.Duration) *livenessCheck {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if check := c.checks[server.ID]; check != nil {
@@ -82,18 +95,61 @@
 	}
 	check := &livenessCheck{started: time.Now(), done: make(chan struct{}), connected: make(chan struct{})}
 	c.checks[server.ID] = check
-	c.f.meters.count("probes")
 	go func() {
-		if !alone {
-			c.checkNeighbours(server, check)
+		defer func() {
+			close(check.connected)
+			time.AfterFunc(findingLifetime, func() { c.end(server, check) })
+		}()
+		if timeout == acceptTimeout {
+			others := time.AfterFunc(neighbourDelay, func() { c.checkNeighbours(server, check) })
+			defer others.Stop()
 		}
-		check.finding = c.run(server, check)
-		close(check.done)
-		time.AfterFunc(findingLifetime, func() { c.drop(server, check) })
+		c.f.guard.Run("check", func() { c.reach(server, check, timeout) })
 	}()
 	return check
 }
 
+// reach opens the connection of a check and records whether the machine accepts it.
+func (c *livenessChecker) reach(server *directory.Server, check *livenessCheck, timeout time.Duration) {
+	check.conn, check.finding = c.connect(server, check.started, timeout)
+	switch {
+	case check.conn != nil:
+		c.centres.checked(check.started, server, centreloss.Reached)
+	case check.finding.liveness == livenessUnreachable:
+		c.centres.checked(check.started, server, centreloss.Unanswered)
+	case check.finding.liveness == livenessRefused:
+		c.centres.checked(check.started, server, centreloss.Refused)
+	}
+}
+
+// askOnce asks what a stream needs to know over the connection of a check.
+func (c *livenessChecker) askOnce(server *directory.Server, check *livenessCheck) {
+	defer close(check.done)
+	c.f.guard.Run("check", func() {
+		switch {
+		case check.conn == nil:
+		case c.f.selector.refusing(server) > 0:
+			check.conn.Close()
+			check.finding = livenessFinding{liveness: livenessSilent}
+		default:
+			c.f.meters.count("probes")
+			check.finding = c.ask(check.conn, server, time.Now().Add(livenessTimeout-acceptTimeout/2))
+		}
+	})
+}
+
+// end removes a check and closes its connection if no stream has needed it.
+func (c *livenessChecker) end(server *directory.Server, check *livenessCheck) {
+	c.drop(server, check)
+	check.asking.Do(func() {
+		check.unused = true
+		if check.conn != nil {
+			check.conn.Close()
+		}
+		close(check.done)
+	})
+}
+
 // drop removes a check unless another one has replaced it.
 func (c *livenessChecker) drop(server *directory.Server, check *livenessCheck) {
 	c.mu.Lock()
@@ -103,36 +159,15 @@
 	}
 }
 
-func (c *livenessChecker) run(server *directory.Server, check *livenessCheck) livenessFinding {
-	conn, finding := c.connect(server, check.started)
-	switch {
-	case conn != nil:
-		c.centres.checked(check.started, server, centreloss.Reached)
-	case finding.liveness == livenessUnreachable:
-		c.centres.checked(check.started, server, centreloss.Unanswered)
-	case finding.liveness == livenessRefused:
-		c.centres.checked(check.started, server, centreloss.Refused)
-	}
-	close(check.connected)
-	if conn == nil {
-		return finding
-	}
-	if c.f.selector.refusing(server) > 0 {
-		conn.Close()
-		return livenessFinding{liveness: livenessSilent}
-	}
-	return c.ask(conn, server, check.started.Add(livenessTimeout))
-}
-
 // connection is the outcome of one connection attempt.
 type connection struct {
 	conn *upstream.Conn
 	err  error
 }
 
-// connect opens a connection to a server; without one, the finding tells why.
-func (c *livenessChecker) connect(server *directory.Server, started time.Time) (*upstream.Conn, livenessFinding) {
-	end := started.Add(acceptTimeout)
+// connect opens a connection to a server within a time; without one, the finding tells why.
+func (c *livenessChecker) connect(server *directory.Server, started time.Time, timeout time.Duration) (*upstream.Conn, livenessFinding) {
+	end := started.Add(timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel() // Ends the other attempts.
 	outcomes := make(chan connection)
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -112,7 +112,7 @@
 		if now.Sub(deadline) < maxWakeDelay {
 			a.run.f.liveness.centres.silent(a.server)
 		}
-		a.run.f.liveness.join(a.server, false)
+		a.run.f.liveness.join(a.server, acceptTimeout)
 	}
 }
 
