Ask servers for their speed only where servers of the service state it

Cause: one question to each service at the start changed what deployments without such statements are sent (TestRefusingEnginesGetNeitherStreamsNorCopiesNorProbes and TestResumedStreamIsSentWhereItsPromptIsCached failed in platform). Change: the first statement in any answer starts the questions.

--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -76,7 +76,7 @@
 	f.crashes = newCrashDetector(f)
 	f.relays = newRelays(options)
 	f.liveness = newLivenessChecker(f)
-	f.watch = &loadWatch{f: f, tried: make(map[string]bool)}
+	f.watch = &loadWatch{f: f}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
--- a/gateway/forward/load_watch.go
+++ b/gateway/forward/load_watch.go
@@ -20,8 +20,6 @@
 type loadWatch struct {
 	f       *Forwarder
 	askedAt time.Time
-	// tried holds the services of which one server was asked.
-	tried map[string]bool
 }
 
 // tick asks the next server when it is time.
@@ -47,12 +45,7 @@
 			continue
 		}
 		position++
-		states := f.selector.picture.States(server.Service)
-		if !states && !w.tried[server.Service] {
-			w.tried[server.Service] = true
-			return server
-		}
-		if !states || group.Members > 1 && position%group.Members != group.Rank {
+		if !f.selector.picture.States(server.Service) || group.Members > 1 && position%group.Members != group.Rank {
 			continue
 		}
 		if f.selector.ledger.Refusing(now, server.ID) > 0 || f.selector.ledger.Avoided(now, server.ID, server.DataCentre) {
