--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -89,7 +89,7 @@
 	f.guard = contain.New(options.Logger, options.Metrics)
 	f.liveness = newLivenessChecker(f)
 	f.selector.onPeerFailure = f.liveness.centres.failedAtPeer
-	f.watch = &loadWatch{f: f, tried: make(map[string]bool)}
+	f.watch = &loadWatch{f: f}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
 	f.answers.limit.Store(options.AnswerBytes)
