--- a/decision/overflow/policy.go
+++ b/decision/overflow/policy.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// CallPolicy returns the policy for calls.
+// CallPolicy returns the policy for calls. Their waits change faster than the decision: only a lasting shortage counts.
 func CallPolicy() Policy {
 	policy := StreamPolicy()
-	policy.NearCost, policy.FarCost, policy.MinGain = 3*time.Millisecond, 120*time.Millisecond, 60*time.Millisecond
+	policy.NearCost, policy.FarCost, policy.MinGain = 3*time.Millisecond, 120*time.Millisecond, 150*time.Millisecond
 	return policy
 }
