Blame no server for a client that doesn't read its stream

Cause: a write to a client that failed counted as a failure of the backend server: it was avoided, and the stream went on at another server, behind a part of an event on the client's connection. A blocked write outlasted the route's time. Calls went to a far server with room where a near one had a short queue. Change: such a stream is ended and logged; a server that cuts off what wasn't read isn't suspected. Writes of streams end with the deadline, events are forwarded in parts of 8 KB. Calls are placed by their usual cost once any server has room.

--- a/gateway/forward/admission_call.go
+++ b/gateway/forward/admission_call.go
@@ -7,7 +7,6 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/admission"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 )
 
 // usualCallTime is about the time that a server works on a call.
@@ -31,33 +30,18 @@
 	case decided.grant == nil && f.selector.shortestCallQueue(r)+minSendTime > j.remaining()/2:
 		f.reject(j, localAnswer{status: 503, code: fault.NoRoomInTime, retryAfter: roomRetryAfter(decided.expected)})
 	default:
-		r.granted = decided.grant
 		return true
 	}
 	return false
 }
 
-// findRoom looks for a server with room for the call.
+// findRoom returns room if any server has it. The server is chosen when the call is sent: the queue of a near one may be shorter
+// than the way to one with room.
 func (r *callRun) findRoom(takes takesPlace) *grant {
-	server, _, usable := r.f.selector.chooseWithRoom(r.service, placement.Generation{LeaveKey: r.leaveKey()}, r.j.hasFailed, takes)
-	if server == nil {
-		if usable {
-			return nil
-		}
-		return &grant{release: func() {}}
-	}
-	return &grant{destination: destination{server: server}, release: r.f.selector.reserve(server.ID, placement.Load{Requests: 1})}
-}
-
-// takeGranted returns the server at which room is kept for the call and ends the keeping; nil if there is none.
-func (r *callRun) takeGranted() *directory.Server {
-	granted := r.granted
-	if granted == nil {
+	if server, _, usable := r.f.selector.chooseWithRoom(r.service, placement.Generation{LeaveKey: r.leaveKey()}, r.j.hasFailed, takes); server == nil && usable {
 		return nil
 	}
-	r.granted = nil
-	granted.release()
-	return granted.server
+	return &grant{release: func() {}}
 }
 
 // shortestCallQueue returns the time that a call waits at the server with the shortest queue.
--- a/gateway/forward/admission_grant.go
+++ b/gateway/forward/admission_grant.go
@@ -22,7 +22,8 @@
 
 type takesPlace func(server *directory.Server, free int) bool
 
-// chooseWithRoom chooses the server of a request of a size among those that have room for it; usable says whether there is a server at all.
+// chooseWithRoom chooses the server of a generation among those that have room for it, and any server with room for a call, whose
+// size is zero; usable says whether there is a server at all.
 func (s *selector) chooseWithRoom(service *route.Service, size placement.Generation, skip func(string) bool, takes takesPlace) (server *directory.Server, choice placement.Choice, usable bool) {
 	peerGroup := s.peerGroup()
 	ready := s.ready(service, versionBinding{})
@@ -41,12 +42,10 @@
 	if len(withRoom) == 0 {
 		return nil, choice, usable
 	}
-	found := false
-	if size.MemoryTokens > 0 {
-		choice, found = s.ledger.ChooseGeneration(now, size, withRoom)
-	} else {
-		choice.ID, found = s.ledger.ChooseCall(now, withRoom)
+	if size.MemoryTokens == 0 {
+		return s.directory.Snapshot().Find(withRoom[0].ID), choice, true
 	}
+	choice, found := s.ledger.ChooseGeneration(now, size, withRoom)
 	if !found {
 		return nil, choice, usable
 	}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -36,8 +36,6 @@
 	// connection.
 	notRunAttempts int
 	unreachable    int
-	// granted is the room that is kept for the first attempt; nil for none.
-	granted *grant
 	// relays counts the peers to which the call was handed.
 	relays int
 	// mayHaveRun is set when an attempt may have run the call.
@@ -102,10 +100,7 @@
 			return false
 		}
 	}
-	server := r.takeGranted()
-	if server == nil {
-		server = r.f.selector.chooseForCall(r.service, r.leaveKey(), r.j.hasFailed)
-	}
+	server := r.f.selector.chooseForCall(r.service, r.leaveKey(), r.j.hasFailed)
 	if server == nil {
 		return false
 	}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -60,6 +60,8 @@
 	unboundHere bool
 	// lastRunAt is the id of the server that got the stream last and did not reject it; empty for none.
 	lastRunAt string
+	// slow records how the client reads the stream.
+	slow slowReader
 	// granted is the room that is kept for the first attempt; nil for none.
 	granted *grant
 	// relayRetryAfter is the time that the last peer gave which did not run the request; 0 for none.
@@ -116,6 +118,7 @@
 		return
 	}
 	run.reconnectServer = run.relayedRun()
+	j.exchange.EndBy(j.deadline.Add(endMargin))
 	run.findPrompt(ctx)
 	if !run.admit(ctx) {
 		return
@@ -136,6 +139,10 @@
 		if run.finish(&result) {
 			return
 		}
+		if errors.Is(result.err, errClientWrite) {
+			run.abandonSlow(&result)
+			return
+		}
 		run.lastResult = result
 		if result.notRun && run.lastRunAt == result.server.ID {
 			run.lastRunAt = ""
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -166,13 +166,13 @@
 	if !result.notRun {
 		r.cacheCopyServer = a.copyHolder()
 	}
-	if a.connectionBroke(result) {
+	if a.connectionBroke(result) && !errors.Is(result.err, errClientWrite) {
 		r.allowReconnect(a)
 	}
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
 		r.f.adopter.handleReplacement(a.server, result.answeredBy)
-	} else if r.reconnectServer != nil || errors.Is(result.err, upstream.ErrNoTime) {
+	} else if r.reconnectServer != nil || errors.Is(result.err, upstream.ErrNoTime) || a.unread(result) {
 		// The server may still work: the next connection attempt shows it.
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errNotRunUnconfirmed)) {
 		r.f.recordUnreachable(a.server, result.err)
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -115,21 +116,36 @@
 		if err != nil {
 			return streamResult{code: failureCode(err), err: err}
 		}
-		events, count, err := r.events.push(data, r.buffer)
-		r.buffer = events
-		if count > 0 {
-			a.recordEvents(count)
-			if err := r.write(a.server, response, events); err != nil {
-				return streamResult{code: fault.UpstreamBroken, err: err}
+		for part := range slices.Chunk(data, maxPartBytes) {
+			if failure := a.forwardPart(response, part, memory); failure != nil {
+				return *failure
 			}
 		}
-		if err == nil {
-			err = memory.resize(len(r.events.partial))
-		}
-		if err != nil {
-			return streamResult{code: failureCode(err), err: err}
+	}
+}
+
+// maxPartBytes bounds what is forwarded at once in bytes, beside an event that began before: a stream whose client reads slowly
+// holds several copies of it.
+const maxPartBytes = 8 << 10
+
+// forwardPart forwards the events that end in a part of the stream. It returns the result of an attempt that failed, else nil.
+func (a *streamAttempt) forwardPart(response *http1.Response, part []byte, memory *answerPart) *streamResult {
+	r := a.run
+	events, count, err := r.events.push(part, r.buffer)
+	r.buffer = events
+	if count > 0 {
+		a.recordEvents(count)
+		if err := r.write(a.server, response, events); err != nil {
+			return &streamResult{code: fault.UpstreamBroken, err: err}
 		}
 	}
+	if err == nil {
+		err = memory.resize(len(r.events.partial))
+	}
+	if err != nil {
+		return &streamResult{code: failureCode(err), err: err}
+	}
+	return nil
 }
 
 var errNoEvents = fault.New(fault.UpstreamBroken, "the connection ended before the first event of a stream without framing")
@@ -151,10 +167,12 @@
 // write sends a part of the stream to the client, after its head if it was not sent yet. Errors are
 // errClientWrite.
 func (r *streamRun) write(server *directory.Server, response *http1.Response, part []byte) error {
+	begun := time.Now()
 	err := r.begin(server, response)
 	if err == nil {
 		err = r.j.exchange.Write(part)
 	}
+	r.slow.wrote(begun, time.Now())
 	if err != nil {
 		return errors.Join(errClientWrite, err)
 	}
--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -38,6 +38,8 @@
 	conn   net.Conn
 	reader *http1.Reader
 	state  atomic.Int32
+	// endBy bounds the writes of the current answer; zero for writeTimeout alone.
+	endBy time.Time
 }
 
 // run answers the requests of the connection one after another.
@@ -72,6 +74,7 @@
 		return false
 	}
 	exchange.releaseBody = reserved.release
+	c.endBy = time.Time{}
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -200,8 +203,17 @@
 	}
 }
 
+// writeDeadline returns until when a write that begins now may block.
+func (c *clientConn) writeDeadline() time.Time {
+	at := time.Now().Add(writeTimeout)
+	if !c.endBy.IsZero() && c.endBy.Before(at) {
+		return c.endBy
+	}
+	return at
+}
+
 func (c *clientConn) write(data []byte) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.conn.SetWriteDeadline(c.writeDeadline()); err != nil {
 		return err
 	}
 	_, err := c.conn.Write(data)
@@ -216,7 +228,7 @@
 	if len(body) <= copiedBytes {
 		return c.write(append(head, body...))
 	}
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.conn.SetWriteDeadline(c.writeDeadline()); err != nil {
 		return err
 	}
 	parts := net.Buffers{head, body}
--- a/gateway/ingress/exchange.go
+++ b/gateway/ingress/exchange.go
@@ -94,6 +94,9 @@
 	return nil
 }
 
+// EndBy bounds the writes of the answer: one that a client doesn't read ends at that time.
+func (x *Exchange) EndBy(at time.Time) { x.conn.endBy = at }
+
 // bodyDone returns the memory of the body.
 func (x *Exchange) bodyDone() {
 	if x.releaseBody != nil {
