Answer requests that a planned stop finds received but not read

A request could end without an answer in a planned stop: its bytes had arrived over an idle connection, or its body was still being read over a connection of a peer, when the idle connections were closed and the process ended. Change: an idle connection over which something was received stays open until it is answered; the process ends early only when peers have no open connection either. Measured: TestReceivedRequestIsAnsweredWhenIdleConnectionsAreClosed failed before (connection reset by peer), passes after. The case of peers has no test.

--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -236,8 +236,11 @@
 	return err
 }
 
-// closeIfIdle closes the connection unless a request has begun.
+// closeIfIdle closes the connection unless a request has begun, or was received and is about to begin.
 func (c *clientConn) closeIfIdle() {
+	if hasReceived(c.conn) {
+		return
+	}
 	if c.state.CompareAndSwap(stateIdle, stateClosed) {
 		_ = c.conn.Close() // The client opens another connection.
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -37,8 +37,8 @@
 		}
 		g.ingress.CloseIdle()
 		g.relay.CloseIdle()
-		if g.ingress.Active() == 0 && g.ingress.Connections() == 0 && g.relay.Active() == 0 {
-			break
+		if g.ingress.Connections() == 0 && g.relay.Connections() == 0 {
+			break // Connections include those whose request is being read.
 		}
 	}
 	cut := g.ingress.Active() + g.relay.Active()
