Keep a server that sends a late copy of another request's 421

A sound server was removed, and callers of its service got no answer for ten seconds, when a copy of an earlier answer with 421 came over a connection that was in use again. Cause: the id of the request was checked, so that no other caller got the answer, but what the answer says about the server still counted. Test: TestLateCopyOfAnAnswerReachesNoOtherCaller failed before (two of four cases: the server out of use), passes after.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -140,7 +140,7 @@
 
 // endUnusable ends the exchange of an answer that can't be forwarded, as its head shows.
 func (f *Forwarder) endUnusable(ctx context.Context, conn *upstream.Conn, result *callResult, answer message.Answer) {
-	if answer.WrongServer {
+	if answer.WrongServer && !errors.Is(result.err, errForeignAnswer) {
 		f.adopter.handleReplacement(result.server, answer.Server)
 	}
 	if answer.WrongServer || errors.Is(result.err, errForeignAnswer) || ctx.Err() != nil || conn.SetReadDeadline(time.Now().Add(discardTime)) != nil {
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -26,7 +26,7 @@
 	r.f.checkAnswer(&checked, r.j, answer)
 	if !checked.usable() {
 		return &streamResult{
-			notRun: checked.notRun, wrongServer: answer.WrongServer, answeredBy: answer.Server, code: checked.code, err: checked.err,
+			notRun: checked.notRun, wrongServer: answer.WrongServer && !errors.Is(checked.err, errForeignAnswer), answeredBy: answer.Server, code: checked.code, err: checked.err,
 		}
 	}
 	a.response = response
