Judge a version by all answers when other data centres hardly answered

Almost all answers of a bad version came from one data centre, so that without it nothing was left against the version and it was completed with 12 of 26 answers bad. Other data centres now count against a verdict only from 8 answers on.

--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -13,6 +13,8 @@
 	// aloneAnswers is the number of answers from which one data centre is enough for a verdict: others may not have
 	// answered yet.
 	aloneAnswers = 20
+	// minRest is the number of answers without which the other data centres contradict none.
+	minRest = 8
 	// slowBuckets is how many buckets above the usual median an answer is slow: 2.3 to 3.4 times as long.
 	slowBuckets = 3
 	// minReference is the number of old answers in a data centre from which they are the reference there.
@@ -103,16 +105,18 @@
 // tally sums the new version's answers of one data centre.
 type tally struct {
 	answers, bad int
+	// ever is the number of answers since the begin of the order.
+	ever int
 	// expected is the number of bad answers that a good version may have.
 	expected float64
 }
 
 func (t tally) plus(other tally) tally {
-	return tally{answers: t.answers + other.answers, bad: t.bad + other.bad, expected: t.expected + other.expected}
+	return tally{answers: t.answers + other.answers, ever: t.ever + other.ever, bad: t.bad + other.bad, expected: t.expected + other.expected}
 }
 
 func (t tally) minus(other tally) tally {
-	return tally{answers: t.answers - other.answers, bad: t.bad - other.bad, expected: t.expected - other.expected}
+	return tally{answers: t.answers - other.answers, ever: t.ever - other.ever, bad: t.bad - other.bad, expected: t.expected - other.expected}
 }
 
 // score returns the logarithm of the likelihood of the bad answers with the rate that was seen against the expected rate,
@@ -155,14 +159,14 @@
 		total = total.plus(sum)
 	}
 	score := total.score()
-	if len(tallies) < 2 && total.answers < aloneAnswers {
-		return min(score, badScore/2)
-	}
-	if len(tallies) < 2 {
-		return score
-	}
 	for _, sum := range tallies {
-		score = min(score, total.minus(sum).score()*badScore/withoutWorstScore)
+		rest := total.minus(sum)
+		switch {
+		case rest.ever >= minRest:
+			score = min(score, rest.score()*badScore/withoutWorstScore)
+		case total.ever < aloneAnswers:
+			score = min(score, badScore-1)
+		}
 	}
 	return score
 }
@@ -185,7 +189,8 @@
 	tallies := make(map[uint32]tally)
 	for cell, counts := range recent {
 		answers := counts.Answers()
-		if whole := cells[cell]; !cell.New || whole.Answers() == 0 {
+		whole := cells[cell]
+		if !cell.New || whole.Answers() == 0 {
 			continue
 		}
 		expected := usual
@@ -193,7 +198,7 @@
 		if reference.Answers() >= minReference {
 			expected = max(expected, badRate(&reference, slow))
 		}
-		tallies[cell.DataCentre] = tally{answers: answers, bad: int(counts.Failures) + counts.Slower(slow), expected: expected * float64(answers)}
+		tallies[cell.DataCentre] = tally{answers: answers, ever: whole.Answers(), bad: int(counts.Failures) + counts.Slower(slow), expected: expected * float64(answers)}
 	}
 	return tallies
 }
--- a/gateway/rollouts/manager_test.go
+++ b/gateway/rollouts/manager_test.go
@@ -63,7 +63,7 @@
 }
 
 func (r *rig) admits(version string) bool {
-	choice := r.Choose("s", "r", false)
+	choice := r.Choose("s", "r", false, &Draw{})
 	return choice.Admits(r.servers.Snapshot().Find(version + "-0"))
 }
 
@@ -74,7 +74,7 @@
 func TestVersionThatAppearsIsNotUsedBeforeItsOrderMayCome(t *testing.T) {
 	is := is.New(t)
 	r := newRig(nil)
-	r.Choose("s", "r", true)
+	r.Choose("s", "r", true, &Draw{})
 	r.put("v2", 10)
 	is.True(!r.admits("v2"))
 	is.True(r.admits("v1"))
