--- a/gateway/forward/admission_call.go
+++ b/gateway/forward/admission_call.go
@@ -38,7 +38,7 @@
 // findRoom returns room if any server has it. The server is chosen when the call is sent: the queue of a near one may be shorter
 // than the way to one with room.
 func (r *callRun) findRoom(takes takesPlace) *grant {
-	binding := versionBinding{choice: r.f.versionChoice(r.service, r.j)}
+	binding := r.f.callBinding(r.j)
 	if server, _, usable := r.f.selector.chooseWithRoom(r.service, binding, placement.Generation{LeaveKey: r.leaveKey()}, r.j.hasFailed, takes); server == nil && usable {
 		return nil
 	}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -100,7 +100,7 @@
 			return false
 		}
 	}
-	server := r.f.chooseForCall(r.service, r.j, r.leaveKey())
+	server := r.chooseServer()
 	if server == nil {
 		return false
 	}
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -36,8 +36,8 @@
 	answers answerMemory
 	// relayed is what a peer states that handed the request over; nil for a client's request.
 	relayed *message.Relay
-	// firstChoice is which servers the first attempt may use while the service moves to another version; nil until it is drawn.
-	firstChoice *rollouts.Choice
+	// versionDraw is whether the request is among those that try a new software version.
+	versionDraw rollouts.Draw
 	// failedServers holds the ids of the servers that failed the request.
 	failedServers []string
 }
--- a/gateway/forward/rollout.go
+++ b/gateway/forward/rollout.go
@@ -3,34 +3,23 @@
 import (
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
-	"github.com/wisteriahaven/wisteriahaven/gateway/rollouts"
-	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
 
-// chooseForCall chooses the server of the next attempt of a call; nil when there is none.
-func (f *Forwarder) chooseForCall(service *route.Service, j *job, key string) *directory.Server {
-	return f.selector.chooseForCall(service, versionBinding{choice: f.versionChoice(service, j)}, key, j.hasFailed)
+// callBinding returns the binding by which the server of the next attempt of a call is chosen.
+func (f *Forwarder) callBinding(j *job) versionBinding {
+	return versionBinding{choice: f.rollouts.Choose(j.service, j.route.Name, j.sends == 0, &j.versionDraw)}
 }
 
-// versionChoice returns which servers the next attempt of a request may use. The part of a new version's share that the first
-// attempt takes is taken once, also when its server is chosen several times because the request waits for room.
-func (f *Forwarder) versionChoice(service *route.Service, j *job) rollouts.Choice {
-	if j.sends > 0 {
-		return f.rollouts.Choose(service.Name, j.route.Name, false)
-	}
-	if j.firstChoice == nil {
-		drawn := f.rollouts.Choose(service.Name, j.route.Name, true)
-		j.firstChoice = &drawn
-		return drawn
-	}
-	return f.rollouts.Renew(*j.firstChoice, service.Name, j.route.Name)
+// chooseServer chooses the server of the next attempt of a call; nil when there is none.
+func (r *callRun) chooseServer() *directory.Server {
+	return r.f.selector.chooseForCall(r.service, r.f.callBinding(r.j), r.leaveKey(), r.j.hasFailed)
 }
 
 // bindingForChoice returns the binding by which the server of the next attempt is chosen.
 func (r *streamRun) bindingForChoice() versionBinding {
 	binding := r.binding
 	if !binding.bound {
-		binding.choice = r.f.versionChoice(r.service, r.j)
+		binding.choice = r.f.rollouts.Choose(r.service.Name, r.j.route.Name, r.j.sends == 0, &r.j.versionDraw)
 	}
 	return binding
 }
--- a/gateway/rollouts/choice.go
+++ b/gateway/rollouts/choice.go
@@ -25,3 +25,9 @@
 	}
 	return c.sample == nil || c.sample[server.ID]
 }
+
+// Draw is whether a request is among those that try a new version. The zero value is not drawn yet.
+type Draw struct {
+	order    uint64
+	takesNew bool
+}
--- a/gateway/rollouts/manager.go
+++ b/gateway/rollouts/manager.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// Choose returns which servers the next attempt of a request may use; first is set for the first one.
-func (m *Manager) Choose(service, route string, first bool) Choice {
+// Choose returns which servers the next attempt of a request may use; first is set for the first one. The draw of
+// a request is made once, however often its server is chosen.
+func (m *Manager) Choose(service, route string, first bool, draw *Draw) Choice {
 	if m == nil || !m.options.Limits.Enabled() {
 		return Choice{}
 	}
@@ -113,29 +114,15 @@
 		}
 		return old
 	}
-	if !first || !found.takeNew(hash32(route)) || len(found.sample) == 0 {
+	if first && draw.order != found.id {
+		*draw = Draw{order: found.id, takesNew: found.takeNew(hash32(route))}
+	}
+	if !first || !draw.takesNew || len(found.sample) == 0 {
 		return old
 	}
 	return Choice{only: found.order.To, sample: found.sample}
 }
 
-// Renew returns the choice of a request that has not been sent since an earlier choice was drawn for it: that one while
-// the order still observes the new version, otherwise one that takes no part of its share.
-func (m *Manager) Renew(drawn Choice, service, route string) Choice {
-	if drawn.sample != nil && m.observes(service) {
-		return drawn
-	}
-	return m.Choose(service, route, false)
-}
-
-// observes reports whether a share of a service's requests goes to the new version of a running order.
-func (m *Manager) observes(service string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	found := m.moves[service]
-	return found != nil && found.running() && found.plan.Share < 1
-}
-
 // Stopped reports whether nothing may be sent to a server, also no stream that its version began.
 func (m *Manager) Stopped(server *directory.Server) bool {
 	if m == nil || server == nil {
