Send probes in a test until the service listens

Cause: TestProbesAreAnsweredDuringListen sent probes for 40 ms from before Listen on. Change: probes are sent until 40 ms after Listen has returned; what is checked stays.

--- a/gateway/peers/listen_test.go
+++ b/gateway/peers/listen_test.go
@@ -67,15 +67,22 @@
 		is.NoErr(err)
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), netip.MustParseAddrPort(prober.LocalAddr().String()).Port())
 		service := newService(address)
-		done := make(chan struct{})
+		listened, done := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(done)
-			for end := time.Now().Add(40 * time.Millisecond); time.Now().Before(end); {
-				// The service may not listen yet, so probes are sent repeatedly.
+			// The service may not listen yet, so probes are sent repeatedly, also for a while after it does.
+			var end time.Time
+			for listening := listened; end.IsZero() || time.Now().Before(end); {
 				_, _ = prober.WriteTo(probe, net.UDPAddrFromAddrPort(address))
+				select {
+				case <-listening:
+					listening, end = nil, time.Now().Add(40*time.Millisecond)
+				default:
+				}
 			}
 		}()
 		is.NoErr(service.Listen())
+		close(listened)
 		<-done
 		is.NoErr(prober.SetReadDeadline(time.Now().Add(2 * time.Second)))
 		_, _, err = prober.ReadFrom(make([]byte, 2048))
