Count the speed of servers only where they state it

Cause: observed intervals differ from instance to instance, so that instances preferred different servers for one prompt and callers who came again did not find theirs, also on deployments whose servers state no time of work. Change: without such a statement of any server of the service, speeds and pauses change no choice.

--- a/gateway/forward/server_load.go
+++ b/gateway/forward/server_load.go
@@ -56,13 +56,19 @@
 	view := s.picture.View(now, candidate.ID)
 	candidate.Unknown = placement.Load{Requests: view.Requests}
 	candidate.Waiting = view.Waiting
+	if service.Engine != nil {
+		candidate.Unknown.MemoryTokens = view.MemoryTokens
+		candidate.ReadingSpeed = s.picture.ReadingSpeed(service.Name, s.readingSpeed)
+	}
+	if !s.picture.States(service.Name) {
+		// What one instance observes differs from what others do, so that they would prefer different servers for a prompt.
+		return
+	}
 	if service.Engine == nil {
 		candidate.ReadWork = s.picture.Work(now, candidate.ID, callAhead)
 		return
 	}
-	candidate.Unknown.MemoryTokens = view.MemoryTokens
 	candidate.Pause = view.Pause
-	candidate.ReadingSpeed = s.picture.ReadingSpeed(service.Name, s.readingSpeed)
 	candidate.ReadWork = s.picture.Work(now, candidate.ID, readAhead)
 	candidate.ProduceWork = s.picture.Work(now, candidate.ID, produceAhead)
 }
