Check a stream whose server sends bytes without an event at its time again

Cause: a stream that looks every 50 ms whether a data centre was lost set its read deadline anew with each byte, past the time of the next check, so that a server that drips bytes was never checked: streams lasted 10 s and calls' heads as long. Change: the deadline is the time of the check where that comes first.

--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -92,8 +92,11 @@
 // are still received meanwhile.
 func (a *streamAttempt) nextDeadline(timeout time.Duration) (deadline time.Time, early bool) {
 	if a.awaitsLoss() {
-		deadline = time.Now().Add(lossPollInterval)
-		return deadline, deadline.Before(a.checkAt)
+		if deadline = time.Now().Add(lossPollInterval); deadline.Before(a.checkAt) {
+			return deadline, true
+		}
+		// A deadline after the check would move on with each byte of a server that sends no event.
+		return a.checkAt, false
 	}
 	if a.checkBegun || a.waiting || a.awaitsFirstEvent() {
 		return a.checkAt, false
