Take the ready servers from the one place that knows them

Cause: the share that leaves was refreshed with a copy of the filter for ready servers. Change: it calls selector.ready. Behaviour is unchanged.

--- a/gateway/forward/leaving.go
+++ b/gateway/forward/leaving.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/overflow"
 	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/event"
-	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/peers"
 	"github.com/wisteriahaven/wisteriahaven/gateway/route"
 )
@@ -104,7 +102,7 @@
 		return
 	}
 	s := f.selector
-	snapshot, now, largest := s.directory.Snapshot(), time.Now(), 0
+	now, largest := time.Now(), 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, balance := range s.balances {
@@ -115,19 +113,13 @@
 			continue
 		}
 		if balance.Due(now) {
-			s.updateLeaving(now, name, balance, s.ledger.CentreLoads(now, typicalGeneration(service), s.serviceCandidates(service, snapshot)))
+			s.updateLeaving(now, name, balance, s.ledger.CentreLoads(now, typicalGeneration(service), s.candidates(service, s.ready(service, versionBinding{}), func(string) bool { return false })))
 		}
 		largest = max(largest, balance.Share())
 	}
 	f.meters.set("requests.leaving_percent", int64(largest))
 }
 
-// serviceCandidates returns the servers of a service that take new requests as candidates. The caller holds mu.
-func (s *selector) serviceCandidates(service *route.Service, snapshot *directory.Snapshot) []placement.Candidate {
-	ready := slices.DeleteFunc(slices.Clone(snapshot.ForService(service.Name)), func(server *directory.Server) bool { return server.Draining })
-	return s.candidates(service, ready, func(string) bool { return false })
-}
-
 // typicalGeneration returns a generation of the assumed size, nil for a service of calls.
 func typicalGeneration(service *route.Service) *placement.Generation {
 	if service.Engine == nil {
