Show how long the store has not answered a watch

Gauges store.unanswered_ms.configuration and .servers give the time since the last answer; store_lost states how long the call took (took_ms).

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -56,6 +56,8 @@
 	// failing holds the watches whose last call failed, following those that run.
 	failing   map[string]bool
 	following map[string]bool
+	// answeredAt holds when the store last answered each watch, or when the watch began.
+	answeredAt map[string]time.Time
 	// availableSince is when a call last succeeded after failed ones.
 	availableSince time.Time
 	// era is the era of the last list of backend servers, eraSince when it was first seen.
@@ -80,7 +82,7 @@
 func NewFollower(feed Feed, state *State, servers *directory.Directory, role func() RelayRole, onSuccess func(), logger zerolog.Logger) *Follower {
 	return &Follower{
 		feed: feed, state: state, directory: servers, role: role, onSuccess: onSuccess, logger: logger,
-		failing: make(map[string]bool), following: make(map[string]bool), missing: make(map[string]missingEntry),
+		failing: make(map[string]bool), following: make(map[string]bool), answeredAt: make(map[string]time.Time), missing: make(map[string]missingEntry),
 	}
 }
 
@@ -176,10 +178,12 @@
 			pause.For(ctx, roleCheckPeriod)
 			continue
 		}
+		begun := time.Now()
+		f.recordFollowing(watch, begun)
 		next, err := read(ctx, position, listed)
 		switch {
 		case err == nil:
-			f.recordCall(watch, nil)
+			f.recordCall(watch, 0, nil)
 			f.setFollowing(watch, true)
 			f.onSuccess()
 			position, listed, wait = next, true, minRetryWait
@@ -192,7 +196,7 @@
 			listed = false
 			pause.For(ctx, pauseTime)
 		default:
-			f.recordCall(watch, err)
+			f.recordCall(watch, time.Since(begun), err)
 			if role == Substitute {
 				wait = substituteRetryWait
 			}
@@ -211,6 +215,7 @@
 	} else {
 		delete(f.following, watch)
 		delete(f.failing, watch)
+		delete(f.answeredAt, watch)
 	}
 }
 
@@ -219,19 +224,22 @@
 
 // MarkWatchStuck marks the watch of the backend servers as failing: until its next successful
 // call, this instance does not count as following the store.
-func (f *Follower) MarkWatchStuck() { f.recordCall(watchServers, errWatchStuck) }
+func (f *Follower) MarkWatchStuck() { f.recordCall(watchServers, 0, errWatchStuck) }
 
-// recordCall records the result of a call and logs the first failed one and the first
+// recordCall records the result of a call that took a time, and logs the first failed one and the first
 // successful one after it.
-func (f *Follower) recordCall(watch string, err error) {
+func (f *Follower) recordCall(watch string, took time.Duration, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err == nil {
+		f.answeredAt[watch] = time.Now()
+	}
 	if f.failing[watch] == (err != nil) {
 		return
 	}
 	f.failing[watch] = err != nil
 	if err != nil {
-		event.Log(f.logger, event.StoreUnavailable).Str("what", watch).Err(err).Send()
+		event.Log(f.logger, event.StoreUnavailable).Str("what", watch).Dur("took_ms", took).Err(err).Send()
 		return
 	}
 	f.availableSince = time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -259,6 +259,7 @@
 			last = now
 			g.follower.Tick(now)
 			g.forwarder.Tick(now)
+			g.updateStoreGauges(now)
 			if total := g.adapters.DroppedLogLines(); total > dropped {
 				event.Log(g.logger, event.LogLinesDropped).Int64("lines", total-dropped).Send()
 				dropped = total
--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 )
 
 // metricsPath is where counters and histograms are served as text.
@@ -78,3 +81,10 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
+
+// updateStoreGauges sets how long the store has not answered each watch of this instance, in milliseconds.
+func (g *Gateway) updateStoreGauges(now time.Time) {
+	for _, watch := range discovery.Watches {
+		metrics.GetOrRegisterGauge("store.unanswered_ms."+watch, g.metrics).Update(g.follower.Unanswered(watch, now).Milliseconds())
+	}
+}
