Bound the watch of the platform's object API of the completions interface

TestWatchWithoutAnswerEndsBeforeAChangeIsLate took 28.0 s before, and 2.7 s after; changes have to be in force within 3 s. 39 watching relays of the estate make 33 reads a second instead of 1.6, of two thousand that the platform takes (worked out).

--- a/objectstore/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -19,9 +19,11 @@
 
 // Timeouts of the client.
 const (
-	callTimeout  = 3 * time.Second
-	watchWait    = 25 * time.Second
-	watchTimeout = watchWait + callTimeout
+	callTimeout = 3 * time.Second
+	// watchWait is how long the platform may hold a watch without a change. Only an answer shows
+	// that a watch still waits there, and a change has to be in force within 3 s.
+	watchWait    = 1200 * time.Millisecond
+	watchTimeout = watchWait + 1500*time.Millisecond
 )
 
 // Store is an objectstore.Store over HTTP. It does not retry.
