Keep what the next server of a stream sends before its first event from the client

Cause: events without an id were taken for comments, whichever server sent them. Now those that come before the first event with an id are dropped where a server goes on with a stream of which the client has a part, and a server that sends only such events has failed. A first server's answer is forwarded whole, as before.

--- a/gateway/forward/event_reader.go
+++ b/gateway/forward/event_reader.go
@@ -13,6 +13,7 @@
 	errPartialEvent = fault.New(fault.UpstreamBroken, "the stream ends within an event")
 	errEventTooLong = fault.New(fault.UpstreamBroken, "an event is too long")
 	errRepeated     = fault.New(fault.UpstreamBroken, "the stream repeats too many events")
+	errNoIDs        = fault.New(fault.UpstreamBroken, "the stream goes on with events without an id only")
 )
 
 const (
@@ -35,12 +36,17 @@
 	// events without an id; no event ends in its first searched bytes after those.
 	partial        []byte
 	held, searched int
+	// continuing is set while a server goes on with a stream of which the client has a part; identified once that server
+	// has sent an event with an id. What it sends before that is no part of the stream.
+	continuing, identified bool
 	// repeated is the size in bytes of the events that were dropped since the last new one.
 	repeated int
 }
 
-// restart drops a partial event before another attempt's stream is read.
-func (r *eventReader) restart() {
+// restart drops a partial event before another attempt's stream is read; continuing says that the client has a part of
+// the stream.
+func (r *eventReader) restart(continuing bool) {
+	r.continuing, r.identified = continuing, false
 	r.partial, r.held, r.searched, r.repeated = r.partial[:0], 0, 0, 0
 }
 
@@ -63,6 +69,10 @@
 		if !found {
 			continue
 		}
+		if r.continuing && !r.identified {
+			start = begin
+		}
+		r.identified = true
 		wanted, err := r.accept(id)
 		if err != nil {
 			return events, count, err
@@ -104,8 +114,12 @@
 	return true, nil
 }
 
-// complete returns an error when the stream ended within an event.
+// complete returns an error when the stream ended within an event, or when the server that was to go on with it sent
+// other events only.
 func (r *eventReader) complete() error {
+	if r.continuing && !r.identified && !onlyComments(r.partial[:r.held]) {
+		return errNoIDs
+	}
 	if len(bytes.TrimSpace(r.partial[r.held:])) > 0 {
 		return errPartialEvent
 	}
@@ -113,7 +127,22 @@
 }
 
 // rest returns the comments and events without an id at the end of a complete stream.
-func (r *eventReader) rest() []byte { return r.partial[:r.held] }
+func (r *eventReader) rest() []byte {
+	if r.continuing && !r.identified {
+		return nil
+	}
+	return r.partial[:r.held]
+}
+
+// onlyComments reports whether all lines are empty or comments.
+func onlyComments(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if text := bytes.TrimSpace(line); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
 
 // eventSize returns the size of the first complete event in bytes, 0 for none. No line that starts
 // before the offset from ends an event.
--- a/gateway/forward/event_reader_test.go
+++ b/gateway/forward/event_reader_test.go
@@ -21,7 +21,7 @@
 		var reader eventReader
 		var got strings.Builder
 		for attempt := 0; reader.position < last; attempt++ {
-			reader.restart()
+			reader.restart(got.Len() > 0)
 			from := int(reader.position) + 1
 			if attempt > 0 {
 				from = max(1, from-rapid.IntRange(0, 3).Draw(t, "repeated"))
@@ -69,6 +69,31 @@
 	_, _, err := reader.push([]byte(eventText(1)+"id: 2\ndata"), nil)
 	is.NoErr(err)
 	is.True(errors.Is(reader.complete(), errPartialEvent))
-	reader.restart()
+	reader.restart(false)
+	is.NoErr(reader.complete())
+}
+
+// Guards against what the next server of a stream sends before its first event with an id.
+func TestNextServerAddsNothingBeforeItsFirstEvent(t *testing.T) {
+	is := is.New(t)
+	var reader eventReader
+	reader.restart(false)
+	first, _, err := reader.push([]byte(": hello\n\nretry: 5\n\nid: 1\ndata: a\n\n"), nil)
+	is.NoErr(err)
+	is.Equal(string(first), ": hello\n\nretry: 5\n\nid: 1\ndata: a\n\n")
+	reader.restart(true)
+	next, _, err := reader.push([]byte("HTTP/1.1 500 Error\r\n\r\nevent: error\n\nid: 2\ndata: b\n\n: kept\n\n"), nil)
+	is.NoErr(err)
+	is.Equal(string(next), "id: 2\ndata: b\n\n")
+	is.NoErr(reader.complete())
+	is.Equal(string(reader.rest()), ": kept\n\n")
+	reader.restart(true)
+	_, _, err = reader.push([]byte("event: error\ndata: full\n\n"), nil)
+	is.NoErr(err)
+	is.True(reader.complete() != nil)
+	is.Equal(len(reader.rest()), 0)
+	reader.restart(true)
+	_, _, err = reader.push([]byte(": nothing is left\n\n"), nil)
+	is.NoErr(err)
 	is.NoErr(reader.complete())
 }
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -100,7 +100,7 @@
 // them, so that another server's answer can replace one that has none.
 func (a *streamAttempt) forwardEvents(ctx context.Context, response *http1.Response) streamResult {
 	r, body := a.run, a.conn.Body(response)
-	r.events.restart()
+	r.events.restart(r.j.exchange.Started())
 	memory := r.j.answers.part()
 	defer memory.release()
 	for {
