Read the other entries of the store beside one that can't be read

It could happen here: no process ended, but each list and watch was decoded as a whole, so that a very deeply nested value (10,000 levels are Go's limit) or metadata with a number too large made every list and watch of the kind fail; an instance followed the servers no longer, and one that started knew none. Entries with port 0, an IPv6 address, slots near the largest number or a start that is slow for ever named servers to use.

--- a/fault/codes_platform.go
+++ b/fault/codes_platform.go
@@ -12,6 +12,7 @@
 	PlatformHistoryGone   Code = "platform_history_gone"
 	ServerEntryInvalid    Code = "server_entry_invalid"
 	StoreEraInvalid       Code = "store_era_invalid"
+	StoreObjectInvalid    Code = "store_object_invalid"
 )
 
 var platformDefinitions = map[Code]Definition{
@@ -22,5 +23,6 @@
 	PlatformValueTooLarge: {http.StatusRequestEntityTooLarge, "the value is over the platform's size limit", "split the value"},
 	PlatformHistoryGone:   {http.StatusGone, "the platform no longer has the changes since a revision", "list the objects again"},
 	StoreEraInvalid:       {http.StatusBadGateway, "the store's answer states no usable era: the answer is ignored", "check the store"},
+	StoreObjectInvalid:    {http.StatusUnprocessableEntity, "an object in the store can't be read and is ignored", "check what wrote it"},
 	ServerEntryInvalid:    {http.StatusUnprocessableEntity, "a backend server's entry in the store is invalid", "check what wrote the entry"},
 }
