Believe that a request did not run only if the answer states its id

It could happen here in part: a copy with the id of the earlier request was recognized, but one without an id, as refusals of questions such as a health check have, counted as the answer to the request that was running: its client was told that it had not run, and it was sent to another server. Calls that may run once go over new connections, where only a server that writes unasked can do this. So a refusal without one is taken for another request's: its connection is closed, and the outcome is unknown (502) or the request is repeated if it may be.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -157,11 +157,12 @@
 
 // checkAnswer sets the failure of a result whose answer can't be forwarded. A
 // status that promises clients that the request did not run is accepted only from
-// a server that states this as well.
+// a server that states this as well, with the request's id: it may be the late copy
+// of an earlier refusal, while the request runs.
 func (f *Forwarder) checkAnswer(result *callResult, j *job, answer message.Answer) {
 	notRunStatus := result.response.Status == 429 || result.response.Status == 503 || result.response.Status == 408 || result.response.Status == 421
 	switch {
-	case answer.RequestID != "" && answer.RequestID != j.request.ID:
+	case answer.RequestID != j.request.ID && (answer.RequestID != "" || answer.NotRun):
 		result.code, result.err = fault.UpstreamBroken, errForeignAnswer
 	case answer.NotRun:
 		result.notRun, result.code, result.err = true, fault.UpstreamRejected, fault.New(fault.UpstreamRejected, "status "+strconv.Itoa(result.response.Status))
