--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -31,7 +31,7 @@
 	RouteUnknown:               {http.StatusNotFound, "no route matches the host and path", "check the request and the configuration in force"},
 	KeyUnknown:                 {http.StatusUnauthorized, "no client account holds the key", "check the key and the configuration in force"},
 	NoConfiguration:            {http.StatusServiceUnavailable, "the instance has no configuration yet", "retry later; check the platform"},
-	NoRoom:                     {http.StatusServiceUnavailable, "every usable backend server of the service has as many requests as this instance may send it: the request was not sent", "retry later; servers that state a rejection limit get no more requests than they have room for"},
+	NoRoom:                     {http.StatusServiceUnavailable, "every usable backend server of the service has as many requests as this instance may send it: the request was not sent", "retry later; servers that state a rejection limit or a request rate get no more requests than that allows"},
 	NoServer:                   {http.StatusServiceUnavailable, "no backend server of the service is usable: the request was not sent", "retry later; check the service's backend servers"},
 	InstanceStopping:           {http.StatusServiceUnavailable, "the instance stopped before it could answer: the request was not sent", "retry at once; another instance serves it"},
 	TooLittleTime:              {http.StatusServiceUnavailable, "the remaining time is too short for a generation of that length: the request was not sent", "retry with a later deadline"},
