Apply an order to move a service once the configuration has the service

Cause: an instance that starts may read the orders before the configuration; the order was found invalid, 'the configuration has none named calls', and was looked at again only when it changed. Operators saw an order that stayed running after all instances had started again.

--- a/gateway/rollouts/evaluate.go
+++ b/gateway/rollouts/evaluate.go
@@ -33,6 +33,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordArrivals()
+	m.applyKnown()
 	now := m.now()
 	for service, found := range m.moves {
 		if found.running() {
--- a/gateway/rollouts/manager.go
+++ b/gateway/rollouts/manager.go
@@ -75,13 +75,15 @@
 	snapshot *directory.Snapshot
 	// invalid holds the revision at which an object was last found invalid, by name.
 	invalid map[string]uint64
+	// unknown holds orders for services that the configuration doesn't have yet, by name: orders may be read before it.
+	unknown map[string]Entry
 }
 
 // New returns a manager that doesn't run yet.
 func New(options Options) *Manager {
 	return &Manager{
 		options: options, now: time.Now, moves: make(map[string]*move), attempts: make(map[*Attempt]bool),
-		streams: make(map[streamKey]int), arrivals: make(map[string]map[string]arrival), invalid: make(map[string]uint64),
+		streams: make(map[streamKey]int), arrivals: make(map[string]map[string]arrival), invalid: make(map[string]uint64), unknown: make(map[string]Entry),
 	}
 }
 
--- a/gateway/rollouts/manager_test.go
+++ b/gateway/rollouts/manager_test.go
@@ -102,6 +102,28 @@
 	is.Equal(len(second.dueWrites()), 0)
 }
 
+// Guards against an order that has no effect because it was read before the configuration.
+func TestOrderIsAppliedOnceItsServiceIsKnown(t *testing.T) {
+	is := is.New(t)
+	known := false
+	r := newRig(&memoryStore{entry: orderTo("v2", 5)})
+	r.options.Known = func(service string) bool { return known && service == "s" }
+	r.put("v2", 10)
+	r.applyEntries([]Entry{orderTo("v2", 5)}, true)
+	r.evaluate()
+	is.Equal(len(r.moves), 0)
+	known = true
+	r.evaluate()
+	is.True(r.moves["s"] != nil && r.moves["s"].known && r.moves["s"].running())
+	known = false
+	r.applyEntries([]Entry{{Name: "s", Revision: 6, Order: rollout.Order{Service: "s", To: "v3", Duration: time.Second, Created: 2}}}, false)
+	is.Equal(len(r.unknown), 1)
+	r.applyEntries(nil, true) // it was removed
+	known = true
+	r.evaluate()
+	is.Equal(len(r.unknown), 0)
+}
+
 // TestVerdictOfAPeerHolds guards against instances that go on with a version because their own evidence is thin.
 func TestVerdictOfAPeerHolds(t *testing.T) {
 	is := is.New(t)
--- a/gateway/rollouts/orders.go
+++ b/gateway/rollouts/orders.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/decision/rollout"
@@ -18,6 +19,7 @@
 		m.applyEntry(&entries[i])
 	}
 	if complete {
+		maps.DeleteFunc(m.unknown, func(name string, _ Entry) bool { return !listed[name] })
 		for service, found := range m.moves {
 			if !listed[service] && found.running() && found.known {
 				m.withdraw(found)
@@ -31,6 +33,7 @@
 // applyEntry applies one order; mu is held.
 func (m *Manager) applyEntry(entry *Entry) {
 	found := m.moves[entry.Name]
+	delete(m.unknown, entry.Name)
 	if entry.Removed {
 		if found != nil && found.running() {
 			m.withdraw(found)
@@ -41,6 +44,13 @@
 		m.logInvalid(entry, err)
 		return
 	}
+	if !m.options.Known(entry.Order.Service) {
+		if len(m.unknown) < maxOrders {
+			m.unknown[entry.Name] = *entry
+		}
+		m.logInvalid(entry, fault.New(fault.RolloutInvalid, "service: the configuration has none named "+entry.Order.Service+" yet"))
+		return
+	}
 	if found != nil && found.id == entry.Order.ID() {
 		found.entry, found.known = *entry, true
 		m.adoptStatus(found, &entry.Status)
@@ -71,15 +81,21 @@
 	if err := entry.Order.Validate(); err != nil {
 		return err
 	}
-	switch {
-	case entry.Name != entry.Order.Service:
+	if entry.Name != entry.Order.Service {
 		return fault.New(fault.RolloutInvalid, "service: "+entry.Order.Service+" isn't the name of the object")
-	case !m.options.Known(entry.Order.Service):
-		return fault.New(fault.RolloutInvalid, "service: the configuration has none named "+entry.Order.Service)
 	}
 	return nil
 }
 
+// applyKnown applies orders whose services the configuration has meanwhile; mu is held.
+func (m *Manager) applyKnown() {
+	for name, entry := range m.unknown {
+		if m.options.Known(name) {
+			m.applyEntry(&entry)
+		}
+	}
+}
+
 // logInvalid logs an order without effect once for each revision; mu is held.
 func (m *Manager) logInvalid(entry *Entry, err error) {
 	if m.invalid[entry.Name] == uint64(entry.Revision) {
