Tell peers only what an instance heard itself of a server's request rate

Cause: instances passed on what peers had told them, and each message makes a statement newer by its way, so that it never grew old while instances told each other of it: its end was not looked for. TestStatementGrowsOldWhileInstancesTellEachOther fails on the code before. Now each instance reports its own answers only. Also only calls prefer a server of which nothing was heard: where requests wait for room, a full one would have kept the others waiting.

--- a/decision/serverrate/table.go
+++ b/decision/serverrate/table.go
@@ -15,6 +15,9 @@
 // record holds what is known about one server.
 type record struct {
 	Statement
+	// own is what this instance heard itself. Only that is told to peers: what goes from one to another would become newer
+	// by each message's way.
+	own       Statement
 	allowance allowance
 }
 
@@ -43,11 +46,12 @@
 		r = t.add(server)
 	}
 	before := r.holds(now)
+	heard := Statement{ClearedAt: now}
 	if stated {
-		r.merge(&Statement{PerSecond: perSecond, StatedAt: now})
-	} else {
-		r.merge(&Statement{ClearedAt: now})
+		heard = Statement{PerSecond: perSecond, StatedAt: now}
 	}
+	r.merge(&heard)
+	r.own.merge(&heard)
 	switch after := r.holds(now); {
 	case !before && after:
 		return Stated
@@ -70,12 +74,12 @@
 	r.merge(&reported)
 }
 
-// Reports returns the statements for peers, those of which something was heard last if there are many.
+// Reports returns what this instance heard itself, for peers; the latest if there is much.
 func (t *Table) Reports(now time.Time) []Statement {
 	var reports []Statement
 	for _, r := range t.servers {
-		if now.Sub(r.heardAt()) <= statementLifetime {
-			reports = append(reports, r.Statement)
+		if heardAt := r.own.heardAt(); !heardAt.IsZero() && now.Sub(heardAt) <= statementLifetime {
+			reports = append(reports, r.own)
 		}
 	}
 	slices.SortFunc(reports, func(a, b Statement) int {
@@ -161,7 +165,7 @@
 }
 
 func (t *Table) add(server string) *record {
-	r := &record{Statement: Statement{Server: server}}
+	r := &record{Statement: Statement{Server: server}, own: Statement{Server: server}}
 	t.servers[server] = r
 	return r
 }
--- a/gateway/forward/admission_grant.go
+++ b/gateway/forward/admission_grant.go
@@ -31,7 +31,7 @@
 	s.updateRateShares(service.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, s.withRoom(service, ready, size.MemoryTokens, shares, skip), skip)
+	candidates := s.candidates(service, s.withRoom(service, ready, size.MemoryTokens, shares), skip)
 	var generation *placement.Generation
 	if size.MemoryTokens > 0 {
 		generation = &size
--- a/gateway/forward/request_rate.go
+++ b/gateway/forward/request_rate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/placement"
 	"github.com/wisteriahaven/wisteriahaven/decision/serverrate"
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -59,15 +60,19 @@
 	return s.rates.Allows(now, server, s.rateShareAt(server))
 }
 
-// dueServers returns the servers that are to get a request, so that it is noticed when they state no rate any more. The caller
-// holds mu.
-func (s *selector) dueServers(now time.Time, servers []*directory.Server, skip func(id string) bool) (due []*directory.Server) {
-	for _, server := range servers {
-		if s.rates.Due(now, server.ID, s.rateShareAt(server.ID)) && !skip(server.ID) &&
-			s.ledger.Refusing(now, server.ID) == 0 && !s.ledger.Avoided(now, server.ID, server.DataCentre) {
-			due = append(due, server)
+// preferDue returns the candidates that are to get a call, so that it is noticed when they state no rate any more; all if there
+// are none. The caller holds mu.
+func (s *selector) preferDue(now time.Time, candidates []placement.Candidate, skip func(id string) bool) []placement.Candidate {
+	var due []placement.Candidate
+	for i := range candidates {
+		id := candidates[i].ID
+		if s.rates.Due(now, id, s.rateShareAt(id)) && !skip(id) && s.ledger.Refusing(now, id) == 0 && !s.ledger.Avoided(now, id, candidates[i].Place.DataCentre) {
+			due = append(due, candidates[i])
 		}
 	}
+	if len(due) == 0 {
+		return candidates
+	}
 	return due
 }
 
--- a/gateway/forward/room.go
+++ b/gateway/forward/room.go
@@ -48,20 +48,16 @@
 }
 
 // withRoom returns the servers that have room for a request of a size in tokens, 0 for a call, and take another one by the rates
-// that they state. Without shares all have room. Servers for which skip returns true are not preferred. The caller holds mu.
-func (s *selector) withRoom(service *route.Service, servers []*directory.Server, tokens int, shares map[string]rejections.Share, skip func(id string) bool) []*directory.Server {
+// that they state. Without shares all have room. The caller holds mu.
+func (s *selector) withRoom(service *route.Service, servers []*directory.Server, tokens int, shares map[string]rejections.Share) []*directory.Server {
 	if shares == nil && !s.rates.Any() {
 		return servers
 	}
 	now := time.Now()
-	servers = slices.DeleteFunc(servers, func(server *directory.Server) bool {
+	return slices.DeleteFunc(servers, func(server *directory.Server) bool {
 		s.trackProcess(server)
 		return !s.withinRate(now, server.ID) || shares != nil && !s.hasRoom(now, service, server, tokens, shares)
 	})
-	if due := s.dueServers(now, servers, skip); len(due) > 0 {
-		return due
-	}
-	return servers
 }
 
 func (s *selector) hasRoom(now time.Time, service *route.Service, server *directory.Server, tokens int, shares map[string]rejections.Share) bool {
--- a/gateway/forward/selector.go
+++ b/gateway/forward/selector.go
@@ -186,9 +186,10 @@
 	s.updateRateShares(service.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, s.withRoom(service, ready, 0, shares, skip), skip)
+	candidates := s.candidates(service, s.withRoom(service, ready, 0, shares), skip)
 	s.decideLeaving(service, key, nil, candidates)
-	id, found := s.ledger.ChooseCall(time.Now(), candidates)
+	now := time.Now()
+	id, found := s.ledger.ChooseCall(now, s.preferDue(now, candidates, skip))
 	if !found {
 		return nil
 	}
@@ -204,7 +205,7 @@
 	s.updateRateShares(service.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares, skip), skip)
+	candidates := s.candidates(service, s.withRoom(service, resumable, generationTokens(size), shares), skip)
 	s.decideLeaving(service, size.LeaveKey, &size, candidates)
 	placement.Partition{Rank: peerGroup.Rank, Instances: peerGroup.Members}.MarkOutside(candidates)
 	choice, found := s.ledger.ChooseGeneration(time.Now(), size, candidates)
