--- a/decision/serverrate/allowance.go
+++ b/decision/serverrate/allowance.go
@@ -6,7 +6,6 @@
 type allowance struct {
 	tokens    float64
 	perSecond float64
-	burst     float64
 	updatedAt time.Time
 }
 
@@ -16,7 +15,7 @@
 		a.tokens += max(0, now.Sub(a.updatedAt).Seconds()) * min(a.perSecond, perSecond)
 	}
 	a.tokens = min(a.tokens, burst)
-	a.perSecond, a.burst, a.updatedAt = perSecond, burst, now
+	a.perSecond, a.updatedAt = perSecond, now
 }
 
 // next returns the time until a request may be sent, false if none may be as things are.
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -86,11 +86,10 @@
 	}
 }
 
-// Names of the watches, and their number.
+// Names of the watches.
 const (
 	watchConfiguration = "configuration"
 	watchServers       = "servers"
-	watchCount         = 2
 )
 
 // Following reports whether this instance follows the store and the last call of each
@@ -103,7 +102,7 @@
 			return false
 		}
 	}
-	return len(f.following) == watchCount
+	return len(f.following) == len(Watches)
 }
 
 // RunConfiguration keeps the in-force configuration up to date until the context ends.
