Show lists of servers that lack a change, and requests to servers that leave

Two of the hypotheses of requests to leaving servers looked alike in logs and metrics: a list that lacks a change although its revision is past it, and a request that is sent although the change is known. No logic changes.

--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -18,6 +18,12 @@
 // Find returns the server with an ID, or nil.
 func (s *Snapshot) Find(id string) *Server { return s.ids[id] }
 
+// Leaves reports whether the process of an entry drains or is no longer listed.
+func (s *Snapshot) Leaves(server *Server) bool {
+	listed := s.Find(server.ID)
+	return listed == nil || listed.Draining || !listed.MayBeSameProcess(server)
+}
+
 // FindByAddress returns the server at an address, or nil.
 func (s *Snapshot) FindByAddress(address string) *Server {
 	for _, server := range s.All {
--- a/gateway/forward/log_events.go
+++ b/gateway/forward/log_events.go
@@ -14,7 +14,7 @@
 	return event.Log(f.logger, event.RequestSent).Str("request", j.request.ID).Stringer("content", j.run.Request).Str("server", server.ID).
 		Str("data_centre", server.DataCentre).Str("software_version", server.SoftwareVersion).Int("sends", j.sends).
 		Uint64("version", j.table.Version).Stringer("server_revision", server.Revision).
-		Dur("left_ms", j.remaining())
+		Bool("leaves", f.directory.Snapshot().Leaves(server)).Dur("left_ms", j.remaining())
 }
 
 // attemptFailedEvent returns the log event of a failed attempt, for the caller to send.
--- a/gateway/monitor.go
+++ b/gateway/monitor.go
@@ -82,9 +82,11 @@
 	}
 }
 
-// updateStoreGauges sets how long the store has not answered each watch of this instance, in milliseconds.
+// updateStoreGauges sets how long the store has not answered each watch of this instance, and how long the list of
+// backend servers has differed from that of a relay, in milliseconds.
 func (g *Gateway) updateStoreGauges(now time.Time) {
 	for _, watch := range discovery.Watches {
 		metrics.GetOrRegisterGauge("store.unanswered_ms."+watch, g.metrics).Update(g.follower.Unanswered(watch, now).Milliseconds())
 	}
+	metrics.GetOrRegisterGauge("servers.differ_ms", g.metrics).Update(g.peers.ServersDifference(now).Milliseconds())
 }
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -36,6 +36,8 @@
 	// configuration and servers measure how long peers have had newer ones.
 	configuration lag
 	servers       lag
+	// difference measures how long the list of servers has differed from that of a relay.
+	difference lag
 	// storeReachedAt is when a relay of this data centre last reported that the store
 	// answers. Before the first call of RelayRole it is zero.
 	storeReachedAt time.Time
