Apply an answer of the store to the list of servers as one change

Seen by callers: requests may go on to servers that leave for as long as these serve. Cause: the directory's revision rose with each entry of an answer, and with a removal to the revision of the whole answer, while later entries were not applied yet. A peer that read the list in that moment (a log line is written for each entry, so that other goroutines run) got a revision that was past entries which it did not get; it asks only for what is later. A complete list mends that unless one was read within 10 s or an adopted server is listed. In the same way a list with several pages raised the revision to that of its later pages, and a server that was removed and came back within one answer was missing until its next change. Change: the entries of an answer are put under one lock, the revision rises to that of the answer at most, removals come after them, and the last change of a server counts.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -27,6 +27,7 @@
 	removed map[string]removal
 	// heldBack holds the entries of removed servers that a later era of the store lists.
 	heldBack map[string]heldEntry
+	// revision is the store's revision up to which no change is missing here.
 	revision revision.Revision
 	// listedAt is the revision of the last list of the store.
 	listedAt revision.Revision
@@ -80,12 +81,24 @@
 // Put adds or updates a server and reports whether it did; an entry that isn't newer
 // than the listed one or than the server's removal is discarded.
 func (d *Directory) Put(server *Server) bool {
+	return len(d.Apply([]*Server{server}, server.Revision)) > 0
+}
+
+// Apply puts entries of one answer of the store, which holds all changes up to asOf, and returns those that were not
+// discarded. Entries of later pages of a list may be newer than asOf. No export holds only a part of them.
+func (d *Directory) Apply(entries []*Server, asOf revision.Revision) (applied []*Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.putLocked(server)
+	for _, server := range entries {
+		if d.putLocked(server) {
+			applied = append(applied, server)
+			d.revision = max(d.revision, min(server.Revision, asOf))
+		}
+	}
+	return applied
 }
 
-// putLocked is Put; mu is held.
+// putLocked is Put without raising the directory's revision; mu is held.
 func (d *Directory) putLocked(server *Server) bool {
 	if old := d.servers[server.ID]; old != nil && old.Revision >= server.Revision {
 		return false
@@ -101,7 +114,6 @@
 	delete(d.heldBack, server.ID)
 	d.servers[server.ID] = server
 	d.changed.Store(true)
-	d.revision = max(d.revision, server.Revision)
 	return true
 }
 
@@ -214,7 +226,7 @@
 	return &adopted
 }
 
-// Revision returns the highest store revision seen.
+// Revision returns the store's revision up to which no change is missing.
 func (d *Directory) Revision() revision.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -245,14 +245,28 @@
 	event.Log(f.logger, event.StoreAvailable).Str("what", watch).Send()
 }
 
-// applyChanges applies the changes that a watch returned.
+// applyChanges applies the changes that a watch returned. Of several changes of one server the last one counts. Removals,
+// which raise the directory's revision to that of the answer, come after the entries, so that a peer never finds the
+// revision before the entries.
 func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision) {
-	for _, change := range changes {
-		if change.Server == nil {
-			f.removeAfterGrace(change.ID, max(change.Revision, asOf))
-			continue
+	last := make(map[string]int, len(changes))
+	for i, change := range changes {
+		last[change.ID] = i
+	}
+	var entries []*directory.Server
+	var removed []ServerChange
+	for i, change := range changes {
+		switch {
+		case last[change.ID] != i:
+		case change.Server == nil:
+			removed = append(removed, change)
+		default:
+			entries = append(entries, change.Server)
 		}
-		f.putServer(change)
+	}
+	f.applyEntries(entries, asOf)
+	for _, change := range removed {
+		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
 	}
 }
 
@@ -260,25 +274,29 @@
 func (f *Follower) applyList(servers []ServerChange, asOf revision.Revision) {
 	f.recordEra(asOf)
 	listed := make(map[string]bool, len(servers))
+	var entries []*directory.Server
 	for _, change := range servers {
 		if change.Server != nil {
 			listed[change.ID] = true
-			f.putServer(change)
+			entries = append(entries, change.Server)
 		}
 	}
+	f.applyEntries(entries, asOf)
 	for _, id := range f.directory.Unlisted(listed, asOf) {
 		f.removeAfterGrace(id, asOf)
 	}
 }
 
-// putServer adds or updates a server and logs the change.
-func (f *Follower) putServer(change ServerChange) {
+// applyEntries adds or updates servers and logs the changes.
+func (f *Follower) applyEntries(entries []*directory.Server, asOf revision.Revision) {
 	f.mu.Lock()
-	delete(f.missing, change.ID)
+	for _, server := range entries {
+		delete(f.missing, server.ID)
+	}
 	f.mu.Unlock()
-	if f.directory.Put(change.Server) {
-		event.Log(f.logger, event.ServerChanged).Str("server", change.ID).Str("address", change.Server.Address).
-			Bool("draining", change.Server.Draining).Stringer("revision", change.Revision).Send()
+	for _, server := range f.directory.Apply(entries, asOf) {
+		event.Log(f.logger, event.ServerChanged).Str("server", server.ID).Str("address", server.Address).
+			Bool("draining", server.Draining).Stringer("revision", server.Revision).Send()
 	}
 }
 
--- a/gateway/discovery/partial_answer_test.go
+++ b/gateway/discovery/partial_answer_test.go
@@ -64,3 +64,16 @@
 		})
 	}
 }
+
+// Guards against a server that is missing until its next change because it left and came back within one answer.
+func TestServerThatReturnsInTheSameAnswerIsListed(t *testing.T) {
+	is := is.New(t)
+	own, peer := followBeside(func(f *Follower) {
+		f.applyList([]ServerChange{put("a", 1), put("b", 2)}, 2)
+		f.applyChanges([]ServerChange{removed("a", 3), put("a", 4), put("b", 5), removed("b", 6)}, 7)
+	})
+	for _, servers := range []*directory.Directory{own, peer} {
+		is.True(servers.Snapshot().Find("a") != nil)
+		is.True(servers.Snapshot().Find("b") == nil)
+	}
+}
