Adopt no server whose entry was removed, and remove those that others hide

A server that leaves without draining is removed from the store and serves on for seconds. Two faults could have led requests back to it: a server that answers at the address of an earlier one was adopted although its own entry had been removed, and a list of the store did not remove a crashed server that a later one at its address hid, so that the crashed one was listed again once the later one had left. Evidence: TestRemovedServerIsNotAdopted and TestListRemovesServersThatOthersAtTheirAddressHide failed before. Over sockets the whole chain was not reproduced (the record of the crashed server's last answer is dropped while it is hidden), nor has a play shown it.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -52,6 +52,9 @@
 	mayReturn bool
 }
 
+// byStore reports whether the entry is missing in the store. Otherwise another server was found at the address.
+func (r removal) byStore() bool { return r.server == nil || r.revision != r.server.Revision }
+
 // New returns an empty directory.
 func New() *Directory {
 	d := &Directory{servers: make(map[string]*Server), removed: make(map[string]removal), heldBack: make(map[string]heldEntry), now: time.Now}
@@ -124,9 +127,9 @@
 	defer d.mu.Unlock()
 	d.listedAt = max(d.listedAt, asOf)
 	var unlisted []string
-	for _, server := range d.currentSnapshot().All {
-		if !listed[server.ID] {
-			unlisted = append(unlisted, server.ID)
+	for id := range d.servers {
+		if !listed[id] {
+			unlisted = append(unlisted, id)
 		}
 	}
 	for id := range d.heldBack {
@@ -134,6 +137,7 @@
 			unlisted = append(unlisted, id)
 		}
 	}
+	slices.Sort(unlisted)
 	return unlisted
 }
 
@@ -207,14 +211,18 @@
 
 // Adopt replaces a server by the process with the given ID that was found at its address
 // and whose own entry has not been received. It returns nil when the old server isn't
-// listed any more or the new ID is listed already. The software version is that of the old server,
-// or unknown if that was leaving, since it may have made way for another version.
+// listed any more, the new ID is listed already, or the new ID's entry was removed from the
+// store, so that the server leaves. The software version is that of the old server, or unknown
+// if that was leaving, since it may have made way for another version.
 func (d *Directory) Adopt(old *Server, id string) *Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if listed := d.servers[old.ID]; listed == nil || !listed.SameProcess(old) || d.servers[id] != nil {
 		return nil
 	}
+	if gone, found := d.removed[id]; found && gone.byStore() {
+		return nil
+	}
 	adopted := *old
 	adopted.ID, adopted.Incarnation, adopted.Draining, adopted.Leaving, adopted.Adopted = id, 0, false, false, true
 	if listed := d.servers[old.ID]; listed.Draining || old.Draining {
