Read the servers from another peer beside one that does not answer

Seen by callers: a change of the servers may take 1.5 s longer to reach an instance. Cause: reads of the configuration have run beside each other since the report of changes missed (one relay that is frozen, or cut off, accepts connections in the kernel and answers nothing), reads of the servers have not: one such relay held up all others for 1.5 s, and with the pause of a backup (1.5 s) the 3 s in which a server's leaving has to be known were used up. Change: both use the same rule, another peer after 600 ms (configuration) or 400 ms (servers) and at most three at a time.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -36,10 +36,12 @@
 	// fetchTimeout bounds one call to a peer. A configuration of 1,200 routes is about 30 KB
 	// compressed, and a dozen instances may request it at once over a link of 10 Mbit/s.
 	fetchTimeout = 1500 * time.Millisecond
-	// fetchHedgeDelay is how long a peer may take to send a configuration before another one is asked as
-	// well, maxConfigurationFetches the maximum number of peers that are asked at a time.
-	fetchHedgeDelay         = 600 * time.Millisecond
-	maxConfigurationFetches = 3
+	// maxConcurrentFetches is the maximum number of peers that are asked for the same at a time.
+	maxConcurrentFetches = 3
+	// configurationHedgeDelay and serversHedgeDelay are how long a peer may take to answer before another one is
+	// asked as well. Changes of servers are small.
+	configurationHedgeDelay = 600 * time.Millisecond
+	serversHedgeDelay       = 400 * time.Millisecond
 	// completeListSpacing is the minimum time between two complete lists of servers from peers.
 	completeListSpacing = 10 * time.Second
 )
@@ -79,38 +81,40 @@
 	}
 }
 
-// fetches counts the fetches that run.
+// fetches counts the reads of one kind from peers that run.
 type fetches struct {
-	servers        bool
-	configurations int
-	// configurationAt is when the last fetch of a configuration began.
-	configurationAt time.Time
+	running int
+	// begunAt is when the last read began.
+	begunAt time.Time
 }
 
-// mayFetchConfiguration reports whether another fetch of a configuration may begin now.
-func (f *fetches) mayFetchConfiguration(now time.Time) bool {
-	return f.configurations == 0 || (f.configurations < maxConfigurationFetches && now.Sub(f.configurationAt) >= fetchHedgeDelay)
+// begin counts another read if it may begin now, and reports whether it may: reads run concurrently, so that a peer that
+// doesn't answer holds up no other.
+func (f *fetches) begin(now time.Time, hedgeDelay time.Duration) bool {
+	if f.running > 0 && (f.running >= maxConcurrentFetches || now.Sub(f.begunAt) < hedgeDelay) {
+		return false
+	}
+	f.running++
+	f.begunAt = now
+	return true
 }
 
 // startConfigurationFetch begins to read the configuration from a peer; nil for none. A failed read is retried in a
-// later round. Reads run concurrently, so that a peer that doesn't answer holds up no other; mu is held.
+// later round; mu is held.
 func (s *Service) startConfigurationFetch(now time.Time, source *peer) {
-	if source == nil || !s.fetches.mayFetchConfiguration(now) {
+	if source == nil || !s.configurationFetches.begin(now, configurationHedgeDelay) {
 		return
 	}
-	s.fetches.configurations++
-	s.fetches.configurationAt = now
 	source.configurationAsked = true
 	go s.runConfigurationFetch(source)
 }
 
-// startServerFetch begins to read the servers from a peer unless such a read runs, and reports whether it
-// did; mu is held.
+// startServerFetch begins to read the servers from a peer; nil for none. It reports whether it did; mu is held.
 func (s *Service) startServerFetch(now time.Time, source *peer) bool {
-	if source == nil || s.fetches.servers {
+	if source == nil || !s.serverFetches.begin(now, serversHedgeDelay) {
 		return false
 	}
-	s.fetches.servers = true
+	source.serversAsked = true
 	if !source.relay {
 		s.table.RecordNonRelayFetch(now)
 	}
@@ -122,7 +126,7 @@
 	s.fetch(source, func() error { return s.fetchConfiguration(source.address) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fetches.configurations--
+	s.configurationFetches.running--
 	source.configurationAsked = false
 }
 
@@ -130,7 +134,8 @@
 	s.fetch(source, func() error { return s.fetchServers(source) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fetches.servers = false
+	s.serverFetches.running--
+	source.serversAsked = false
 }
 
 // fetch reads from a peer and records how it ended.
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -37,8 +37,9 @@
 	started bool
 	// pendingRecords are the records of streams that the peer gets with the next digests.
 	pendingRecords []streamversion.Record
-	// configurationAsked is set while a configuration is fetched from the peer.
+	// configurationAsked and serversAsked are set while a configuration or servers are fetched from the peer.
 	configurationAsked bool
+	serversAsked       bool
 	// fetchFailedAt is when a fetch from the peer last failed.
 	fetchFailedAt time.Time
 	// fetchedFingerprint is the fingerprint of the servers that were last fetched from the peer.
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -58,8 +58,9 @@
 	table         *Table
 	sequence      uint64
 	leaving       bool
-	// fetches counts the reads from peers that run.
-	fetches fetches
+	// configurationFetches and serverFetches count the reads from peers that run.
+	configurationFetches fetches
+	serverFetches        fetches
 	// wake is signalled when a digest shows that a peer has newer state.
 	wake chan struct{}
 	// poisonNews is signalled when there are news about requests that crash servers.
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -163,7 +163,7 @@
 		if p.version > own.Version && !p.configurationAsked && (configuration == nil || t.betterConfigurationSource(p, configuration, own.DataCentre)) {
 			configuration = p
 		}
-		if own.Relay && p.revision <= own.Revision {
+		if p.serversAsked || own.Relay && p.revision <= own.Revision {
 			continue
 		}
 		if p.servers == own.Servers || p.servers == p.fetchedFingerprint || p.revision < own.Revision {
