Count the time of a leaving server from when its entry was written, not from its receipt

Seen by callers: none directly; a stream went on at a server up to 4.5 s after the store had accepted that it drains (3 s are allowed), where it may end at any time. Cause: where no other server has a stream's software version, or keeps a copy of it, it may go on at a server that has just begun to drain. That second counted from the receipt of the entry at each instance, so that the delays before it (a lost answer, a backup's pause, a peer that is slow to answer) came on top. Change: an entry was not written before the store's answer before; that bound travels with the list to peers (a new field; without it 1.5 s are assumed, as before), and a stream may go on for 2.5 s from it, 0.5 to 2.5 s after receipt when nothing is lost.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -84,16 +84,17 @@
 // Put adds or updates a server and reports whether it did; an entry that isn't newer
 // than the listed one or than the server's removal is discarded.
 func (d *Directory) Put(server *Server) bool {
-	return len(d.Apply([]*Server{server}, server.Revision)) > 0
+	return len(d.Apply([]*Server{server}, server.Revision, d.now())) > 0
 }
 
 // Apply puts entries of one answer of the store, which holds all changes up to asOf, and returns those that were not
-// discarded. Entries of later pages of a list may be newer than asOf. No export holds only a part of them.
-func (d *Directory) Apply(entries []*Server, asOf revision.Revision) (applied []*Server) {
+// discarded. Entries of later pages of a list may be newer than asOf. No export holds only a part of them. since is a time
+// before which no change of them was written, zero if that is unknown.
+func (d *Directory) Apply(entries []*Server, asOf revision.Revision, since time.Time) (applied []*Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, server := range entries {
-		if d.putLocked(server) {
+		if d.putLocked(server, since) {
 			applied = append(applied, server)
 			d.revision = max(d.revision, min(server.Revision, asOf))
 		}
@@ -101,8 +102,9 @@
 	return applied
 }
 
-// putLocked is Put without raising the directory's revision; mu is held.
-func (d *Directory) putLocked(server *Server) bool {
+// putLocked puts the entry of a server, whose change was written after a time, without raising the directory's revision;
+// mu is held.
+func (d *Directory) putLocked(server *Server, since time.Time) bool {
 	if old := d.servers[server.ID]; old != nil && old.Revision >= server.Revision {
 		return false
 	}
@@ -112,7 +114,7 @@
 	if old := d.servers[server.ID]; old != nil && server.precedes(old) && old.Revision.Era() < server.Revision.Era() {
 		return false // the store has forgotten the newer process, which writes its entry again
 	}
-	d.keepDraining(server)
+	d.keepDraining(server, since)
 	delete(d.removed, server.ID)
 	delete(d.heldBack, server.ID)
 	d.servers[server.ID] = server
@@ -153,7 +155,7 @@
 	marked := *listed
 	marked.Leaving, marked.Draining = true, true
 	if !listed.Draining {
-		marked.DrainingSince = d.now()
+		marked.DrainingSince = d.now().Add(-unknownDrainingAge)
 	}
 	d.servers[server.ID] = &marked
 	d.changed.Store(true)
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -1,6 +1,10 @@
 package directory
 
-import "github.com/wisteriahaven/wisteriahaven/gateway/revision"
+import (
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
+)
 
 // Export holds the changes of a directory that a peer needs.
 type Export struct {
@@ -14,6 +18,8 @@
 	Servers []*Server
 	// Removed holds the removals that the peer may not have: revisions by server ID.
 	Removed map[string]revision.Revision
+	// UnderWay is the longest time for which the export was under way to the peer.
+	UnderWay time.Duration `json:"-"`
 }
 
 // Export returns the changes after the revision that a peer has, from here or from elsewhere;
@@ -34,7 +40,7 @@
 	for _, server := range d.servers {
 		admitted := server.admittedAt > 0 && server.admittedAt >= after
 		if server.Revision > after || admitted || server.Adopted {
-			export.Servers = append(export.Servers, server)
+			export.Servers = append(export.Servers, server.exported(d.now()))
 		}
 	}
 	return export
@@ -46,8 +52,9 @@
 func (d *Directory) Import(export Export) (changed int, unlisted []*Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.now()
 	for _, server := range export.Servers {
-		if server != nil && d.putLocked(server) {
+		if server != nil && d.putLocked(server, server.drainingSince(now, export.UnderWay)) {
 			changed++
 		}
 	}
--- a/gateway/directory/held_back.go
+++ b/gateway/directory/held_back.go
@@ -14,8 +14,8 @@
 const holdBackTime = 5 * time.Second
 
 // keepDraining carries over to a new entry that its process drains: by its own word, or
-// by an entry of an earlier era, because the store may have forgotten that; mu is held.
-func (d *Directory) keepDraining(server *Server) {
+// by an entry of an earlier era, because the store may have forgotten that. The entry was written after since; mu is held.
+func (d *Directory) keepDraining(server *Server, since time.Time) {
 	old := d.servers[server.ID]
 	if old == nil {
 		old = d.removed[server.ID].server
@@ -31,7 +31,7 @@
 	case old.Draining:
 		server.DrainingSince = old.DrainingSince
 	default:
-		server.DrainingSince = d.now()
+		server.DrainingSince = since
 	}
 }
 
@@ -75,6 +75,6 @@
 		removed := d.removed[id]
 		removed.mayReturn = true
 		d.removed[id] = removed
-		d.putLocked(held.server)
+		d.putLocked(held.server, held.since)
 	}
 }
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -23,8 +23,10 @@
 	Slots           int
 	// Draining servers take no new requests.
 	Draining bool
-	// DrainingSince is when this instance received the draining entry.
+	// DrainingSince is a time before which the draining entry was not written; zero when unknown.
 	DrainingSince time.Time `json:"-"`
+	// DrainingFor is the time since DrainingSince in an export, 0 in those of older builds.
+	DrainingFor time.Duration `json:",omitempty"`
 	// ColdFor is how long the server is slow after its start.
 	ColdFor time.Duration
 	// Revision is the store's revision of this entry.
@@ -39,15 +41,36 @@
 	admittedAt revision.Revision
 }
 
-// drainingGrace is how long after the draining entry was received a stream may still be
-// resumed at a server. Users allow three seconds from the entry in the store, and an
-// instance receives it up to 1.5 s later.
-const drainingGrace = time.Second
+const (
+	// resumptionTime is how long after the draining entry was written a stream may still be resumed at a server. Users
+	// allow three seconds for a request to arrive, and a connection takes up to 350 ms to open.
+	resumptionTime = 2500 * time.Millisecond
+	// unknownDrainingAge is the assumed age of a word of leaving that states none.
+	unknownDrainingAge = 1500 * time.Millisecond
+)
 
 // AcceptsResumption reports whether a stream that the server ran, or of which it holds a KV
 // cache copy, may be resumed there.
 func (s *Server) AcceptsResumption(now time.Time) bool {
-	return !s.Draining || now.Sub(s.DrainingSince) < drainingGrace
+	return !s.Draining || now.Sub(s.DrainingSince) < resumptionTime
+}
+
+// exported returns the server with its DrainingFor.
+func (s *Server) exported(now time.Time) *Server {
+	if !s.Draining {
+		return s
+	}
+	copied := *s
+	copied.DrainingFor = max(1, min(resumptionTime, now.Sub(s.DrainingSince)))
+	return &copied
+}
+
+// drainingSince returns DrainingSince for an exported server that was on its way for at most a time.
+func (s *Server) drainingSince(now time.Time, underWay time.Duration) time.Time {
+	if s.DrainingFor <= 0 {
+		return now.Add(-unknownDrainingAge)
+	}
+	return now.Add(-s.DrainingFor - underWay)
 }
 
 // SameProcess reports whether two entries describe the same running process.
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -133,6 +133,8 @@
 	// The first list may be seconds old, which costs less: the watch continues from
 	// its revision. If the store has no history from there, a fresh list is read.
 	fresh := false
+	// answered is when the store last answered: changes that it returns next were not written before.
+	var answered time.Time
 	pauses := watchPauses{primary: serverWatchPause, backup: backupWatchPause}
 	f.run(ctx, watchServers, pauses, func(ctx context.Context, after revision.Revision, listed bool) (revision.Revision, error) {
 		if listed {
@@ -140,7 +142,8 @@
 			if err != nil {
 				return 0, err
 			}
-			f.applyChanges(changes, asOf)
+			f.applyChanges(changes, asOf, answered)
+			answered = time.Now()
 			return asOf, nil
 		}
 		servers, asOf, err := f.feed.Servers(ctx, fresh)
@@ -149,7 +152,8 @@
 			return 0, err
 		}
 		fresh = true
-		f.applyList(servers, asOf)
+		f.applyList(servers, asOf, answered)
+		answered = time.Now()
 		return asOf, nil
 	})
 }
@@ -247,8 +251,8 @@
 
 // applyChanges applies the changes that a watch returned. Of several changes of one server the last one counts. Removals,
 // which raise the directory's revision to that of the answer, come after the entries, so that a peer never finds the
-// revision before the entries.
-func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision) {
+// revision before the entries. since is a time before which none of the changes was written, zero if that is unknown.
+func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision, since time.Time) {
 	last := make(map[string]int, len(changes))
 	for i, change := range changes {
 		last[change.ID] = i
@@ -264,14 +268,14 @@
 			entries = append(entries, change.Server)
 		}
 	}
-	f.applyEntries(entries, asOf)
+	f.applyEntries(entries, asOf, since)
 	for _, change := range removed {
 		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
 	}
 }
 
-// applyList applies a full list: servers that it does not hold are removed.
-func (f *Follower) applyList(servers []ServerChange, asOf revision.Revision) {
+// applyList applies a full list: servers that it does not hold are removed. since is as for applyChanges.
+func (f *Follower) applyList(servers []ServerChange, asOf revision.Revision, since time.Time) {
 	f.recordEra(asOf)
 	listed := make(map[string]bool, len(servers))
 	var entries []*directory.Server
@@ -281,20 +285,20 @@
 			entries = append(entries, change.Server)
 		}
 	}
-	f.applyEntries(entries, asOf)
+	f.applyEntries(entries, asOf, since)
 	for _, id := range f.directory.Unlisted(listed, asOf) {
 		f.removeAfterGrace(id, asOf)
 	}
 }
 
 // applyEntries adds or updates servers and logs the changes.
-func (f *Follower) applyEntries(entries []*directory.Server, asOf revision.Revision) {
+func (f *Follower) applyEntries(entries []*directory.Server, asOf revision.Revision, since time.Time) {
 	f.mu.Lock()
 	for _, server := range entries {
 		delete(f.missing, server.ID)
 	}
 	f.mu.Unlock()
-	for _, server := range f.directory.Apply(entries, asOf) {
+	for _, server := range f.directory.Apply(entries, asOf, since) {
 		event.Log(f.logger, event.ServerChanged).Str("server", server.ID).Str("address", server.Address).
 			Bool("draining", server.Draining).Stringer("revision", server.Revision).Send()
 	}
--- a/gateway/discovery/partial_answer_test.go
+++ b/gateway/discovery/partial_answer_test.go
@@ -34,7 +34,7 @@
 
 func draining(id string, at revision.Revision) ServerChange {
 	change := put(id, at)
-	change.Server.Draining, change.Server.DrainingSince = true, time.Now()
+	change.Server.Draining = true
 	return change
 }
 
@@ -42,16 +42,16 @@
 func TestPeerDoesNotMissChangesOfAnAnswerThatIsBeingApplied(t *testing.T) {
 	for name, apply := range map[string]func(*Follower){
 		"watch": func(f *Follower) {
-			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 3)}, 3)
-			f.applyChanges([]ServerChange{removed("a", 4), draining("b", 5), draining("c", 6)}, 6)
+			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 3)}, 3, time.Time{})
+			f.applyChanges([]ServerChange{removed("a", 4), draining("b", 5), draining("c", 6)}, 6, time.Time{})
 		},
 		"list": func(f *Follower) {
-			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 3)}, 3)
-			f.applyList([]ServerChange{draining("a", 6), draining("b", 5), draining("c", 4)}, 6)
+			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 3)}, 3, time.Time{})
+			f.applyList([]ServerChange{draining("a", 6), draining("b", 5), draining("c", 4)}, 6, time.Time{})
 		},
 		"later pages of a list": func(f *Follower) {
-			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 7)}, 3) // c's page was read after a change of a
-			f.applyChanges([]ServerChange{draining("a", 6), put("c", 7)}, 7)
+			f.applyList([]ServerChange{put("a", 1), put("b", 2), put("c", 7)}, 3, time.Time{}) // c's page was read after a change of a
+			f.applyChanges([]ServerChange{draining("a", 6), put("c", 7)}, 7, time.Time{})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -69,8 +69,8 @@
 func TestServerThatReturnsInTheSameAnswerIsListed(t *testing.T) {
 	is := is.New(t)
 	own, peer := followBeside(func(f *Follower) {
-		f.applyList([]ServerChange{put("a", 1), put("b", 2)}, 2)
-		f.applyChanges([]ServerChange{removed("a", 3), put("a", 4), put("b", 5), removed("b", 6)}, 7)
+		f.applyList([]ServerChange{put("a", 1), put("b", 2)}, 2, time.Time{})
+		f.applyChanges([]ServerChange{removed("a", 3), put("a", 4), put("b", 5), removed("b", 6)}, 7, time.Time{})
 	})
 	for _, servers := range []*directory.Directory{own, peer} {
 		is.True(servers.Snapshot().Find("a") != nil)
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -196,6 +196,7 @@
 // importServers fetches and applies the changes of the servers after a revision, and returns them
 // and their number.
 func (s *Service) importServers(source *peer, after revision.Revision) (export directory.Export, changed int, err error) {
+	begun := time.Now()
 	body, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
 	if err != nil {
 		return export, 0, err
@@ -203,6 +204,7 @@
 	if err := json.Unmarshal(body, &export); err != nil {
 		return export, 0, fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
 	}
+	export.UnderWay = time.Since(begun)
 	changed, unlisted := s.options.Directory.Import(export)
 	s.options.Follower.ExpectAgain(unlisted)
 	return export, changed, nil
