Send no request to a server that became known to leave after it was chosen

Seen by callers: a request may run at a server that is about to end. Change: when the connection is open, the server's current entry is looked up; one that drains or is gone gets nothing, the request goes to another one as after a connection that could not be opened, and the server is not blamed (7046 server_leaves_unsent, attempts.server_leaves). Evidence: TestCallIsNotRepeatedAtAServerThatLeaves and all four cases of TestRequestIsNotSentToAServerThatLeavesWhileItsConnectionOpens failed before and pass.

--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -52,7 +52,7 @@
 // attemptCall sends a call to a server and reads its answer.
 func (f *Forwarder) attemptCall(ctx context.Context, j *job, server *directory.Server, reuse bool) callResult {
 	result := callResult{server: server, started: time.Now()}
-	conn, err := f.open(ctx, server, connectTimeout, reuse)
+	conn, err := f.openFor(ctx, j, server, connectTimeout, reuse, takesNew)
 	if err != nil {
 		result.notRun, result.code, result.err = true, fault.UpstreamUnreachable, err
 		return result
@@ -81,7 +81,9 @@
 	result.notRun = false
 	result.err = errors.Join(first.err, result.err)
 	if result.code == fault.UpstreamUnreachable {
-		f.recordUnreachable(first.server, result.err)
+		if !blameless(result.err) {
+			f.recordUnreachable(first.server, result.err)
+		}
 		result.code = fault.UpstreamBroken
 	}
 	return result
@@ -193,7 +195,7 @@
 
 // recordCall records in the ledger how an attempt ended.
 func (f *Forwarder) recordCall(result *callResult) {
-	if result.code == fault.UpstreamUnreachable && !errors.Is(result.err, upstream.ErrNoTime) {
+	if result.code == fault.UpstreamUnreachable && !blameless(result.err) {
 		f.recordUnreachable(result.server, result.err)
 	}
 	f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) {
--- /dev/null
+++ b/gateway/forward/open_server.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/upstream"
+)
+
+// errServerLeaves means that a server became known to leave after it was chosen, and that nothing was sent to it.
+var errServerLeaves = fault.New(fault.UpstreamUnreachable, "the server leaves")
+
+// openFor returns a connection to a server for a request, as open does. It returns errServerLeaves if the server doesn't take
+// the request any more when the connection is open, as takes reports for its current entry.
+func (f *Forwarder) openFor(ctx context.Context, j *job, server *directory.Server, timeout time.Duration, reuse bool, takes func(listed *directory.Server) bool) (*upstream.Conn, error) {
+	conn, err := f.open(ctx, server, timeout, reuse)
+	if err != nil {
+		return nil, err
+	}
+	listed := f.directory.Snapshot().Find(server.ID)
+	if listed != nil && listed.MayBeSameProcess(server) && takes(listed) {
+		return conn, nil
+	}
+	conn.Close()
+	f.meters.count("attempts.server_leaves")
+	event.Log(f.logger, event.ServerLeavesUnsent).Str("request", j.request.ID).Str("server", server.ID).Bool("listed", listed != nil).Send()
+	return nil, errServerLeaves
+}
+
+// takesNew reports whether a server takes requests that have not begun anywhere.
+func takesNew(listed *directory.Server) bool { return !listed.Draining }
+
+// blameless reports whether a connection that was not opened says nothing about its server.
+func blameless(err error) bool {
+	return errors.Is(err, upstream.ErrNoTime) || errors.Is(err, errServerLeaves)
+}
--- a/gateway/forward/reach.go
+++ b/gateway/forward/reach.go
@@ -46,9 +46,6 @@
 	case time.Since(started) >= minFailedWait:
 		f.selector.reach.suspect(server)
 	}
-	if err == nil && f.directory.Snapshot().Leaves(server) {
-		f.meters.count("attempts.server_leaves")
-	}
 	return conn, err
 }
 
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -211,7 +211,7 @@
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
 		r.f.adopter.handleReplacement(a.server, result.answeredBy)
-	} else if r.reconnectServer != nil || errors.Is(result.err, upstream.ErrNoTime) || a.unread(result) {
+	} else if r.reconnectServer != nil || blameless(result.err) || a.unread(result) {
 		// The server may still work: the next connection attempt shows it.
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errNotRunUnconfirmed)) {
 		r.f.recordUnreachable(a.server, result.err)
@@ -232,7 +232,7 @@
 	if a.reconnecting {
 		timeout = reconnectTimeout
 	}
-	conn, err := r.f.open(ctx, a.server, timeout, false)
+	conn, err := r.f.openFor(ctx, r.j, a.server, timeout, false, a.takes)
 	a.receivedAt = time.Now()
 	if err != nil {
 		return &streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
@@ -258,6 +258,12 @@
 	return nil
 }
 
+// takes reports whether the server, by its current entry, takes the stream: one that has just begun to drain takes one that
+// goes on there.
+func (a *streamAttempt) takes(listed *directory.Server) bool {
+	return takesNew(listed) || (a.run.binding.bound || a.reconnecting) && listed.AcceptsResumption(time.Now())
+}
+
 // proceed reads the answer and forwards it.
 func (a *streamAttempt) proceed(ctx context.Context) streamResult {
 	if a.response == nil {
