Reject calls late in a planned stop that can't be answered before its end

Report of a similar system: requests that came late in the grace of a planned stop were passed on and cut at its end. Here: calls that take a second were passed on until 0.5 s before the end; they ran, and their clients got 504, also those that may run once. None was cut without an answer. Cause: the time that a call needs was fixed (400 ms), whatever the calls of its service take. Change: a call whose deadline the end of the process moves is admitted only if nearly all calls of its service take less than what is left (mean and three mean deviations); others are rejected at once, unrun, and another instance serves them. Evidence: TestCallsLateInAPlannedStopAreRejectedOrAnswered/long failed with dozens of calls and passes; the short case (30 ms) passed before.

--- a/gateway/forward/admission_validity.go
+++ b/gateway/forward/admission_validity.go
@@ -14,7 +14,7 @@
 // invalidated returns the answer to a waiting request that must not be sent any more: the process stops, the request is
 // quarantined, or the configuration has changed its route or its key. It is nil when the request may be sent.
 func (f *Forwarder) invalidated(j *job) *localAnswer {
-	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j, f.streamDurations.upperEstimate()) {
+	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j, f.usualTimes(j.service)) {
 		return &localAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetryAfter}
 	}
 	if verdict := f.poison.check(j); verdict.Rejected {
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -239,6 +239,9 @@
 
 // forwardAnswer forwards a backend server's answer to the client.
 func (f *Forwarder) forwardAnswer(j *job, result *callResult) {
+	if j.route.Kind != route.Stream {
+		f.callDurations.observe(j.service, time.Since(j.exchange.Received))
+	}
 	err := j.exchange.Answer(f.appendAnswer(j, result.server, result.response), result.body)
 	f.meters.served(j.route.Kind)
 	f.meters.latency(j.route.Kind, time.Since(j.exchange.Received))
--- a/gateway/forward/duration.go
+++ b/gateway/forward/duration.go
@@ -15,6 +15,41 @@
 	durationDeviations = 1.0
 )
 
+// callDeviations is the number of mean deviations above the mean within which nearly all calls end.
+const callDeviations = 3.0
+
+// callDurations are moving estimates of how long the calls of each service take. It is safe for concurrent use.
+type callDurations struct {
+	mu       sync.Mutex
+	services map[string]*moving.Mean
+}
+
+// observe adds the duration of a call that a server of a service answered.
+func (d *callDurations) observe(service string, duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	mean := d.services[service]
+	if mean == nil {
+		if d.services == nil {
+			d.services = make(map[string]*moving.Mean)
+		}
+		mean = &moving.Mean{}
+		d.services[service] = mean
+	}
+	mean.Add(float64(duration))
+}
+
+// upperEstimate returns a duration within which nearly all calls of a service end, 0 before the first.
+func (d *callDurations) upperEstimate(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	mean := d.services[service]
+	if mean == nil {
+		return 0
+	}
+	return time.Duration(mean.PlusDeviations(callDeviations))
+}
+
 // streamDuration is a moving estimate of how long streams take. It is safe for
 // concurrent use.
 type streamDuration struct {
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -51,6 +51,7 @@
 	otherVersion    func(than streamversion.Origin) (other, known bool)
 	versionLeft     func(service string) bool
 	streamDurations streamDuration
+	callDurations   callDurations
 	admissions      *admissions
 	// instance is the name of this instance.
 	instance string
@@ -241,7 +242,7 @@
 		f.reject(j, localAnswer{status: 503, code: fault.NoServer, retryAfter: noServerRetryAfter})
 		return
 	}
-	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j, f.streamDurations.upperEstimate()) {
+	if stop := f.stop.Load(); stop != nil && !stop.admits(time.Now(), j, f.usualTimes(j.service)) {
 		f.reject(j, localAnswer{status: 503, code: fault.InstanceStopping, retryAfter: stoppingRetryAfter})
 		return
 	}
--- a/gateway/forward/planned_stop.go
+++ b/gateway/forward/planned_stop.go
@@ -22,18 +22,30 @@
 	stopMargin = 100 * time.Millisecond
 )
 
+// usualTimes are the times within which most requests of a service are answered.
+type usualTimes struct {
+	stream, call time.Duration
+}
+
+// usualTimes returns those of a service.
+func (f *Forwarder) usualTimes(service string) usualTimes {
+	return usualTimes{stream: f.streamDurations.upperEstimate(), call: f.callDurations.upperEstimate(service)}
+}
+
 // admits reports whether a request can be expected to be answered before the
 // process ends. Other requests are rejected at once, so that another instance
 // serves them. The deadline of a call is moved to before the end of the process,
 // so that an admitted call is always answered by then.
-func (s *plannedStop) admits(now time.Time, j *job, streamDuration time.Duration) bool {
+func (s *plannedStop) admits(now time.Time, j *job, usual usualTimes) bool {
 	if j.route.Kind == route.Stream {
-		return now.Before(s.streamsUntil) && now.Add(streamDuration).Before(s.end)
+		return now.Before(s.streamsUntil) && now.Add(usual.stream).Before(s.end)
 	}
+	needed := minCallTime
 	if latest := s.end.Add(-stopMargin); j.deadline.After(latest) {
 		j.deadline = latest
+		needed = max(needed, usual.call)
 	}
-	return j.deadline.Sub(now) >= minCallTime
+	return j.deadline.Sub(now) >= needed
 }
 
 // Stop begins a planned stop: streams are admitted until the time streams at most,
