Keep the second from its receipt in which a leaving server takes streams that go on

TestStreamDoesNotResumeOnDrainingServers failed since the time of leaving counts from the writing of the entry (2.5 s instead of one from receipt): a stream went on at a server that drained 1.2 s before. Both bounds hold now: one second from receipt, as before, and 2.5 s from the earliest writing.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -88,13 +88,13 @@
 }
 
 // Apply puts entries of one answer of the store, which holds all changes up to asOf, and returns those that were not
-// discarded. Entries of later pages of a list may be newer than asOf. No export holds only a part of them. since is a time
-// before which no change of them was written, zero if that is unknown.
-func (d *Directory) Apply(entries []*Server, asOf revision.Revision, since time.Time) (applied []*Server) {
+// discarded. Entries of later pages of a list may be newer than asOf. No export holds only a part of them. writtenAfter is a time
+// before which none of the entries was written, zero if that is unknown.
+func (d *Directory) Apply(entries []*Server, asOf revision.Revision, writtenAfter time.Time) (applied []*Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, server := range entries {
-		if d.putLocked(server, since) {
+		if d.putLocked(server, writtenAfter) {
 			applied = append(applied, server)
 			d.revision = max(d.revision, min(server.Revision, asOf))
 		}
@@ -102,9 +102,9 @@
 	return applied
 }
 
-// putLocked puts the entry of a server, whose change was written after a time, without raising the directory's revision;
+// putLocked puts the entry of a server, which was written after a time, without raising the directory's revision;
 // mu is held.
-func (d *Directory) putLocked(server *Server, since time.Time) bool {
+func (d *Directory) putLocked(server *Server, writtenAfter time.Time) bool {
 	if old := d.servers[server.ID]; old != nil && old.Revision >= server.Revision {
 		return false
 	}
@@ -114,7 +114,7 @@
 	if old := d.servers[server.ID]; old != nil && server.precedes(old) && old.Revision.Era() < server.Revision.Era() {
 		return false // the store has forgotten the newer process, which writes its entry again
 	}
-	d.keepDraining(server, since)
+	d.keepDraining(server, writtenAfter)
 	delete(d.removed, server.ID)
 	delete(d.heldBack, server.ID)
 	d.servers[server.ID] = server
@@ -155,7 +155,7 @@
 	marked := *listed
 	marked.Leaving, marked.Draining = true, true
 	if !listed.Draining {
-		marked.DrainingSince = d.now().Add(-unknownDrainingAge)
+		marked.DrainingSince, marked.DrainingWrittenAfter = d.now(), d.now()
 	}
 	d.servers[server.ID] = &marked
 	d.changed.Store(true)
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -54,7 +54,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, server := range export.Servers {
-		if server != nil && d.putLocked(server, server.drainingSince(now, export.UnderWay)) {
+		if server != nil && d.putLocked(server, server.writtenAfter(now, export.UnderWay)) {
 			changed++
 		}
 	}
--- a/gateway/directory/held_back.go
+++ b/gateway/directory/held_back.go
@@ -14,8 +14,8 @@
 const holdBackTime = 5 * time.Second
 
 // keepDraining carries over to a new entry that its process drains: by its own word, or
-// by an entry of an earlier era, because the store may have forgotten that. The entry was written after since; mu is held.
-func (d *Directory) keepDraining(server *Server, since time.Time) {
+// by an entry of an earlier era, because the store may have forgotten that. mu is held.
+func (d *Directory) keepDraining(server *Server, writtenAfter time.Time) {
 	old := d.servers[server.ID]
 	if old == nil {
 		old = d.removed[server.ID].server
@@ -29,9 +29,9 @@
 	switch {
 	case !server.Draining:
 	case old.Draining:
-		server.DrainingSince = old.DrainingSince
+		server.DrainingSince, server.DrainingWrittenAfter = old.DrainingSince, old.DrainingWrittenAfter
 	default:
-		server.DrainingSince = since
+		server.DrainingSince, server.DrainingWrittenAfter = d.now(), writtenAfter
 	}
 }
 
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -23,9 +23,11 @@
 	Slots           int
 	// Draining servers take no new requests.
 	Draining bool
-	// DrainingSince is a time before which the draining entry was not written; zero when unknown.
-	DrainingSince time.Time `json:"-"`
-	// DrainingFor is the time since DrainingSince in an export, 0 in those of older builds.
+	// DrainingSince is when this instance received the draining entry, DrainingWrittenAfter a time before which it was not
+	// written; zero when unknown.
+	DrainingSince        time.Time `json:"-"`
+	DrainingWrittenAfter time.Time `json:"-"`
+	// DrainingFor is the time since DrainingWrittenAfter in an export, 0 in those of older builds.
 	DrainingFor time.Duration `json:",omitempty"`
 	// ColdFor is how long the server is slow after its start.
 	ColdFor time.Duration
@@ -42,17 +44,19 @@
 }
 
 const (
-	// resumptionTime is how long after the draining entry was written a stream may still be resumed at a server. Users
-	// allow three seconds for a request to arrive, and a connection takes up to 350 ms to open.
+	// drainingGrace is how long after the draining entry was received a stream may still be resumed at a server.
+	drainingGrace = time.Second
+	// resumptionTime is the same from when the entry was written, however late it was received. Users allow three seconds
+	// for a request to arrive, and a connection takes up to 350 ms to open.
 	resumptionTime = 2500 * time.Millisecond
-	// unknownDrainingAge is the assumed age of a word of leaving that states none.
+	// unknownDrainingAge is the assumed age of an entry from a peer that does not state it.
 	unknownDrainingAge = 1500 * time.Millisecond
 )
 
 // AcceptsResumption reports whether a stream that the server ran, or of which it holds a KV
 // cache copy, may be resumed there.
 func (s *Server) AcceptsResumption(now time.Time) bool {
-	return !s.Draining || now.Sub(s.DrainingSince) < resumptionTime
+	return !s.Draining || (now.Sub(s.DrainingSince) < drainingGrace && now.Sub(s.DrainingWrittenAfter) < resumptionTime)
 }
 
 // exported returns the server with its DrainingFor.
@@ -61,12 +65,12 @@
 		return s
 	}
 	copied := *s
-	copied.DrainingFor = max(1, min(resumptionTime, now.Sub(s.DrainingSince)))
+	copied.DrainingFor = max(1, min(resumptionTime, now.Sub(s.DrainingWrittenAfter)))
 	return &copied
 }
 
-// drainingSince returns DrainingSince for an exported server that was on its way for at most a time.
-func (s *Server) drainingSince(now time.Time, underWay time.Duration) time.Time {
+// writtenAfter returns DrainingWrittenAfter for an exported server that was under way for at most a time.
+func (s *Server) writtenAfter(now time.Time, underWay time.Duration) time.Time {
 	if s.DrainingFor <= 0 {
 		return now.Add(-unknownDrainingAge)
 	}
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -251,8 +251,9 @@
 
 // applyChanges applies the changes that a watch returned. Of several changes of one server the last one counts. Removals,
 // which raise the directory's revision to that of the answer, come after the entries, so that a peer never finds the
-// revision before the entries. since is a time before which none of the changes was written, zero if that is unknown.
-func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision, since time.Time) {
+// revision before the entries. writtenAfter is a time before which none of the
+// changes was written, zero if that is unknown.
+func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision, writtenAfter time.Time) {
 	last := make(map[string]int, len(changes))
 	for i, change := range changes {
 		last[change.ID] = i
@@ -268,14 +269,14 @@
 			entries = append(entries, change.Server)
 		}
 	}
-	f.applyEntries(entries, asOf, since)
+	f.applyEntries(entries, asOf, writtenAfter)
 	for _, change := range removed {
 		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
 	}
 }
 
-// applyList applies a full list: servers that it does not hold are removed. since is as for applyChanges.
-func (f *Follower) applyList(servers []ServerChange, asOf revision.Revision, since time.Time) {
+// applyList applies a full list: servers that it does not hold are removed. writtenAfter is as for applyChanges.
+func (f *Follower) applyList(servers []ServerChange, asOf revision.Revision, writtenAfter time.Time) {
 	f.recordEra(asOf)
 	listed := make(map[string]bool, len(servers))
 	var entries []*directory.Server
@@ -285,20 +286,20 @@
 			entries = append(entries, change.Server)
 		}
 	}
-	f.applyEntries(entries, asOf, since)
+	f.applyEntries(entries, asOf, writtenAfter)
 	for _, id := range f.directory.Unlisted(listed, asOf) {
 		f.removeAfterGrace(id, asOf)
 	}
 }
 
 // applyEntries adds or updates servers and logs the changes.
-func (f *Follower) applyEntries(entries []*directory.Server, asOf revision.Revision, since time.Time) {
+func (f *Follower) applyEntries(entries []*directory.Server, asOf revision.Revision, writtenAfter time.Time) {
 	f.mu.Lock()
 	for _, server := range entries {
 		delete(f.missing, server.ID)
 	}
 	f.mu.Unlock()
-	for _, server := range f.directory.Apply(entries, asOf, since) {
+	for _, server := range f.directory.Apply(entries, asOf, writtenAfter) {
 		event.Log(f.logger, event.ServerChanged).Str("server", server.ID).Str("address", server.Address).
 			Bool("draining", server.Draining).Stringer("revision", server.Revision).Send()
 	}
