Resume a stream at the only known version only if the instance is in step

Report of a similar system: an instance that was out of step for seconds while servers of a new version joined went on with streams of that version at another one. Change: peers answer each question for a record, also when they have none. An aborted instance closes its UDP socket, which went on answering peers. Evidence: TestStreamIsNotResumedByAnInstanceThatMayHaveMissedAVersion/cut_off failed before (200 at the old version) and passes; with the store or the peers alone out of reach streams go on as before. That an instance stood still is tested below sockets only (TestInstanceIsNotInStepWhileAPeerHasALaterList).

--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -45,8 +45,8 @@
 	// version of a service has left lately.
 	OtherVersion func(than streamversion.Origin) (other, known bool)
 	VersionLeft  func(service string) bool
-	// AskPeers asks peers for the record of a stream and reports whether there are any.
-	AskPeers func(key streamversion.Key) bool
+	// AskPeers asks peers for the record of a stream.
+	AskPeers func(key streamversion.Key) StreamInquiry
 	// AnnouncePoison is called when there are news for peers about requests that crash servers.
 	AnnouncePoison func()
 	// RelayTargets returns the instances that may reach servers of a service, the nearest first.
--- a/gateway/forward/stream_version.go
+++ b/gateway/forward/stream_version.go
@@ -33,7 +33,7 @@
 		return r.j.origin.Version, r.j.origin.source
 	}
 	// A client that doesn't name its first attempt is not looked up anywhere, so that waiting tells nothing.
-	trusted := r.f.untilListTrusted() == 0 || r.j.request.FirstAttempt == ""
+	trusted := r.f.untilListTrusted() == 0 && r.j.origin.inStep || r.j.request.FirstAttempt == ""
 	if version = r.f.onlyVersion(r.service.Name); version != "" && !r.j.origin.severalRecently && trusted {
 		return version, "single"
 	}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -124,6 +124,14 @@
 	return nil
 }
 
+// Close stops receiving digests. It returns an error if the transport does not stop in time.
+func (s *Service) Close() error {
+	if s.transport == nil {
+		return nil
+	}
+	return s.transport.Close()
+}
+
 // Instances returns the number of known instances, including this one.
 func (s *Service) Instances() int {
 	s.mu.Lock()
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -89,38 +88,35 @@
 	}
 }
 
-// AskStream asks the owners of a stream's record for it, and reports whether there are any. An instance
-// that has just started asks addresses at which peers may be, too. Answers are passed to Learn.
-func (s *Service) AskStream(key streamversion.Key) bool {
+// AskStream asks the owners of a stream's record for it. An instance that has just started asks addresses at which peers
+// may be, too. Answers are passed to Learn.
+func (s *Service) AskStream(key streamversion.Key) StreamInquiry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var asked []netip.Addr
-	for _, p := range s.table.owners(key) {
-		asked = append(asked, p.address)
+	inquiry := StreamInquiry{service: s, begun: time.Now(), peers: s.table.owners(key)}
+	for _, p := range inquiry.peers {
+		inquiry.addresses = append(inquiry.addresses, p.address)
 	}
 	for address := range s.table.unconfirmed {
-		if len(asked) >= recordOwners {
+		if len(inquiry.addresses) >= recordOwners {
 			break
 		}
-		asked = append(asked, address)
+		inquiry.addresses = append(inquiry.addresses, address)
 	}
-	for _, address := range asked {
+	for _, address := range inquiry.addresses {
 		digest := s.digest()
 		digest.WantedStreams = []streamversion.Key{key}
 		s.send(address, Encode(&digest))
 	}
-	return len(asked) > 0
+	return inquiry
 }
 
-// answerWanted returns a digest with the records that a peer asks for; nil when none is known.
+// answerWanted returns a digest with the records that a peer asks for, as far as they are known; nil when it asks for none.
 func (s *Service) answerWanted(wanted []streamversion.Key) []byte {
 	if len(wanted) == 0 {
 		return nil
 	}
 	records := s.options.StreamVersions.Known(wanted)
-	if len(records) == 0 {
-		return nil
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	digest := s.digest()
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -36,6 +36,8 @@
 	// configuration and servers measure how long peers have had newer ones.
 	configuration lag
 	servers       lag
+	// hadPeers is set once a peer was known.
+	hadPeers bool
 	// difference measures how long the list of servers has differed from that of a relay.
 	difference lag
 	// storeReachedAt is when a relay of this data centre last reported that the store
@@ -71,6 +73,7 @@
 	if p == nil || p.instance != digest.Instance {
 		p = &peer{instance: digest.Instance, address: from, nameDigest: rendezvous.DigestOf(digest.Instance)}
 		t.peers[from] = p
+		t.hadPeers = true
 	}
 	delete(t.unconfirmed, from)
 	switch digest.Incarnation {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -56,5 +56,7 @@
 		g.ingress.Abort()
 		g.relay.Abort()
 		g.duties.Cancel()
+		// Peers must not take the instance for one that runs. The process doesn't wait for the transport's end.
+		go func() { _ = g.peers.Close() }()
 	})
 }
