Count no answer of some milliseconds as slow when versions are compared

Suspected then, and shown now in virtual time: an answer is slow from 2.3 times the old version's median on, which for answers of a millisecond is 4.5 ms, so that waiting for a processor makes a third of the old answers slow, and as many bad ones are expected of the new version. Change: answers within 20 ms are never slow. rollout_share and rollout_decided state the old version's answers and bad ones. TestJitterOfShortAnswersHidesNoBadVersion failed before.

--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -17,6 +17,9 @@
 	minRest = 8
 	// slowBuckets is how many buckets above the usual median an answer is slow: 2.3 to 3.4 times as long.
 	slowBuckets = 3
+	// leastSlow is the time up to which no answer is slow: below it, waiting for processors and links outweighs the
+	// server's work.
+	leastSlow = 20 * time.Millisecond
 	// minReference is the number of old answers in a data centre from which they are the reference there.
 	minReference = 8
 	// maxWindows bounds the kept sums of evidence.
@@ -49,6 +52,8 @@
 	Bad bool
 	// Answers and BadAnswers count the new version's answers since the begin.
 	Answers, BadAnswers int
+	// OldAnswers and OldBadAnswers are the same of the old version.
+	OldAnswers, OldBadAnswers int
 	// Route is the hash of the route with the highest score. Window is the time over which it was found.
 	Route  uint32
 	Window time.Duration
@@ -64,9 +69,13 @@
 	for _, cells := range routes {
 		slow := slowFrom(cells)
 		for cell, counts := range cells {
+			bad := int(counts.Failures) + counts.Slower(slow)
 			if cell.New {
 				best.Answers += counts.Answers()
-				best.BadAnswers += int(counts.Failures) + counts.Slower(slow)
+				best.BadAnswers += bad
+			} else {
+				best.OldAnswers += counts.Answers()
+				best.OldBadAnswers += bad
 			}
 		}
 	}
@@ -204,7 +213,7 @@
 }
 
 // slowFrom returns the bucket from which answers of a route are slow: slowBuckets above the median of the
-// old version's, or beyond all buckets without such answers.
+// old version's and above leastSlow, or beyond all buckets without such answers.
 func slowFrom(cells map[Cell]Counts) int {
 	var old Counts
 	for cell, counts := range cells {
@@ -219,7 +228,7 @@
 	seen := 0
 	for bucket, count := range old.Latencies {
 		if seen += int(count); 2*seen >= total {
-			return bucket + slowBuckets
+			return max(bucket+slowBuckets, BucketOf(leastSlow)+1)
 		}
 	}
 	return Buckets
--- a/decision/rollout/rollout_test.go
+++ b/decision/rollout/rollout_test.go
@@ -29,6 +29,8 @@
 	trouble [2]time.Duration
 	lag     time.Duration
 	to      version
+	// latency draws the time of a good answer; nil for 20 ms and more.
+	latency func(*rand.Rand) time.Duration
 	// streams is the time of a stream; 0 for calls.
 	streams time.Duration
 	// requests, exposed and bad are what the new version got until the deadline; lateSends were sent to it later than
@@ -117,6 +119,9 @@
 	cell := Cell{Route: route, DataCentre: uint32(p.random.IntN(dataCentres)), New: isNew}
 	counts := evidence.Cells[cell]
 	latency := time.Duration((20 + 20*p.random.ExpFloat64()) * float64(time.Millisecond))
+	if p.latency != nil {
+		latency = p.latency(p.random)
+	}
 	failing := p.base
 	if cell.DataCentre == 0 && now >= p.trouble[0] && now < p.trouble[1] {
 		failing = 0.6
@@ -185,6 +190,28 @@
 	}
 }
 
+// shortWithJitter draws answers of a millisecond, of which some wait for a processor for several times as long.
+func shortWithJitter(random *rand.Rand) time.Duration {
+	latency := time.Millisecond
+	if random.Float64() < 0.35 {
+		latency += time.Duration((4 + 4*random.ExpFloat64()) * float64(time.Millisecond))
+	}
+	return latency
+}
+
+// Guards against bad versions that are completed because the old one's short answers vary by some milliseconds.
+func TestJitterOfShortAnswersHidesNoBadVersion(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		for _, to := range []version{{failing: 0.5}, {slow: 150}} {
+			p := newPlay(seed, to)
+			p.rates, p.duration, p.lag, p.latency = []float64{60}, 8*time.Second, 300*time.Millisecond, shortWithJitter
+			is.Equal(p.run(Next), RolledBack)
+			is.True(p.withinBound())
+		}
+	}
+}
+
 // TestGoodVersionsAreCompleted plays good versions beside what looks like a bad one.
 func TestGoodVersionsAreCompleted(t *testing.T) {
 	for name, change := range map[string]func(*play){
--- a/gateway/peers/fetch_servers_stuck_test.go
+++ b/gateway/peers/fetch_servers_stuck_test.go
@@ -12,7 +12,6 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
-	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
 // passOnTime is the time within which a change that some relay has must reach an instance that other relays don't answer:
@@ -38,7 +37,7 @@
 	known := holder.localState()
 	for instance := 2; instance <= 3; instance++ {
 		receiveDigest(reader.table, now, instance, func(d *Digest) {
-			d.DataCentre, d.Relay, d.Revision, d.Servers = "a", true, revision.Revision(known.Revision), known.Servers
+			d.DataCentre, d.Relay, d.Revision, d.Servers = "a", true, known.Revision, known.Servers
 		})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/rollouts/evaluate.go
+++ b/gateway/rollouts/evaluate.go
@@ -78,7 +78,8 @@
 	if next.Reason != before.Reason || math.Abs(next.Share-before.Share) > max(0.01, before.Share/4) {
 		event.Log(m.options.Logger, event.RolloutShare).Str("service", found.order.Service).Str("to", found.order.To).Float64("share", next.Share).
 			Str("reason", string(next.Reason)).Int("servers", len(found.sample)).Int("requests", found.pooled.Requests).Int("exposed", found.pooled.Exposed).
-			Int("answers", found.findings.Answers).Int("bad_answers", found.findings.BadAnswers).Float64("score", found.findings.Score).
+			Int("answers", found.findings.Answers).Int("bad_answers", found.findings.BadAnswers).
+			Int("old_answers", found.findings.OldAnswers).Int("old_bad_answers", found.findings.OldBadAnswers).Float64("score", found.findings.Score).
 			Int("old_streams", found.pooled.OldStreams).Int("instances", recent+1).Dur("evidence_age_ms", found.age).Dur("age_ms", elapsed).Send()
 	}
 	return false
--- a/gateway/rollouts/orders.go
+++ b/gateway/rollouts/orders.go
@@ -165,6 +165,7 @@
 	event.Log(m.options.Logger, event.RolloutDecided).Str("service", found.order.Service).Str("to", found.order.To).Stringer("outcome", outcome).
 		Str("reason", string(reason)).Str("by", by).Dur("age_ms", m.now().Sub(found.began)).Int("requests", found.pooled.Requests).
 		Int("exposed", found.pooled.Exposed).Int("answers", found.findings.Answers).Int("bad_answers", found.findings.BadAnswers).
+		Int("old_answers", found.findings.OldAnswers).Int("old_bad_answers", found.findings.OldBadAnswers).
 		Float64("score", found.findings.Score).Uint32("route", found.findings.Route).Dur("window_ms", found.findings.Window).
 		Dur("evidence_age_ms", found.age).Send()
 }
