Tell a server that leaves from one that can't be reached

Found by a test of requests that are handed to a peer: nothing was sent to the server that left while its connection opened, but the peer rejected the request (503), as if no server could be reached, while another one was only avoided because of what the first instance had reported. The new code upstream_leaves takes no second send either, and leaves the other servers to be chosen from as usual.

--- a/fault/codes_forwarding.go
+++ b/fault/codes_forwarding.go
@@ -19,6 +19,7 @@
 	RelayedRequestsFull        Code = "relayed_requests_full"
 	AnswerMemoryFull           Code = "answers_full"
 	UpstreamUnreachable        Code = "upstream_unreachable"
+	UpstreamLeaves             Code = "upstream_leaves"
 	UpstreamRejected           Code = "upstream_rejected"
 	UpstreamBroken             Code = "upstream_broken"
 	UpstreamTimeout            Code = "upstream_timeout"
@@ -43,6 +44,7 @@
 	RelayedRequestsFull:        {http.StatusServiceUnavailable, "the instance serves the maximum number of requests of peers: the request was not sent", "none: the peer hands it to another instance"},
 	AnswerMemoryFull:           {http.StatusBadGateway, "the answers to other requests use up the memory for answers: the request may have run", "look for backend servers whose answers are long or without end; check memory_mb"},
 	UpstreamUnreachable:        {http.StatusServiceUnavailable, "no backend server could be reached: the request was not sent", "retry later; check the link and the servers"},
+	UpstreamLeaves:             {http.StatusServiceUnavailable, "the backend server chosen became known to leave, and no other is usable: the request was not sent", "retry after the time given"},
 	UpstreamRejected:           {http.StatusServiceUnavailable, "the backend servers rejected the request without running it", "retry after the time given"},
 	UpstreamBroken:             {http.StatusBadGateway, "the backend server did not finish its answer: the request may have run", "check the backend server for the request's id"},
 	UpstreamTimeout:            {http.StatusGatewayTimeout, "no answer within the route's or the client's time: the request may have run", "check the backend server for the request's id"},
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -167,7 +167,7 @@
 	}
 	if result.notRun {
 		r.notRunAttempts++
-		if result.code == fault.UpstreamUnreachable {
+		if unsent(result.code) {
 			r.unreachable++
 		}
 	} else {
--- a/gateway/forward/call_attempt.go
+++ b/gateway/forward/call_attempt.go
@@ -54,7 +54,7 @@
 	result := callResult{server: server, started: time.Now()}
 	conn, err := f.openFor(ctx, j, server, connectTimeout, reuse, takesNew)
 	if err != nil {
-		result.notRun, result.code, result.err = true, fault.UpstreamUnreachable, err
+		result.notRun, result.code, result.err = true, unopenedCode(err), err
 		return result
 	}
 	reused := conn.Reused // The connection may be another request's after the exchange.
@@ -81,9 +81,9 @@
 	result.notRun = false
 	result.err = errors.Join(first.err, result.err)
 	if result.code == fault.UpstreamUnreachable {
-		if !blameless(result.err) {
-			f.recordUnreachable(first.server, result.err)
-		}
+		f.recordUnreachable(first.server, result.err)
+	}
+	if unsent(result.code) {
 		result.code = fault.UpstreamBroken
 	}
 	return result
@@ -195,7 +195,7 @@
 
 // recordCall records in the ledger how an attempt ended.
 func (f *Forwarder) recordCall(result *callResult) {
-	if result.code == fault.UpstreamUnreachable && !blameless(result.err) {
+	if result.code == fault.UpstreamUnreachable && !errors.Is(result.err, upstream.ErrNoTime) {
 		f.recordUnreachable(result.server, result.err)
 	}
 	f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) {
--- a/gateway/forward/open_server.go
+++ b/gateway/forward/open_server.go
@@ -12,7 +12,7 @@
 )
 
 // errServerLeaves means that a server became known to leave after it was chosen, and that nothing was sent to it.
-var errServerLeaves = fault.New(fault.UpstreamUnreachable, "the server leaves")
+var errServerLeaves = fault.New(fault.UpstreamLeaves, "the server leaves")
 
 // openFor returns a connection to a server for a request, as open does. It returns errServerLeaves if the server doesn't take
 // the request any more when the connection is open, as takes reports for its current entry.
@@ -34,7 +34,16 @@
 // takesNew reports whether a server takes requests that have not begun anywhere.
 func takesNew(listed *directory.Server) bool { return !listed.Draining }
 
-// blameless reports whether a connection that was not opened says nothing about its server.
-func blameless(err error) bool {
-	return errors.Is(err, upstream.ErrNoTime) || errors.Is(err, errServerLeaves)
+// unopenedCode returns the code of a connection that was not opened, or not used.
+func unopenedCode(err error) fault.Code {
+	if errors.Is(err, errServerLeaves) {
+		return fault.UpstreamLeaves
+	}
+	return fault.UpstreamUnreachable
+}
+
+// unsent reports whether a failure means that no server got any part of the request, so that another attempt takes nothing
+// of the bound on second sends.
+func unsent(code fault.Code) bool {
+	return code == fault.UpstreamUnreachable || code == fault.UpstreamLeaves
 }
--- a/gateway/forward/relay_call.go
+++ b/gateway/forward/relay_call.go
@@ -40,7 +40,7 @@
 // takeSecondSend reports whether a call may be sent again after a failure. One of which nothing was sent takes
 // nothing of the bound on second sends.
 func (r *callRun) takeSecondSend(failure *callResult) bool {
-	return failure.code == fault.UpstreamUnreachable || r.f.selector.takeSecondSend(r.j.request.ID, r.j.service)
+	return unsent(failure.code) || r.f.selector.takeSecondSend(r.j.request.ID, r.j.service)
 }
 
 // relay hands the call to a peer and reports whether there is one.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -264,7 +264,7 @@
 	if r.f.poison.check(r.j).Rejected {
 		return endQuarantined
 	}
-	if result.code == fault.UpstreamUnreachable {
+	if unsent(result.code) {
 		// Nothing was sent, so that this takes no second send: the remaining time
 		// and maxUnreachableSends bound the search for a server.
 		r.unreachable++
--- a/gateway/forward/stream_attempt.go
+++ b/gateway/forward/stream_attempt.go
@@ -211,7 +211,7 @@
 	silent := result.code == fault.UpstreamUnreachable || result.code == fault.UpstreamTimeout
 	if result.wrongServer {
 		r.f.adopter.handleReplacement(a.server, result.answeredBy)
-	} else if r.reconnectServer != nil || blameless(result.err) || a.unread(result) {
+	} else if r.reconnectServer != nil || errors.Is(result.err, upstream.ErrNoTime) || a.unread(result) {
 		// The server may still work: the next connection attempt shows it.
 	} else if silent || (result.code == fault.UpstreamBroken && !errors.Is(result.err, errNotRunUnconfirmed)) {
 		r.f.recordUnreachable(a.server, result.err)
@@ -235,7 +235,7 @@
 	conn, err := r.f.openFor(ctx, r.j, a.server, timeout, false, a.takes)
 	a.receivedAt = time.Now()
 	if err != nil {
-		return &streamResult{notRun: true, code: fault.UpstreamUnreachable, err: err}
+		return &streamResult{notRun: true, code: unopenedCode(err), err: err}
 	}
 	a.conn, a.stopClosing = conn, context.AfterFunc(ctx, conn.Close)
 	a.checkedBytes = conn.Received()
