--- a/gateway/directory/held_back.go
+++ b/gateway/directory/held_back.go
@@ -14,7 +14,8 @@
 const holdBackTime = 5 * time.Second
 
 // keepDraining carries over to a new entry that its process drains: by its own word, or
-// by an entry of an earlier era, because the store may have forgotten that. mu is held.
+// by an entry of an earlier era, because the store may have forgotten that. writtenAfter is as for
+// Apply; mu is held.
 func (d *Directory) keepDraining(server *Server, writtenAfter time.Time) {
 	old := d.servers[server.ID]
 	if old == nil {
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -251,8 +251,7 @@
 
 // applyChanges applies the changes that a watch returned. Of several changes of one server the last one counts. Removals,
 // which raise the directory's revision to that of the answer, come after the entries, so that a peer never finds the
-// revision before the entries. writtenAfter is a time before which none of the
-// changes was written, zero if that is unknown.
+// revision before the entries. writtenAfter is a time before which none of the changes was written, zero if that is unknown.
 func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision, writtenAfter time.Time) {
 	last := make(map[string]int, len(changes))
 	for i, change := range changes {
