--- a/decision/rollout/counts.go
+++ b/decision/rollout/counts.go
@@ -59,6 +59,9 @@
 	return total
 }
 
+// bad returns the number of answers that failed or are in buckets from the given one on.
+func (c *Counts) bad(slow int) int { return int(c.Failures) + c.Slower(slow) }
+
 // Add adds counters.
 func (c *Counts) Add(other *Counts) {
 	c.Failures += other.Failures
--- a/decision/rollout/judge.go
+++ b/decision/rollout/judge.go
@@ -69,7 +69,7 @@
 	for _, cells := range routes {
 		slow := slowFrom(cells)
 		for cell, counts := range cells {
-			bad := int(counts.Failures) + counts.Slower(slow)
+			bad := counts.bad(slow)
 			if cell.New {
 				best.Answers += counts.Answers()
 				best.BadAnswers += bad
@@ -207,7 +207,7 @@
 		if reference.Answers() >= minReference {
 			expected = max(expected, badRate(&reference, slow))
 		}
-		tallies[cell.DataCentre] = tally{answers: answers, ever: whole.Answers(), bad: int(counts.Failures) + counts.Slower(slow), expected: expected * float64(answers)}
+		tallies[cell.DataCentre] = tally{answers: answers, ever: whole.Answers(), bad: counts.bad(slow), expected: expected * float64(answers)}
 	}
 	return tallies
 }
@@ -240,7 +240,7 @@
 	if answers == 0 {
 		return 0.5
 	}
-	bad := float64(int(old.Failures) + old.Slower(slow))
+	bad := float64(old.bad(slow))
 	rate := (bad + 0.5) / (answers + 1)
 	return min(0.9, max(floorRate, rate+math.Sqrt(rate*(1-rate)/answers)))
 }
--- a/gateway/directory/snapshot.go
+++ b/gateway/directory/snapshot.go
@@ -18,10 +18,18 @@
 // Find returns the server with an ID, or nil.
 func (s *Snapshot) Find(id string) *Server { return s.ids[id] }
 
+// Current returns the current entry of the process of an earlier entry, nil if it is no longer listed.
+func (s *Snapshot) Current(server *Server) *Server {
+	if listed := s.Find(server.ID); listed != nil && listed.MayBeSameProcess(server) {
+		return listed
+	}
+	return nil
+}
+
 // Leaves reports whether the process of an entry drains or is no longer listed.
 func (s *Snapshot) Leaves(server *Server) bool {
-	listed := s.Find(server.ID)
-	return listed == nil || listed.Draining || !listed.MayBeSameProcess(server)
+	current := s.Current(server)
+	return current == nil || current.Draining
 }
 
 // FindByAddress returns the server at an address, or nil.
--- a/gateway/forward/open_server.go
+++ b/gateway/forward/open_server.go
@@ -21,13 +21,13 @@
 	if err != nil {
 		return nil, err
 	}
-	listed := f.directory.Snapshot().Find(server.ID)
-	if listed != nil && listed.MayBeSameProcess(server) && takes(listed) {
+	current := f.directory.Snapshot().Current(server)
+	if current != nil && takes(current) {
 		return conn, nil
 	}
 	conn.Close()
 	f.meters.count("attempts.server_leaves")
-	event.Log(f.logger, event.ServerLeavesUnsent).Str("request", j.request.ID).Str("server", server.ID).Bool("listed", listed != nil).Send()
+	event.Log(f.logger, event.ServerLeavesUnsent).Str("request", j.request.ID).Str("server", server.ID).Bool("listed", current != nil).Send()
 	return nil, errServerLeaves
 }
 
--- a/gateway/peers/stream_inquiry.go
+++ b/gateway/peers/stream_inquiry.go
@@ -1,22 +1,19 @@
 package peers
 
-import (
-	"net/netip"
-	"time"
-)
+import "time"
 
 // StreamInquiry is a question to peers for the record of a stream. Whether and with which list of servers they answer shows
 // whether this instance is in step with them.
 type StreamInquiry struct {
-	service   *Service
-	begun     time.Time
-	addresses []netip.Addr
-	// peers are those of the addresses at which peers are known.
+	service *Service
+	begun   time.Time
+	// asked is set when any address was asked, peers are those of them that are known.
+	asked bool
 	peers []*peer
 }
 
 // Asked reports whether any address was asked.
-func (q StreamInquiry) Asked() bool { return len(q.addresses) > 0 }
+func (q StreamInquiry) Asked() bool { return q.asked }
 
 // Answered reports whether more than half of the peers that were asked have sent a digest since. An instance that never had a
 // peer needs none.
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -93,22 +94,23 @@
 func (s *Service) AskStream(key streamversion.Key) StreamInquiry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	inquiry := StreamInquiry{service: s, begun: time.Now(), peers: s.table.owners(key)}
-	for _, p := range inquiry.peers {
-		inquiry.addresses = append(inquiry.addresses, p.address)
+	begun, owners := time.Now(), s.table.owners(key)
+	var asked []netip.Addr
+	for _, p := range owners {
+		asked = append(asked, p.address)
 	}
 	for address := range s.table.unconfirmed {
-		if len(inquiry.addresses) >= recordOwners {
+		if len(asked) >= recordOwners {
 			break
 		}
-		inquiry.addresses = append(inquiry.addresses, address)
+		asked = append(asked, address)
 	}
-	for _, address := range inquiry.addresses {
+	for _, address := range asked {
 		digest := s.digest()
 		digest.WantedStreams = []streamversion.Key{key}
 		s.send(address, Encode(&digest))
 	}
-	return inquiry
+	return StreamInquiry{service: s, begun: begun, asked: len(asked) > 0, peers: owners}
 }
 
 // answerWanted returns a digest with the records that a peer asks for, as far as they are known; nil when it asks for none.
