Log with each adoption when the server before it certainly ran

Change: the placement ledger records the latest time at which a server certainly ran: a call or a stream that it answered was sent then, or a connection was opened then over which it stated its id. The log has the time since as ran_ms. Nothing is decided by it yet.

--- a/decision/placement/call.go
+++ b/decision/placement/call.go
@@ -57,6 +57,7 @@
 	server.addCall(now, l.policy.CallHalfLife, now.Sub(started), failed)
 	if !failed {
 		server.received(now)
+		l.Ran(started, id)
 	}
 }
 
--- a/decision/placement/ledger.go
+++ b/decision/placement/ledger.go
@@ -105,6 +105,23 @@
 	return time.Time{}
 }
 
+// Ran records that a server certainly ran at a time: it answered a request that was sent then. Data that arrives proves
+// less, because it may have waited in the network or in the buffers of this machine.
+func (l *Ledger) Ran(at time.Time, id string) {
+	server := l.record(id)
+	if at.After(server.ranAt) {
+		server.ranAt = at
+	}
+}
+
+// LastRan returns the latest time at which a server certainly ran; zero when none is known.
+func (l *Ledger) LastRan(id string) time.Time {
+	if server := l.servers[id]; server != nil {
+		return server.ranAt
+	}
+	return time.Time{}
+}
+
 // Unreachable records that a server could not be reached or stalled, and returns
 // the time until which it is avoided. down means that nothing listens at its
 // address; it is then avoided for longer.
--- a/decision/placement/record.go
+++ b/decision/placement/record.go
@@ -11,6 +11,8 @@
 	// peerLoad is the sum of the loads that peers reported.
 	peerLoad     Load
 	lastReceived time.Time
+	// ranAt is the latest time at which the server certainly ran.
+	ranAt time.Time
 	// failures is the number of consecutive times that it could not be reached.
 	failures   int
 	avoidUntil time.Time
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -80,8 +80,12 @@
 	if a.f.directory.Adopt(server, id) == nil {
 		return false
 	}
-	event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
-		Str("address", server.Address).Dur("after_ms", time.Since(lastResponse)).Send()
+	line := event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
+		Str("address", server.Address).Dur("after_ms", time.Since(lastResponse))
+	if ranAt := a.f.selector.lastRan(server.ID); !ranAt.IsZero() {
+		line.Dur("ran_ms", time.Since(ranAt))
+	}
+	line.Send()
 	return true
 }
 
--- a/gateway/forward/liveness_checker.go
+++ b/gateway/forward/liveness_checker.go
@@ -133,7 +133,7 @@
 			check.finding = livenessFinding{liveness: livenessSilent}
 		default:
 			c.f.meters.count("probes")
-			check.finding = c.ask(check.conn, server, time.Now().Add(livenessTimeout-acceptTimeout/2))
+			check.finding = c.ask(check.conn, server, check.started, time.Now().Add(livenessTimeout-acceptTimeout/2))
 		}
 	})
 }
@@ -216,8 +216,8 @@
 	return upstream.IsTimeout(err) || errors.Is(err, upstream.ErrNoTime) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
 }
 
-// ask requests the load report and the id of the server over a connection.
-func (c *livenessChecker) ask(conn *upstream.Conn, server *directory.Server, deadline time.Time) livenessFinding {
+// ask requests the load report and the id of the server over a connection that was opened after a time.
+func (c *livenessChecker) ask(conn *upstream.Conn, server *directory.Server, opened, deadline time.Time) livenessFinding {
 	f := c.f
 	memory := answerMemory{budget: &f.answers}
 	defer memory.close()
@@ -246,10 +246,13 @@
 		conn.Close()
 		return finding
 	}
-	if id := f.protocol.ParseAnswer(response).Server; response.Status == 200 && id != "" && id != server.ID {
-		conn.Close()
-		f.adopter.handleReplacement(server, id)
-		return livenessFinding{liveness: livenessOtherProcess}
+	if id := f.protocol.ParseAnswer(response).Server; response.Status == 200 && id != "" {
+		if id != server.ID {
+			conn.Close()
+			f.adopter.handleReplacement(server, id)
+			return livenessFinding{liveness: livenessOtherProcess}
+		}
+		f.selector.recordRun(server.ID, opened)
 	}
 	f.pool.Put(server.ID, conn, response)
 	return finding
--- a/gateway/forward/probe.go
+++ b/gateway/forward/probe.go
@@ -29,6 +29,7 @@
 }
 
 func (f *Forwarder) queryOnce(ctx context.Context, server *directory.Server, request []byte, limit int, deadline time.Time, reuse bool) (response *http1.Response, body []byte, reused bool, err error) {
+	begun := time.Now()
 	conn, err := f.pool.Open(ctx, server.ID, server.Address, min(connectTimeout, time.Until(deadline)), reuse)
 	if err != nil {
 		return nil, nil, false, err
@@ -46,7 +47,10 @@
 		conn.Close()
 		return nil, nil, conn.Reused, err
 	}
-	f.readAnswer(server, response)
+	if answer := f.readAnswer(server, response); answer.Server == server.ID && !conn.Reused {
+		// An answer over a reused connection may be the late copy of an earlier one.
+		f.selector.recordRun(server.ID, begun)
+	}
 	reused = conn.Reused
 	f.pool.Put(server.ID, conn, response) // From now on it may be another request's.
 	return response, body, reused, nil
--- a/gateway/forward/reach.go
+++ b/gateway/forward/reach.go
@@ -120,6 +120,17 @@
 	return at
 }
 
+// lastRan returns the latest time at which a server certainly ran; zero when none is known.
+func (s *selector) lastRan(server string) (at time.Time) {
+	s.withLedger(func(ledger *placement.Ledger, _ time.Time) { at = ledger.LastRan(server) })
+	return at
+}
+
+// recordRun records that a server ran at a time.
+func (s *selector) recordRun(server string, at time.Time) {
+	s.withLedger(func(ledger *placement.Ledger, _ time.Time) { ledger.Ran(at, server) })
+}
+
 // reinstate ends the avoidance of the servers of services that are reached again, and reports whether there are any.
 func (s *selector) reinstate(before, after peers.CutOff) (reached bool) {
 	servers := s.directory.Snapshot().All
--- a/gateway/forward/silence.go
+++ b/gateway/forward/silence.go
@@ -158,8 +158,15 @@
 // errNoEvent means that a server sends bytes but neither a head nor an event.
 var errNoEvent = fault.New(fault.UpstreamBroken, "the server sends bytes without completing an event")
 
-// recordResponse records in the ledger that the server itself responded: with the
-// head of an answer that it signed, or with a part of the body.
+// recordAnswer records in the ledger that the server itself began to answer, and so ran when the request was sent.
+func (a *streamAttempt) recordAnswer() {
+	a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) {
+		ledger.Received(now, a.server.ID)
+		ledger.Ran(a.sentAt, a.server.ID)
+	})
+}
+
+// recordResponse records in the ledger that the server itself sent a part of the body.
 func (a *streamAttempt) recordResponse() {
 	a.run.f.selector.withLedger(func(ledger *placement.Ledger, now time.Time) { ledger.Received(now, a.server.ID) })
 }
--- a/gateway/forward/stream_receive.go
+++ b/gateway/forward/stream_receive.go
@@ -31,7 +31,7 @@
 		}
 	}
 	a.response = response
-	a.recordResponse()
+	a.recordAnswer()
 	a.progressed(time.Now())
 	return nil
 }
