Adopt a server only while the one before certainly ran within the address reuse time

Cause: a server that answers at the address of another is adopted as that one's restarted process for 1.9 s after data of that one was handled. Data may be handled long after it was sent: after a freeze of the process, but also when the network held it up or a client didn't read. The window then begins anew, although the server ended longer than the address reuse time before. Change: the window begins at the latest time at which the server certainly ran: when the request was sent that it answered, or the connection was opened over which it stated its id. The server's end is later, so that nothing that is handled late can begin it anew, and the address can't belong to another service before the window's end. A probe that is handled late no longer adopts either.

--- a/decision/placement/ledger_test.go
+++ b/decision/placement/ledger_test.go
@@ -232,6 +232,20 @@
 	}
 }
 
+// Guards against REQUESTS AT ANOTHER SERVICE: data of a server may be handled long after its end.
+func TestOnlyAnAnsweredRequestProvesThatAServerRan(t *testing.T) {
+	is := is.New(t)
+	l := newLedger()
+	l.Received(begin, "here")
+	l.CallStarted(begin, "here")
+	l.CallEnded(begin.Add(time.Second), begin, "here", true)
+	is.True(l.LastRan("here").IsZero())
+	l.CallEnded(begin.Add(5*time.Second), begin, "here", false)
+	is.Equal(l.LastRan("here"), begin) // when the call was sent, not when its answer was handled
+	l.Ran(begin.Add(-time.Second), "here")
+	is.Equal(l.LastRan("here"), begin)
+}
+
 func TestCancelledCallIsNoSignOfLife(t *testing.T) {
 	is := is.New(t)
 	l := newLedger()
--- a/gateway/forward/adopter.go
+++ b/gateway/forward/adopter.go
@@ -13,8 +13,8 @@
 
 const (
 	// adoptProbeInterval is the time between two probes of an unreachable
-	// server's address. The first is sent firstAdoptProbeDelay after the server's
-	// last response: restarts take about a second.
+	// server's address. The first is sent firstAdoptProbeDelay after data of the server
+	// was last received: restarts take about a second.
 	adoptProbeInterval   = 180 * time.Millisecond
 	firstAdoptProbeDelay = time.Second
 	// adoptMargin is how long before the address may be reassigned to another
@@ -40,7 +40,7 @@
 // startProbing starts probing the address of a server that can't be reached.
 func (a *adopter) startProbing(server *directory.Server) {
 	service := a.f.service(server.Service)
-	lastResponse, end := a.addressWindow(server)
+	_, end := a.addressWindow(server)
 	if service == nil || service.HealthPath == "" || time.Now().After(end) {
 		return
 	}
@@ -50,48 +50,45 @@
 		return
 	}
 	a.probing[server.ID] = true
-	go a.f.guard.Run("check", func() { a.probeUntilAdopted(server, service.HealthPath, lastResponse, end) })
+	go a.f.guard.Run("check", func() { a.probeUntilAdopted(server, service.HealthPath, end) })
 }
 
-// addressWindow returns when a server last responded, and until when its address
-// is certainly its own or its restarted process's; both are zero when unknown.
-func (a *adopter) addressWindow(server *directory.Server) (lastResponse, end time.Time) {
+// addressWindow returns when a server certainly ran, and until when its address is certainly its own or its restarted
+// process's; both are zero when unknown. When data of the server was received doesn't count: it may be handled long after
+// the server's end, because the network, a slow client or a pause of this process held it up.
+func (a *adopter) addressWindow(server *directory.Server) (ranAt, end time.Time) {
 	reuse := time.Duration(a.addressReuse.Load())
-	lastResponse = a.f.selector.lastResponse(server.ID)
-	if reuse <= 0 || lastResponse.IsZero() {
+	ranAt = a.f.selector.lastRan(server.ID)
+	if reuse <= 0 || ranAt.IsZero() {
 		return time.Time{}, time.Time{}
 	}
-	return lastResponse, lastResponse.Add(reuse - adoptMargin)
+	return ranAt, ranAt.Add(reuse - adoptMargin)
 }
 
 // handleReplacement handles an answer in which another server id came from the
 // address of a server. While the address is reserved, it is the same server,
 // restarted, and is adopted; otherwise the old entry is removed.
 func (a *adopter) handleReplacement(server *directory.Server, id string) {
-	lastResponse, end := a.addressWindow(server)
-	if id == "" || time.Now().After(end) || !a.adopt(server, id, lastResponse) {
+	ranAt, end := a.addressWindow(server)
+	if id == "" || time.Now().After(end) || !a.adopt(server, id, ranAt) {
 		a.f.directory.Remove(server.ID, server.Revision)
 	}
 }
 
-// adopt replaces a server by the one that answers at its address. It reports
+// adopt replaces a server, which ran at a time, by the one that answers at its address. It reports
 // whether the old server was still listed.
-func (a *adopter) adopt(server *directory.Server, id string, lastResponse time.Time) bool {
+func (a *adopter) adopt(server *directory.Server, id string, ranAt time.Time) bool {
 	if a.f.directory.Adopt(server, id) == nil {
 		return false
 	}
-	line := event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).
-		Str("address", server.Address).Dur("after_ms", time.Since(lastResponse))
-	if ranAt := a.f.selector.lastRan(server.ID); !ranAt.IsZero() {
-		line.Dur("ran_ms", time.Since(ranAt))
-	}
-	line.Send()
+	event.Log(a.f.logger, event.ServerAdopted).Str("server", id).Str("before", server.ID).Str("address", server.Address).
+		Dur("after_ms", time.Since(a.f.selector.lastResponse(server.ID))).Dur("ran_ms", time.Since(ranAt)).Send()
 	return true
 }
 
 // probeUntilAdopted probes the address until a restarted server answers and is
 // adopted, or until end, when the address may be reassigned to another service.
-func (a *adopter) probeUntilAdopted(server *directory.Server, path string, lastResponse, end time.Time) {
+func (a *adopter) probeUntilAdopted(server *directory.Server, path string, end time.Time) {
 	defer func() {
 		a.mu.Lock()
 		delete(a.probing, server.ID)
@@ -99,7 +96,7 @@
 	}()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if !pause.For(ctx, time.Until(lastResponse.Add(firstAdoptProbeDelay))) {
+	if !pause.For(ctx, time.Until(a.f.selector.lastResponse(server.ID).Add(firstAdoptProbeDelay))) {
 		return
 	}
 	request := a.f.protocol.IdentityRequest(server.Address, path)
@@ -116,7 +113,7 @@
 		if response.Status != 200 || id == "" || id == server.ID {
 			continue
 		}
-		a.adopt(server, id, lastResponse)
+		a.handleReplacement(server, id)
 		return
 	}
 }
