Count only answers to the question when peers are asked for a stream's record

Cause: before that it asks peers whether it is in step, and counted each of them whose digest was handled after the question. Digests that waited in the socket during a freeze are handled after it, though they were sent before. Change: the answer names the question (field 31 of a digest), and a flag tells that a build does so. A peer of an older build is treated as before. The inquiry holds addresses and sequences; peers no longer leave the table with it. Result: TestDigestsSentBeforeAnInquiryDoNotAnswerIt fails with the former rule (not true: !inquiry.Answered()) and passes.

--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -39,6 +39,9 @@
 	tagRejections
 )
 
+// tagAnswerTo is the field number of Digest.AnswerTo.
+const tagAnswerTo protowire.Number = 31
+
 // Bits of a digest's flags field.
 const (
 	flagLeaving = 1 << iota
@@ -46,6 +49,7 @@
 	flagHasLoads
 	flagRelay
 	flagCutOff
+	flagNamesQuestion
 )
 
 // Protobuf field numbers of the nested messages: load, usage, failed and leaving server.
@@ -72,6 +76,7 @@
 	b = appendNumber(b, tagRevision, uint64(digest.Revision))
 	b = appendNumber(b, tagServers, digest.Servers)
 	b = appendNumber(b, tagFlags, digest.flags())
+	b = appendNumber(b, tagAnswerTo, digest.AnswerTo)
 	b = appendCutOff(b, digest.CutOff)
 	b = appendRollouts(b, digest.Rollouts)
 	for i := range digest.FailedServers {
@@ -135,6 +140,9 @@
 	if d.CutOff.All {
 		flags |= flagCutOff
 	}
+	if d.NamesQuestion {
+		flags |= flagNamesQuestion
+	}
 	return flags
 }
 
@@ -217,6 +225,9 @@
 			digest.HasLoads = number&flagHasLoads != 0
 			digest.Relay = number&flagRelay != 0
 			digest.CutOff.All = number&flagCutOff != 0
+			digest.NamesQuestion = number&flagNamesQuestion != 0
+		case tagAnswerTo:
+			digest.AnswerTo = number
 		case tagCutOffService:
 			digest.CutOff.decodeService(text)
 		case tagServers:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -37,6 +37,11 @@
 	Leaving bool
 	// Probe asks the receiver for a digest in return.
 	Probe bool
+	// NamesQuestion is set by senders whose answers to WantedStreams have AnswerTo.
+	NamesQuestion bool
+	// AnswerTo identifies the receiver's digest that this one answers: the sum of its Incarnation and Sequence, which wraps
+	// around; 0 for none.
+	AnswerTo uint64
 	// HasLoads says that Loads is complete for the receiver: a server without an
 	// entry has no load from the sender. Without HasLoads, receivers ignore Loads.
 	HasLoads bool
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -31,6 +31,10 @@
 	// the loads in that digest.
 	lastSentAt    time.Time
 	sentLoadsHash uint64
+	// namesQuestion is set when the peer's answers name the question, answered is the sequence of the latest question of
+	// this instance that it answered.
+	namesQuestion bool
+	answered      uint64
 	// nameDigest is the digest of instance, for the ranking of owners.
 	nameDigest rendezvous.Digest
 	// started is set when the peer's process is new.
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -34,7 +34,7 @@
 	if answer != nil {
 		s.sendBy(transport, address, answer)
 	}
-	if answer := s.answerWanted(digest.WantedStreams); answer != nil {
+	if answer := s.answerWanted(digest); answer != nil {
 		s.sendBy(transport, address, answer)
 	}
 	s.learnPoison(now, &digest.Poison)
@@ -75,6 +75,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recorded = s.table.Record(now, address, digest)
+	if sequence := digest.AnswerTo - s.incarnation; digest.AnswerTo != 0 && sequence <= s.sequence {
+		s.table.RecordAnswer(address, sequence)
+	}
 	s.table.AddCandidates(s.options.Address.Addr(), digest.Members)
 	if digest.Probe && digest.Instance != s.options.Instance {
 		reply := s.digest()
--- a/gateway/peers/stream_inquiry_test.go
+++ b/gateway/peers/stream_inquiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -18,8 +19,11 @@
 	for n := range peers {
 		hearFrom(s, n+2, time.Now().Add(-time.Second), 7)
 	}
-	begun := time.Now()
-	return s, StreamInquiry{service: s, begun: begun, peers: s.table.owners(streamversion.KeyOf("attempt"))}
+	inquiry := StreamInquiry{service: s, begun: time.Now(), peers: make(map[netip.Addr]uint64)}
+	for _, p := range s.table.owners(streamversion.KeyOf("attempt")) {
+		inquiry.peers[p.address] = s.digest().Sequence
+	}
+	return s, inquiry
 }
 
 // hearFrom records a digest of a peer whose list of servers is that of the service at revision 7.
@@ -55,6 +59,26 @@
 	is.True(!inquiry.Behind())
 }
 
+// Guards against ORDER: digests that waited while an instance stood still are handled after it has asked, and are taken for answers.
+func TestDigestsSentBeforeAnInquiryDoNotAnswerIt(t *testing.T) {
+	is := is.New(t)
+	s, inquiry := inquiryTo(5)
+	handle := func(instance int, answerTo uint64) {
+		digest := Digest{Instance: "instance-" + strconv.Itoa(instance), DataCentre: "a", Incarnation: 1, Sequence: uint64(time.Now().UnixNano()), NamesQuestion: true, AnswerTo: answerTo}
+		s.record(time.Now(), addressOf(instance), &digest)
+	}
+	for n := range 5 {
+		handle(n+2, 0)
+		handle(n+2, 7) // answers the instance's previous process
+	}
+	is.True(!inquiry.Answered())
+	for n := range 3 {
+		is.True(!inquiry.Answered())
+		handle(n+2, s.incarnation+inquiry.peers[addressOf(n+2)])
+	}
+	is.True(inquiry.Answered())
+}
+
 func TestInstanceWithoutPeersNeedsNoneToBeInStep(t *testing.T) {
 	is := is.New(t)
 	_, inquiry := inquiryTo(0)
@@ -68,8 +92,9 @@
 	is := is.New(t)
 	s := newService(netip.MustParseAddrPort("10.0.0.100:1"))
 	s.options.StreamVersions = noStreamVersions{}
-	digest, err := Decode(s.answerWanted([]streamversion.Key{streamversion.KeyOf("attempt")}))
+	digest, err := Decode(s.answerWanted(&Digest{Incarnation: 1 << 63, Sequence: 4, WantedStreams: []streamversion.Key{streamversion.KeyOf("attempt")}}))
 	is.NoErr(err)
+	is.Equal(digest.AnswerTo, uint64(1<<63+4))
 	is.Equal(digest.Instance, s.options.Instance)
 }
 
--- a/gateway/peers/stream_versions.go
+++ b/gateway/peers/stream_versions.go
@@ -94,35 +94,41 @@
 func (s *Service) AskStream(key streamversion.Key) StreamInquiry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	begun, owners := time.Now(), s.table.owners(key)
-	var asked []netip.Addr
-	for _, p := range owners {
-		asked = append(asked, p.address)
+	inquiry := StreamInquiry{service: s, begun: time.Now(), peers: make(map[netip.Addr]uint64)}
+	for _, p := range s.table.owners(key) {
+		inquiry.peers[p.address] = s.askFor(key, p.address)
 	}
+	asked := len(inquiry.peers)
 	for address := range s.table.unconfirmed {
-		if len(asked) >= recordOwners {
+		if asked >= recordOwners {
 			break
 		}
-		asked = append(asked, address)
+		s.askFor(key, address)
+		asked++
 	}
-	for _, address := range asked {
-		digest := s.digest()
-		digest.WantedStreams = []streamversion.Key{key}
-		s.send(address, Encode(&digest))
-	}
-	return StreamInquiry{service: s, begun: begun, asked: len(asked) > 0, peers: owners}
+	inquiry.asked = asked > 0
+	return inquiry
+}
+
+// askFor asks the instance at an address for the record of a stream, and returns the sequence of the question; mu is held.
+func (s *Service) askFor(key streamversion.Key, address netip.Addr) uint64 {
+	digest := s.digest()
+	digest.WantedStreams = []streamversion.Key{key}
+	s.send(address, Encode(&digest))
+	return digest.Sequence
 }
 
-// answerWanted returns a digest with the records that a peer asks for, as far as they are known; nil when it asks for none.
-func (s *Service) answerWanted(wanted []streamversion.Key) []byte {
-	if len(wanted) == 0 {
+// answerWanted returns a digest with the records that a peer's digest asks for, as far as they are known; nil when it asks
+// for none.
+func (s *Service) answerWanted(question *Digest) []byte {
+	if len(question.WantedStreams) == 0 {
 		return nil
 	}
-	records := s.options.StreamVersions.Known(wanted)
+	records := s.options.StreamVersions.Known(question.WantedStreams)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	digest := s.digest()
-	digest.StreamRecords = records
+	digest.StreamRecords, digest.AnswerTo = records, question.Incarnation+question.Sequence
 	return Encode(&digest)
 }
 
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -90,9 +90,17 @@
 	p.incarnation, p.sequence = digest.Incarnation, digest.Sequence
 	p.version, p.revision, p.servers = digest.Version, digest.Revision, digest.Servers
 	p.relay = digest.Relay && !digest.Leaving
+	p.namesQuestion = digest.NamesQuestion
 	return true
 }
 
+// RecordAnswer records that a peer answered the question with a sequence.
+func (t *Table) RecordAnswer(from netip.Addr, sequence uint64) {
+	if p := t.peers[from]; p != nil {
+		p.answered = max(p.answered, sequence)
+	}
+}
+
 // AddCandidates adds addresses from a peer's digest or from the seeds to those that are
 // probed, except ownAddress and those that are known already.
 func (t *Table) AddCandidates(ownAddress netip.Addr, addresses []netip.Addr) {
