Read of peers only under the lock, and fetch from a copy of what a fetch needs

Cause: a fetch kept the table's own record of its source and read it without the lock. Change: a fetch holds a copy of name, address and role; the table changes its record by that, unless another instance has the address now.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// fetchSource is the peer from which something is read, as it was when the read began. The table's own record of a peer may
+// only be used while the service's lock is held.
+type fetchSource struct {
+	instance string
+	address  netip.Addr
+	relay    bool
+}
+
+func (p *peer) asSource() fetchSource {
+	return fetchSource{instance: p.instance, address: p.address, relay: p.relay}
+}
+
+// update changes the record of the peer that is a source, unless another instance has its address now.
+func (t *Table) update(source fetchSource, change func(p *peer)) {
+	if p := t.peers[source.address]; p != nil && p.instance == source.instance {
+		change(p)
+	}
+}
+
 // fetches counts the reads of one kind from peers that run.
 type fetches struct {
 	running int
@@ -106,7 +125,7 @@
 		return
 	}
 	source.configurationAsked = true
-	go s.runConfigurationFetch(source)
+	go s.runConfigurationFetch(source.asSource())
 }
 
 // startServerFetch begins to read the servers from a peer; nil for none. It reports whether it did; mu is held.
@@ -118,28 +137,28 @@
 	if !source.relay {
 		s.table.RecordNonRelayFetch(now)
 	}
-	go s.runServerFetch(source)
+	go s.runServerFetch(source.asSource())
 	return true
 }
 
-func (s *Service) runConfigurationFetch(source *peer) {
+func (s *Service) runConfigurationFetch(source fetchSource) {
 	s.fetch(source, func() error { return s.fetchConfiguration(source.address) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configurationFetches.running--
-	source.configurationAsked = false
+	s.table.update(source, func(p *peer) { p.configurationAsked = false })
 }
 
-func (s *Service) runServerFetch(source *peer) {
+func (s *Service) runServerFetch(source fetchSource) {
 	s.fetch(source, func() error { return s.fetchServers(source) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.serverFetches.running--
-	source.serversAsked = false
+	s.table.update(source, func(p *peer) { p.serversAsked = false })
 }
 
 // fetch reads from a peer and records how it ended.
-func (s *Service) fetch(source *peer, read func() error) {
+func (s *Service) fetch(source fetchSource, read func() error) {
 	var err error = errReadPanicked
 	s.options.Guard.Run("read", func() { err = read() })
 	s.recordFetch(source, err)
@@ -150,10 +169,10 @@
 
 // recordFetch logs a failed fetch and records its time, so that other peers are preferred for a
 // while.
-func (s *Service) recordFetch(source *peer, err error) {
+func (s *Service) recordFetch(source fetchSource, err error) {
 	if err != nil {
 		s.mu.Lock()
-		source.fetchFailedAt = time.Now()
+		s.table.update(source, func(p *peer) { p.fetchFailedAt = time.Now() })
 		s.mu.Unlock()
 		event.Log(s.options.Logger, event.PeerFetchFailed).Str("peer", source.instance).Stringer("address", source.address).Err(err).Send()
 	}
@@ -175,7 +194,7 @@
 	return nil
 }
 
-func (s *Service) fetchServers(source *peer) error {
+func (s *Service) fetchServers(source fetchSource) error {
 	export, changed, err := s.importServers(source, s.options.Directory.Revision())
 	if err != nil {
 		return err
@@ -186,7 +205,7 @@
 		}
 	}
 	s.mu.Lock()
-	source.fetchedFingerprint = export.Fingerprint
+	s.table.update(source, func(p *peer) { p.fetchedFingerprint = export.Fingerprint })
 	s.mu.Unlock()
 	event.Log(s.options.Logger, event.PeerServersReceived).Str("peer", source.instance).Int("changed", changed).
 		Int("servers", len(s.options.Directory.Snapshot().All)).Stringer("revision", export.Revision).Send()
@@ -195,7 +214,7 @@
 
 // importServers fetches and applies the changes of the servers after a revision, and returns them
 // and their number.
-func (s *Service) importServers(source *peer, after revision.Revision) (export directory.Export, changed int, err error) {
+func (s *Service) importServers(source fetchSource, after revision.Revision) (export directory.Export, changed int, err error) {
 	begun := time.Now()
 	body, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
 	if err != nil {
@@ -213,7 +232,7 @@
 // needsCompleteList reports whether the servers still differ from those of a relay after its
 // changes were applied: it may never have had an entry that was removed before it started.
 // Servers that this instance adopted make them differ for a while without that.
-func (s *Service) needsCompleteList(source *peer, export *directory.Export) bool {
+func (s *Service) needsCompleteList(source fetchSource, export *directory.Export) bool {
 	snapshot := s.options.Directory.Snapshot()
 	adopted := slices.ContainsFunc(snapshot.All, func(server *directory.Server) bool { return server.Adopted })
 	if export.Complete || !source.relay || adopted || snapshot.Fingerprint == export.Fingerprint {
--- a/gateway/peers/fetch_servers_stuck_test.go
+++ b/gateway/peers/fetch_servers_stuck_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
+	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
 // passOnTime is the time within which a change that some relay has must reach an instance that other relays don't answer:
@@ -50,3 +52,43 @@
 		}
 	}
 }
+
+// Guards against DATA RACE: digests of a peer change its record while the servers are read from it. The race detector reports it.
+func TestDigestsArriveWhileServersAreFetched(t *testing.T) {
+	is := is.New(t)
+	listener := fasthttputil.NewInmemoryListener()
+	defer func() { _ = listener.Close() }()
+	holder, reader := newService(netip.MustParseAddrPort("10.0.0.2:1")), newService(netip.MustParseAddrPort("10.0.0.100:1"))
+	server := &fasthttp.Server{Handler: holder.Handler()}
+	go func() { _ = server.Serve(listener) }()
+	reader.client.Dial = func(string) (net.Conn, error) { return listener.Dial() }
+	receiveDigest(reader.table, time.Now(), 2, nil)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for sequence := uint64(time.Now().UnixNano()); ; sequence++ {
+			select {
+			case <-stop:
+				return
+			default:
+				digest := Digest{Instance: "instance-2", DataCentre: "a", Incarnation: 1, Sequence: sequence, Relay: sequence%2 == 0}
+				reader.record(time.Now(), addressOf(2), &digest)
+			}
+		}
+	}()
+	for n := range 50 {
+		holder.options.Directory.Put(&directory.Server{ID: "s", Service: "calls", Address: "10.9.0.1:1", Revision: revision.Revision(n + 7)})
+		reader.mu.Lock()
+		started := reader.startServerFetch(time.Now().Add(time.Hour), reader.table.peers[addressOf(2)])
+		reader.mu.Unlock()
+		is.True(started)
+		for running := true; running; time.Sleep(time.Millisecond) {
+			reader.mu.Lock()
+			running = reader.serverFetches.running > 0
+			reader.mu.Unlock()
+		}
+	}
+	close(stop)
+	<-stopped
+	is.True(reader.options.Directory.Snapshot().Find("s") != nil)
+}
