Bound what a peer's answer may take in memory

What happened elsewhere: a faulty process sent bytes without end, its caller kept them all and ran out of memory. Here the answers of backend servers and of the store are bounded, but not those to a fetch of the configuration or the servers between instances: whatever answers at a peer's address could send for 1.5 s, and a packed body grows without a bound when it is unpacked. Change: 8 MB a call, also unpacked; a list of 10,000 servers has 4 MB. An endless head was bounded before.

--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -36,6 +36,8 @@
 	// fetchTimeout bounds one call to a peer. A configuration of 1,200 routes is about 30 KB
 	// compressed, and a dozen instances may request it at once over a link of 10 Mbit/s.
 	fetchTimeout = 1500 * time.Millisecond
+	// maxFetchedBytes bounds the answer to one call to a peer, also when it is unpacked. A list of 10,000 servers has 4 MB.
+	maxFetchedBytes = 8 << 20
 	// maxConcurrentFetches is the maximum number of peers that are asked for the same at a time.
 	maxConcurrentFetches = 3
 	// configurationHedgeDelay and serversHedgeDelay are how long a peer may take to answer before another one is
@@ -261,7 +263,7 @@
 	}
 	switch response.StatusCode() {
 	case fasthttp.StatusOK:
-		body, err := response.BodyUncompressed()
+		body, err := response.BodyUncompressedWithLimit(maxFetchedBytes)
 		if err != nil {
 			return nil, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
 		}
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -95,7 +95,7 @@
 		incarnation:   rand.Uint64(),
 		failedServers: ring.New[FailedServer]("lost servers", failureQueueCapacity),
 		client: &fasthttp.Client{
-			ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout,
+			ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxResponseBodySize: maxFetchedBytes,
 			Dial: dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		},
 		wake:       make(chan struct{}, 1),
