--- a/logring/writer.go
+++ b/logring/writer.go
@@ -16,6 +16,8 @@
 const (
 	// maxWaitingLines is the maximum number of lines that wait for the output.
 	maxWaitingLines = 2048
+	// maxWaitingBytes bounds the size in bytes of the lines that wait: a line may quote what others have sent.
+	maxWaitingBytes = 2 << 20
 	// flushDelay is the time for which lines are collected for one write.
 	flushDelay = 50 * time.Millisecond
 	// batchBytes is the size from which a write takes no further line.
@@ -25,10 +27,11 @@
 	linesPerSecond = 400
 )
 
-// Writer is an io.Writer whose writes never block. Lines over linesPerSecond or
-// maxWaitingLines are dropped and counted.
+// Writer is an io.Writer whose writes never block. Lines over linesPerSecond,
+// maxWaitingLines or maxWaitingBytes are dropped and counted.
 type Writer struct {
 	lines           *ring.Ring[[]byte]
+	waitingBytes    atomic.Int64
 	output          io.Writer
 	currentSecond   atomic.Int64
 	linesThisSecond atomic.Int64
@@ -45,12 +48,28 @@
 	if second := time.Now().Unix(); w.currentSecond.Swap(second) != second {
 		w.linesThisSecond.Store(0)
 	}
-	if w.linesThisSecond.Add(1) > linesPerSecond || !w.lines.Offer(bytes.Clone(line)) {
+	if w.linesThisSecond.Add(1) > linesPerSecond || !w.offer(line) {
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// offer queues a copy of a line, and reports whether there was room.
+func (w *Writer) offer(line []byte) bool {
+	size := int64(len(line))
+	if w.waitingBytes.Add(size) <= maxWaitingBytes && w.lines.Offer(bytes.Clone(line)) {
+		return true
+	}
+	w.waitingBytes.Add(-size)
+	return false
+}
+
+// taken records that a line no longer waits, and returns it.
+func (w *Writer) taken(line []byte) []byte {
+	w.waitingBytes.Add(-int64(len(line)))
+	return line
+}
+
 // Dropped returns the number of lines that were dropped.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -63,7 +82,7 @@
 			w.write(w.fillBatch(batch[:0]))
 			return
 		case line := <-w.lines.Items():
-			batch = append(batch[:0], line...)
+			batch = append(batch[:0], w.taken(line)...)
 			time.Sleep(flushDelay)
 			batch = w.fillBatch(batch)
 			w.write(batch)
@@ -76,7 +95,7 @@
 	for len(batch) < batchBytes {
 		select {
 		case line := <-w.lines.Items():
-			batch = append(batch, line...)
+			batch = append(batch, w.taken(line)...)
 		default:
 			return batch
 		}
