Tell the next peer at which server a handed-over stream runs

Cause: an instance states to the next peer which server may still run the stream, but knew only those of its own attempts. The server that a peer names in its answer was not kept, so that the next peer chose another one, while the first keeps the run. Change: the named server counts as the last one that runs the stream; the next peer goes on there, as after an own attempt.

--- a/gateway/forward/relay_stream.go
+++ b/gateway/forward/relay_stream.go
@@ -112,7 +112,12 @@
 		a.run.relayRetryAfter = checked.retryAfter
 		return &streamResult{notRun: checked.notRun, code: checked.code, err: checked.err}
 	}
-	a.server.SoftwareVersion = a.run.f.protocol.ParseRelayAnswer(response).Version
+	answer := a.run.f.protocol.ParseRelayAnswer(response)
+	a.server.SoftwareVersion = answer.Version
+	if answer.Server != "" {
+		// The peer keeps the run while it doesn't notice that the path between the two is silent.
+		a.run.lastRunAt = answer.Server
+	}
 	a.response = response
 	a.receivedAt = time.Now()
 	return nil
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -58,7 +58,8 @@
 	ranAtPeers int
 	// unboundHere is set when only a peer may bind the stream to its software version.
 	unboundHere bool
-	// lastRunAt is the id of the server that got the stream last and did not reject it; empty for none.
+	// lastRunAt is the id of the server that got the stream last and did not reject it, from here or from a peer; empty for
+	// none.
 	lastRunAt string
 	// slow records how the client reads the stream.
 	slow slowReader
