Read which servers joined before a resumed stream goes on at the only known version

Cause: a client that doesn't name its first attempt is bound to the only version in the instance's own list without any check that the list is current. That of a backup may be 1.5 s old, and the instance that knew the newer server is gone. Change: the instance first reads from the store what joined since its list, one call that all waiting streams share. Without an answer within 0.4 s the list counts as before.

--- a/gateway/discovery/feed.go
+++ b/gateway/discovery/feed.go
@@ -40,4 +40,6 @@
 	// WatchServers waits for changes after a revision, and returns them and the
 	// store's revision.
 	WatchServers(ctx context.Context, after revision.Revision) ([]ServerChange, revision.Revision, error)
+	// ServersSince is WatchServers that doesn't wait for a change.
+	ServersSince(ctx context.Context, after revision.Revision) ([]ServerChange, revision.Revision, error)
 }
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -63,6 +63,8 @@
 	// era is the era of the last list of backend servers, eraSince when it was first seen.
 	era      uint64
 	eraSince time.Time
+	// catchUps are the calls of CatchUp.
+	catchUps catchUps
 	// missing holds, by server ID, the entries that may be written again before the
 	// server is removed.
 	missing map[string]missingEntry
@@ -253,12 +255,19 @@
 // which raise the directory's revision to that of the answer, come after the entries, so that a peer never finds the
 // revision before the entries. writtenAfter is a time before which none of the changes was written, zero if that is unknown.
 func (f *Follower) applyChanges(changes []ServerChange, asOf revision.Revision, writtenAfter time.Time) {
+	entries, removed := lastChanges(changes)
+	f.applyEntries(entries, asOf, writtenAfter)
+	for _, change := range removed {
+		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
+	}
+}
+
+// lastChanges returns the last change of each server: the entries, and the removals.
+func lastChanges(changes []ServerChange) (entries []*directory.Server, removed []ServerChange) {
 	last := make(map[string]int, len(changes))
 	for i, change := range changes {
 		last[change.ID] = i
 	}
-	var entries []*directory.Server
-	var removed []ServerChange
 	for i, change := range changes {
 		switch {
 		case last[change.ID] != i:
@@ -268,10 +277,7 @@
 			entries = append(entries, change.Server)
 		}
 	}
-	f.applyEntries(entries, asOf, writtenAfter)
-	for _, change := range removed {
-		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
-	}
+	return entries, removed
 }
 
 // applyList applies a full list: servers that it does not hold are removed. writtenAfter is as for applyChanges.
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -46,6 +46,7 @@
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	onCutOff        func(cutOff peers.CutOff)
+	catchUpServers  func(ctx context.Context) error
 	askPeers        func(key streamversion.Key) StreamInquiry
 	loadStreams     func(ctx context.Context) (recent bool, err error)
 	otherVersion    func(than streamversion.Origin) (other, known bool)
@@ -75,7 +76,7 @@
 		versions:  newStreamVersions(options.ArchiveStream),
 		rollouts:  options.Rollouts,
 		onCutOff:  options.OnCutOff,
-		onLeaving: options.OnLeaving, onRejection: options.OnRejection, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, loadStreams: options.LoadStreams,
+		onLeaving: options.OnLeaving, onRejection: options.OnRejection, onStreamBegun: options.OnStreamBegun, askPeers: options.AskPeers, catchUpServers: options.CatchUp, loadStreams: options.LoadStreams,
 		otherVersion: options.OtherVersion, versionLeft: options.VersionLeft,
 	}
 	if options.DialServer != nil {
--- a/gateway/forward/stream_origin.go
+++ b/gateway/forward/stream_origin.go
@@ -15,8 +15,8 @@
 	askPeersTimeout = 150 * time.Millisecond
 	// loadStreamsTimeout bounds the reading of records from the store.
 	loadStreamsTimeout = 500 * time.Millisecond
-	// catchUpTimeout bounds the wait for a list of servers that peers have already, catchUpInterval is the time
-	// between two checks.
+	// catchUpTimeout bounds the wait for a list of servers that peers or the store have already, catchUpInterval is the
+	// time between two checks.
 	catchUpTimeout  = 400 * time.Millisecond
 	catchUpInterval = 20 * time.Millisecond
 )
@@ -48,7 +48,13 @@
 	if j.relayed != nil && j.relayed.Version != "" {
 		return recordedOrigin{Origin: streamversion.Origin{Service: j.relayed.Service, Version: j.relayed.Version}, source: "relay"}
 	}
-	if j.request.FirstAttempt == "" || j.route.Kind != route.Stream {
+	if j.route.Kind != route.Stream {
+		return recordedOrigin{}
+	}
+	if j.request.FirstAttempt == "" {
+		if j.request.Position > 0 {
+			f.readNewServers(ctx)
+		}
 		return recordedOrigin{}
 	}
 	key := streamversion.KeyOf(j.request.FirstAttempt)
@@ -66,6 +72,19 @@
 	return recordedOrigin{severalRecently: several, inStep: (err == nil || inquiry.Answered()) && f.catchUp(ctx, inquiry)}
 }
 
+// readNewServers adds the servers that the store lists now, before the only version that is known here is taken for the one
+// that began a stream. Without an answer of the store the list stays as it is.
+func (f *Forwarder) readNewServers(ctx context.Context) {
+	if f.catchUpServers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := f.catchUpServers(ctx); err != nil {
+		f.meters.count("streams.version.not_caught_up")
+	}
+}
+
 // loadOrigins loads the records in the store, and reports whether it shows that several versions served in the last minutes.
 func (f *Forwarder) loadOrigins(ctx context.Context) (several bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadStreamsTimeout)
