End a shared read of the store by its own bound, not with the request that began it

Its turn is a channel, on which tests in virtual time can wait. Result: TestCatchUpAddsServersAndSharesItsCall (two calls for five who come, the bound, removals left to the watch).

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -85,6 +85,7 @@
 	return &Follower{
 		feed: feed, state: state, directory: servers, role: role, onSuccess: onSuccess, logger: logger,
 		failing: make(map[string]bool), following: make(map[string]bool), answeredAt: make(map[string]time.Time), missing: make(map[string]missingEntry),
+		catchUps: catchUps{turn: make(chan struct{}, 1)},
 	}
 }
 
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -46,7 +46,7 @@
 	onRejection     func(server *directory.Server)
 	onStreamBegun   func(record streamversion.Record)
 	onCutOff        func(cutOff peers.CutOff)
-	catchUpServers  func(ctx context.Context) error
+	catchUpServers  func() error
 	askPeers        func(key streamversion.Key) StreamInquiry
 	loadStreams     func(ctx context.Context) (recent bool, err error)
 	otherVersion    func(than streamversion.Origin) (other, known bool)
--- a/gateway/forward/options.go
+++ b/gateway/forward/options.go
@@ -46,7 +46,7 @@
 	OtherVersion func(than streamversion.Origin) (other, known bool)
 	VersionLeft  func(service string) bool
 	// CatchUp adds the servers that the store lists now; nil for a list that is always current.
-	CatchUp func(ctx context.Context) error
+	CatchUp func() error
 	// AskPeers asks peers for the record of a stream.
 	AskPeers func(key streamversion.Key) StreamInquiry
 	// AnnouncePoison is called when there are news for peers about requests that crash servers.
--- a/gateway/forward/stream_origin.go
+++ b/gateway/forward/stream_origin.go
@@ -15,8 +15,8 @@
 	askPeersTimeout = 150 * time.Millisecond
 	// loadStreamsTimeout bounds the reading of records from the store.
 	loadStreamsTimeout = 500 * time.Millisecond
-	// catchUpTimeout bounds the wait for a list of servers that peers or the store have already, catchUpInterval is the
-	// time between two checks.
+	// catchUpTimeout bounds the wait for a list of servers that peers have already, catchUpInterval is the time
+	// between two checks.
 	catchUpTimeout  = 400 * time.Millisecond
 	catchUpInterval = 20 * time.Millisecond
 )
@@ -53,7 +53,7 @@
 	}
 	if j.request.FirstAttempt == "" {
 		if j.request.Position > 0 {
-			f.readNewServers(ctx)
+			f.readNewServers()
 		}
 		return recordedOrigin{}
 	}
@@ -74,13 +74,11 @@
 
 // readNewServers adds the servers that the store lists now, before the only version that is known here is taken for the one
 // that began a stream. Without an answer of the store the list stays as it is.
-func (f *Forwarder) readNewServers(ctx context.Context) {
+func (f *Forwarder) readNewServers() {
 	if f.catchUpServers == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
-	if err := f.catchUpServers(ctx); err != nil {
+	if err := f.catchUpServers(); err != nil {
 		f.meters.count("streams.version.not_caught_up")
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 		OtherVersion:      func(than streamversion.Origin) (bool, bool) { return g.served.HasOther(than) },
 		VersionLeft:       func(service string) bool { return g.served.HasLeft(service) },
 		RelayTargets:      func(service string) []peers.RelayTarget { return g.peers.RelayTargets(service) },
-		CatchUp:           func(ctx context.Context) error { return g.follower.CatchUp(ctx) },
+		CatchUp:           func() error { return g.follower.CatchUp() },
 		AskPeers:          func(key streamversion.Key) forward.StreamInquiry { return g.peers.AskStream(key) },
 		Rollouts:          g.rollouts,
 		Instance:          s.Instance,
