Require a key when the configuration contains accounts, not when an account holds one

Cause: Table.HasAccounts counted keys. Without any key, a table of accounts was the same as a configuration that never had the field Tenants, in the check of a new request, of one that waits and of one that a peer hands over.

Evidence: TestRevokingTheLastKeyAdmitsNobody (at an instance that follows the store and one that it turns away, on kept and new connections, and at instances that start later), TestRequestHandedOverWithARevokedKeyIsRejected and TestWaitingStreamIsRefusedWhenItsRouteNeedsAKey fail before the change (200 for 401; the waiting stream is refused for lack of time only) and pass after it.

--- a/gateway/forward/admission_validity.go
+++ b/gateway/forward/admission_validity.go
@@ -33,9 +33,9 @@
 		!now.Offers(j.service) || !slices.Equal(now.Split, j.route.Split) || table.Service(j.service) == nil {
 		return false
 	}
-	account := table.Account(j.request.Key)
+	account, allowed := table.Authorize(now, j.request.Key)
 	if account == nil {
-		return j.account == "" && (now.Anonymous || !table.HasAccounts())
+		return allowed && j.account == ""
 	}
 	return account.Name == j.account
 }
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -205,13 +205,14 @@
 		f.answer(exchange, request.ID, localAnswer{status: 404, code: fault.RouteUnknown, version: j.table.Version})
 		return
 	}
-	account := j.table.Account(request.Key)
+	account, allowed := j.table.Authorize(j.route, request.Key)
+	if !allowed {
+		f.answer(exchange, request.ID, localAnswer{status: 401, code: fault.KeyUnknown, version: j.table.Version})
+		return
+	}
 	j.rank = j.route.RankOf(account)
 	if account != nil {
 		j.account = account.Name
-	} else if j.table.HasAccounts() && !j.route.Anonymous {
-		f.answer(exchange, request.ID, localAnswer{status: 401, code: fault.KeyUnknown, version: j.table.Version})
-		return
 	}
 	j.run = runOf(j)
 	f.serveJob(ctx, j)
--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -14,8 +14,11 @@
 	// Version grows with every change by the operators.
 	Version uint64
 	// Limits bounds clients' requests.
-	Limits     Limits
-	services   map[string]*Service
+	Limits   Limits
+	services map[string]*Service
+	// keysRequired is set when requests need a key, also while no account holds one.
+	keysRequired bool
+	// accounts holds the client accounts by key.
 	accounts   map[string]*Account
 	hosts      map[string][]*Route
 	routeCount int
@@ -23,15 +26,16 @@
 	ranks map[string]rank.Order
 }
 
-// NewTable returns a table of the given routes, services and accounts.
+// NewTable returns a table of the given routes, services and accounts. Its requests need a key if there are accounts.
 func NewTable(version uint64, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Table {
 	table := &Table{
-		Version:    version,
-		Limits:     limits,
-		services:   make(map[string]*Service, len(services)),
-		accounts:   make(map[string]*Account),
-		hosts:      make(map[string][]*Route),
-		routeCount: len(routes),
+		Version:      version,
+		Limits:       limits,
+		services:     make(map[string]*Service, len(services)),
+		keysRequired: len(accounts) > 0,
+		accounts:     make(map[string]*Account),
+		hosts:        make(map[string][]*Route),
+		routeCount:   len(routes),
 	}
 	for _, service := range services {
 		table.services[service.Name] = service
@@ -67,11 +71,25 @@
 	return nil
 }
 
-// Account returns the client account that holds a key, or nil.
-func (t *Table) Account(key string) *Account { return t.accounts[key] }
+// RequiringKeys returns the table itself if requests need a key, otherwise a copy in which they do.
+func (t *Table) RequiringKeys() *Table {
+	if t.keysRequired {
+		return t
+	}
+	requiring := *t
+	requiring.keysRequired = true
+	return &requiring
+}
 
-// HasAccounts reports whether requests need a key.
-func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
+// KeysRequired reports whether requests need a key, except those of anonymous routes.
+func (t *Table) KeysRequired() bool { return t.keysRequired }
+
+// Authorize returns the client account that holds a key, nil if none does, and whether a request of a route is allowed with
+// that key.
+func (t *Table) Authorize(r *Route, key string) (account *Account, allowed bool) {
+	account = t.accounts[key]
+	return account, account != nil || r.Anonymous || !t.keysRequired
+}
 
 // Service returns a service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
