Let no account hold an empty key

What callers saw: a version with an empty string among an account's keys admitted every request without a key, as that account. At the completions interface the hash of an empty key did the same.

Cause: a request without a key has an empty one, and was looked up like any other. An empty element was taken for a key that was never asked for.

Change: route.NewTable leaves empty keys out; the lookup of the completions interface finds no account for an empty key.

TestConfigurationWithoutKeysAdmitsNobody shows that the completions interface held in the rest of the class (no list, no account, no key): it passes on both.

--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -42,7 +42,9 @@
 	}
 	for _, account := range accounts {
 		for _, key := range account.Keys {
-			table.accounts[key] = account
+			if key != "" { // Requests without a key have an empty one.
+				table.accounts[key] = account
+			}
 		}
 	}
 	for _, r := range routes {
--- a/serving/admission/controller_test.go
+++ b/serving/admission/controller_test.go
@@ -57,6 +57,36 @@
 	is.True(fault.HasCode(err, fault.Unauthenticated)) // a removed key is invalid as soon as the new revision is in force
 }
 
+// Guards against a caller without a key who is taken for the account that has the hash of an empty one.
+func TestEmptyKeyIsNoAccountsKey(t *testing.T) {
+	is := is.New(t)
+	s := newSource(1, estate.AccountLimits{})
+	empty := sha256.Sum256(nil)
+	s.configuration.ClientAccounts[0].KeyHashes = []string{hex.EncodeToString(empty[:])}
+	_, err := admission.New(s, s, nil, admission.Options{Seed: 1}).Authenticate("")
+	is.True(fault.HasCode(err, fault.Unauthenticated))
+}
+
+// Guards against callers who are served after the last account was removed, or the last key of the only one.
+func TestConfigurationWithoutKeysAdmitsNobody(t *testing.T) {
+	for name, accounts := range map[string][]estate.ClientAccount{
+		"no list": nil, "no account": {}, "no list of keys": {{Name: "a"}}, "no key": {{Name: "a", KeyHashes: []string{}}}, "an empty hash": {{Name: "a", KeyHashes: []string{""}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSource(1, estate.AccountLimits{})
+			c := admission.New(s, s, nil, admission.Options{Seed: 1})
+			_, err := c.Authenticate("secret")
+			is.NoErr(err)
+			s.configuration = &estate.Configuration{ClientAccounts: accounts}
+			for _, bearer := range []string{"secret", "", "wrong"} {
+				_, err = c.Authenticate(bearer)
+				is.True(fault.HasCode(err, fault.Unauthenticated))
+			}
+		})
+	}
+}
+
 func TestReleaseLetsTheNextRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/serving/admission/keys.go
+++ b/serving/admission/keys.go
@@ -23,9 +23,12 @@
 	return k
 }
 
-// find returns the account of a bearer key. The lookup is by hash, so that its
+// find returns the account of a bearer key; no account has an empty one. The lookup is by hash, so that its
 // time reveals nothing about how much of a wrong key is right.
 func (k *keyIndex) find(bearer string) (estate.ClientAccount, bool) {
+	if bearer == "" {
+		return estate.ClientAccount{}, false
+	}
 	sum := sha256.Sum256([]byte(bearer))
 	index, ok := k.accounts[hex.EncodeToString(sum[:])]
 	if !ok {
