Send no request to a service without a weight

What callers saw: a version that takes all weights of a route's split away (0, or left out) sent every request to the last service named; with rounding, the last one of any split could get a request without a weight.

Cause: ChooseService fell back to the last share, whatever its weight.

--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -57,19 +57,22 @@
 	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
-// ChooseService returns the service for a random number in [0, 1), in proportion
-// to the weights of the split.
+// ChooseService returns the service for a random number in [0, 1), in proportion to the weights of the split; empty when none
+// has a weight above 0.
 func (r *Route) ChooseService(draw float64) string {
 	total := 0
 	for _, share := range r.Split {
-		total += share.Weight
+		total += max(0, share.Weight)
 	}
-	at := draw * float64(total)
+	at, chosen := draw*float64(total), ""
 	for _, share := range r.Split {
-		at -= float64(share.Weight)
-		if at < 0 {
-			return share.Service
+		if share.Weight <= 0 {
+			continue
+		}
+		chosen = share.Service
+		if at -= float64(share.Weight); at < 0 {
+			break
 		}
 	}
-	return r.Split[len(r.Split)-1].Service
+	return chosen
 }
--- /dev/null
+++ b/gateway/route/table_test.go
@@ -0,0 +1,63 @@
+package route_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/wisteriahaven/wisteriahaven/gateway/route"
+)
+
+// Guards against ROUTE: a service without a weight gets requests.
+func TestServicesWithoutAWeightGetNoRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &route.Route{}
+		for n, weight := range rapid.SliceOfN(rapid.IntRange(-2, 3), 0, 5).Draw(t, "weights") {
+			r.Split = append(r.Split, route.Share{Service: string(rune('a' + n)), Weight: weight})
+		}
+		draw := rapid.OneOf(rapid.Float64Range(0, 0.999), rapid.Just(0.9999999999999999)).Draw(t, "draw")
+		chosen := r.ChooseService(draw)
+		if chosen != "" && !r.Offers(chosen) {
+			t.Fatalf("%v: chose %q, which has no weight", r.Split, chosen)
+		}
+		for _, share := range r.Split {
+			if chosen == "" && share.Weight > 0 {
+				t.Fatalf("%v: chose none", r.Split)
+			}
+		}
+	})
+}
+
+// Guards against requests without a key of an account where keys are required.
+func TestRequiredKeysAreThoseOfAccounts(t *testing.T) {
+	plain, anonymous := &route.Route{}, &route.Route{Anonymous: true}
+	open := route.NewTable(1, route.Limits{}, nil, nil, nil)
+	for name, c := range map[string]struct {
+		table *route.Table
+		// allowed are the keys that a plain route allows, of those asked for.
+		allowed []string
+	}{
+		"no accounts":          {open, []string{"", "k", "other"}},
+		"required, no account": {open.RequiringKeys(), nil},
+		"no key":               {route.NewTable(1, route.Limits{}, nil, nil, []*route.Account{{Name: "a"}}), nil},
+		"empty key":            {route.NewTable(1, route.Limits{}, nil, nil, []*route.Account{{Name: "a", Keys: []string{""}}}), nil},
+		"key":                  {route.NewTable(1, route.Limits{}, nil, nil, []*route.Account{{Name: "a", Keys: []string{"k"}}, {Name: "b"}}), []string{"k"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var allowed []string
+			for _, key := range []string{"", "k", "other"} {
+				account, ok := c.table.Authorize(plain, key)
+				is.True(account == nil || key == "k")
+				if ok {
+					allowed = append(allowed, key)
+				}
+				_, ok = c.table.Authorize(anonymous, key)
+				is.True(ok)
+			}
+			is.Equal(allowed, c.allowed)
+		})
+	}
+	is.New(t).True(!open.KeysRequired()) // RequiringKeys leaves the table as it is
+}
