Let routes and services without a name match nothing

What callers saw: a route whose prefix a version leaves empty served every path of its host that no other route matched, which should get 404.

Cause: every path begins with an empty prefix. PROTOCOL.md: "Every prefix begins and ends with a slash", "If no route matches, the response is 404".

Change: NewTable leaves out routes without a host or a prefix and services without a name, which a route without a service would have named.

Evidence: TestEmptyNamesMatchNothing and the cases "no prefix" and "empty prefix" of TestEmptiedFieldsOfARouteAllowNothingMore (200 for 404) fail before and pass after; "no host" passes on both.

--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -27,6 +27,7 @@
 }
 
 // NewTable returns a table of the given routes, services and accounts. Its requests need a key if there are accounts.
+// Services without a name, routes without a host or a path prefix, and empty keys are left out, so that they match nothing.
 func NewTable(version uint64, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Table {
 	table := &Table{
 		Version:      version,
@@ -38,18 +39,22 @@
 		routeCount:   len(routes),
 	}
 	for _, service := range services {
-		table.services[service.Name] = service
+		if service.Name != "" {
+			table.services[service.Name] = service
+		}
 	}
 	for _, account := range accounts {
 		for _, key := range account.Keys {
-			if key != "" { // Requests without a key have an empty one.
+			if key != "" {
 				table.accounts[key] = account
 			}
 		}
 	}
 	for _, r := range routes {
-		host := strings.ToLower(r.Host)
-		table.hosts[host] = append(table.hosts[host], r)
+		if r.Host != "" && r.PathPrefix != "" {
+			host := strings.ToLower(r.Host)
+			table.hosts[host] = append(table.hosts[host], r)
+		}
 	}
 	for _, list := range table.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
--- a/gateway/route/table_test.go
+++ b/gateway/route/table_test.go
@@ -29,6 +29,18 @@
 	})
 }
 
+// Guards against routes and services without a name, a host or a prefix that match what names none.
+func TestEmptyNamesMatchNothing(t *testing.T) {
+	is := is.New(t)
+	anonymous := route.Route{Name: "r", Host: "h", PathPrefix: "/", Anonymous: true, Split: []route.Share{{Service: "", Weight: 1}}}
+	noPrefix, noHost := anonymous, anonymous
+	noPrefix.PathPrefix, noHost.Host = "", ""
+	table := route.NewTable(1, route.Limits{}, []*route.Route{&noPrefix, &noHost}, []*route.Service{{}}, nil)
+	is.True(table.Match("h", "/x") == nil)
+	is.True(table.Match("", "/x") == nil)
+	is.True(table.Service("") == nil)
+}
+
 // Guards against requests without a key of an account where keys are required.
 func TestRequiredKeysAreThoseOfAccounts(t *testing.T) {
 	plain, anonymous := &route.Route{}, &route.Route{Anonymous: true}
