Keep requiring keys when a version leaves the accounts out

What callers saw: a version that leaves Tenants out, after versions that had the field, admitted everybody: with a key that it takes away, with an unknown one, and without one.

A deployment that never had accounts asks for no key, as before.

Cause: each version was read alone, so that a field that is gone couldn't be told from one that was never there; after a restart nothing could.

Change: State carries the need from version to version. A process that starts reads it from the status of config/main, which comes with the object (one write by the first relay of each data centre, in the life of a deployment), or from a header field of the peer that sends it the configuration.

Evidence: TestRevokingTheLastKeyAdmitsNobody/absent fails before (200 for 401), at instances of before, at started ones and at those that the store turns away, and passes after.

--- a/event/forwarding.go
+++ b/event/forwarding.go
@@ -24,6 +24,7 @@
 	RequestCleared          = Definition{7042, "request_cleared", zerolog.InfoLevel, "a request that counted as a possible cause of crashes ran without one", "none"}
 	QuarantinesNotRead      = Definition{7043, "quarantines_not_read", zerolog.InfoLevel, "the quarantined requests in the store could not be read at the start; they are read again", "check the platform"}
 	QuarantinesNotWritten   = Definition{7044, "quarantines_not_written", zerolog.InfoLevel, "the quarantined requests could not be written to the store; they are written again", "check the platform"}
+	KeysRequiredNotRecorded = Definition{7039, "keys_required_not_recorded", zerolog.InfoLevel, "the store could not be told that requests need a key also by versions without accounts; it is told again", "check the platform"}
 	RequestRelayed          = Definition{7050, "request_relayed", zerolog.InfoLevel, "a request was handed to a peer because this instance reaches no backend server of its service; the fields give the peer and the reason", "check the instance's links to the backend servers"}
 	RelayFailed             = Definition{7051, "relay_failed", zerolog.InfoLevel, "a peer did not answer a request that was handed to it; not_run tells whether it certainly did not run", "none; check the peer if it is often the same one"}
 	RelayReceived           = Definition{7052, "relay_received", zerolog.InfoLevel, "a peer handed a request over", "check that peer's links to the backend servers"}
@@ -55,7 +56,7 @@
 )
 
 var forwardingEvents = []Definition{
-	RequestRelayed, RelayFailed, RelayReceived,
+	RequestRelayed, RelayFailed, RelayReceived, KeysRequiredNotRecorded,
 	RequestServed, RequestRejected, RequestBroken, ClientDisconnected, AttemptFailed, StreamResumed, RequestSent, ReportInvalid,
 	ServerSuspected, ServersCutOff, ServersReached, SecondSendDenied, ServerLeavesUnsent, ReusedConnectionBroke, ServerCrashed, RequestCleared, QuarantinesNotRead, QuarantinesNotWritten, SilentServerAwaited, SilentServerLeft, StreamVersionFound, StreamRecordsNotWritten, ServerChanged, ServerAdopted, ServerLeaving, ServerRefusing, RejectionLimitStated, RejectionLimitEnded, RequestRateStated, RequestRateEnded, AnswerFieldInvalid, StoreUnavailable, StoreAvailable, StoreObjectInvalid, StoreHistoryGone, StoreEraChanged,
 	ReadinessChanged, LogLinesDropped, PeerServersReceived, PeerDigestInvalid, PeerFetchFailed, ProcessResumed, SettingsReloaded, SettingsInvalid, AcceptFailed,
--- a/gateway/discovery/feed.go
+++ b/gateway/discovery/feed.go
@@ -13,6 +13,18 @@
 type Configuration struct {
 	Table    *route.Table
 	Document []byte
+	// KeysRecorded is set when the store has it on record that the deployment's requests need a key.
+	KeysRecorded bool
+}
+
+// RequiringKeys returns the configuration itself if its requests need a key, otherwise a copy in which they do.
+func (c *Configuration) RequiringKeys() *Configuration {
+	if c.Table.KeysRequired() {
+		return c
+	}
+	requiring := *c
+	requiring.Table = c.Table.RequiringKeys()
+	return &requiring
 }
 
 // ServerChange is a new, changed or removed entry of a backend server.
@@ -34,6 +46,8 @@
 	// WatchConfiguration waits for changes after a revision, and returns the newest
 	// version, nil when there was no change, and the store's revision.
 	WatchConfiguration(ctx context.Context, after revision.Revision) (*Configuration, revision.Revision, error)
+	// RecordKeysRequired records beside the configuration that requests need a key, also by versions without accounts.
+	RecordKeysRequired(ctx context.Context) error
 	// Servers returns all entries and the store's revision. Both may be some seconds
 	// old unless fresh is set.
 	Servers(ctx context.Context, fresh bool) ([]ServerChange, revision.Revision, error)
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,6 +64,8 @@
 	// era is the era of the last list of backend servers, eraSince when it was first seen.
 	era      uint64
 	eraSince time.Time
+	// keysRecorded is set while the store has it on record that requests need a key.
+	keysRecorded atomic.Bool
 	// catchUps are the calls of CatchUp.
 	catchUps catchUps
 	// missing holds, by server ID, the entries that may be written again before the
@@ -123,9 +126,12 @@
 		if err != nil {
 			return 0, err
 		}
+		if newest != nil {
+			f.keysRecorded.Store(newest.KeysRecorded)
+		}
 		if f.state.Offer(newest) {
 			event.Log(f.logger, event.ConfigurationInForce).Uint64("version", newest.Table.Version).
-				Int("routes", newest.Table.Routes()).Stringer("revision", asOf).Str("source", "store").Send()
+				Int("routes", newest.Table.Routes()).Bool("keys_required", f.state.KeysRequired()).Stringer("revision", asOf).Str("source", "store").Send()
 		}
 		return asOf, nil
 	})
--- a/gateway/discovery/state.go
+++ b/gateway/discovery/state.go
@@ -26,12 +26,25 @@
 	return 0
 }
 
+// KeysRequired reports whether requests need a key by the in-force configuration.
+func (s *State) KeysRequired() bool {
+	current := s.current.Load()
+	return current != nil && current.Table.KeysRequired()
+}
+
 // Offer puts a configuration into force unless it is nil or an equal or newer version is
-// in force, and reports whether it did.
+// in force, and reports whether it did. Once requests need a key, they do so by all later versions: one
+// without accounts takes the keys away, and not the need for one. What an equal version says of that counts, too.
 func (s *State) Offer(configuration *Configuration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if configuration == nil || configuration.Table.Version <= s.Version() {
+	if configuration == nil || configuration.Table.Version < s.Version() {
+		return false
+	}
+	if s.KeysRequired() {
+		configuration = configuration.RequiringKeys()
+	}
+	if configuration.Table.Version == s.Version() && configuration.Table.KeysRequired() == s.KeysRequired() {
 		return false
 	}
 	s.current.Store(configuration)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -161,6 +161,7 @@
 	g.duties.Go("digests", g.peers.Run)
 	g.duties.Go("fetches", g.peers.RunFetch)
 	g.duties.Go("configuration", g.follower.RunConfiguration)
+	g.duties.Go("key record", g.follower.RunKeyRecord)
 	g.duties.Go("servers", g.follower.RunServers)
 	if gatewaySettings.Rollouts.Share > 0 {
 		g.duties.Go("rollouts", g.rollouts.Run)
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -23,6 +23,10 @@
 	serversPath       = "/v1/servers"
 )
 
+// keysRequiredHeader is set to "true" in the answer with a configuration by whose sender requests need a key, also if it has no
+// accounts. Older builds neither send nor read it.
+const keysRequiredHeader = "Keys-Required"
+
 const (
 	// fetchPeriod is the time between two checks for newer state that no digest triggers.
 	fetchPeriod = 250 * time.Millisecond
@@ -181,17 +185,20 @@
 }
 
 func (s *Service) fetchConfiguration(address netip.Addr) error {
-	document, err := s.get(address, configurationPath+"?after="+strconv.FormatUint(s.options.State.Version(), 10))
-	if err != nil || len(document) == 0 {
+	got, err := s.get(address, configurationPath+"?after="+strconv.FormatUint(s.options.State.Version(), 10))
+	if err != nil || len(got.body) == 0 {
 		return err
 	}
-	configuration, err := s.options.Decode(document)
+	configuration, err := s.options.Decode(got.body)
 	if err != nil {
 		return err
 	}
+	if got.keysRequired {
+		configuration = configuration.RequiringKeys()
+	}
 	if s.options.State.Offer(configuration) {
 		event.Log(s.options.Logger, event.ConfigurationInForce).Uint64("version", configuration.Table.Version).
-			Int("routes", configuration.Table.Routes()).Stringer("source", address).Send()
+			Int("routes", configuration.Table.Routes()).Bool("keys_required", s.options.State.KeysRequired()).Stringer("source", address).Send()
 	}
 	return nil
 }
@@ -218,11 +225,11 @@
 // and their number.
 func (s *Service) importServers(source fetchSource, after revision.Revision) (export directory.Export, changed int, err error) {
 	begun := time.Now()
-	body, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
+	got, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
 	if err != nil {
 		return export, 0, err
 	}
-	if err := json.Unmarshal(body, &export); err != nil {
+	if err := json.Unmarshal(got.body, &export); err != nil {
 		return export, 0, fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
 	}
 	export.UnderWay = time.Since(begun)
@@ -250,7 +257,14 @@
 	return true
 }
 
-func (s *Service) get(address netip.Addr, target string) ([]byte, error) {
+// peerAnswer is a peer's answer to one call; its body is empty when the peer has nothing newer.
+type peerAnswer struct {
+	body []byte
+	// keysRequired is set when requests need a key by the configuration in the body.
+	keysRequired bool
+}
+
+func (s *Service) get(address netip.Addr, target string) (peerAnswer, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -259,19 +273,20 @@
 	request.SetConnectionClose()
 	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	if err := s.client.Do(request, response); err != nil {
-		return nil, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
+		return peerAnswer{}, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
 	}
 	switch response.StatusCode() {
 	case fasthttp.StatusOK:
 		body, err := response.BodyUncompressedWithLimit(maxFetchedBytes)
 		if err != nil {
-			return nil, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
+			return peerAnswer{}, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
 		}
-		return append([]byte(nil), body...), nil
+		required := string(response.Header.Peek(keysRequiredHeader)) == "true"
+		return peerAnswer{body: append([]byte(nil), body...), keysRequired: required}, nil
 	case fasthttp.StatusNoContent:
-		return nil, nil
+		return peerAnswer{}, nil
 	default:
-		return nil, fault.New(fault.PeerUnreachable, "peer answered with status "+strconv.Itoa(response.StatusCode()))
+		return peerAnswer{}, fault.New(fault.PeerUnreachable, "peer answered with status "+strconv.Itoa(response.StatusCode()))
 	}
 }
 
@@ -294,6 +309,9 @@
 			ctx.SetStatusCode(fasthttp.StatusNoContent)
 			return
 		}
+		if current.Table.KeysRequired() {
+			ctx.Response.Header.Set(keysRequiredHeader, "true")
+		}
 		ctx.SetBody(current.Document)
 	case serversPath:
 		body, err := json.Marshal(s.options.Directory.Export(revision.Revision(after)))
