Revoke all keys in the soak, beside every other fault

A client without a valid key keeps its connections and must reach no server; a request that is rejected for its key must not have run.

--- a/cmd/wisteriahaven-bench/soak.go
+++ b/cmd/wisteriahaven-bench/soak.go
@@ -25,6 +25,7 @@
 	Rates     bool          `arg:"--rates" help:"let one server of each service state how many requests a second it takes; it must not get more than users allow"`
 	Poison    bool          `arg:"--poison" help:"add a client whose request crashes each backend server that runs it; it must not run more often than users allow"`
 	Leaving   bool          `arg:"--leaving" help:"backend servers that leave, beside disturbances of instances and of the store; they must not get requests for longer than users allow"`
+	Revoke    bool          `arg:"--revocations" help:"versions of the configuration in which no account holds a key, beside all other faults; requests without a valid key must reach no server"`
 	CutOff    bool          `arg:"--cut-off" help:"only instances that are cut off from all backend servers, paused or killed; clients of those cut off must be served nearly as often as others"`
 	Verbose   bool          `arg:"--verbose" help:"print the faults of every seed"`
 }
@@ -55,7 +56,7 @@
 			return false, err
 		}
 	}
-	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Older: c.Older, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison, Rates: c.Rates, Leaving: c.Leaving, CutOff: c.CutOff})
+	report, err := soak.Run(ctx, soak.Options{Binary: c.Binary, Older: c.Older, Folder: folder, Seed: seed, FaultTime: c.Faults, Instances: c.Instances, Clients: c.Clients, SoundOnly: c.SoundOnly, Poison: c.Poison, Rates: c.Rates, Leaving: c.Leaving, CutOff: c.CutOff, Revocations: c.Revoke})
 	if err != nil {
 		return false, err
 	}
