Tell peers by a digest flag that requests need a key

The header field of the read between instances told only those that read a configuration from a peer: an instance that starts and reads the newest version from a store without the record (it took none, or an older build ran alone) would serve everybody until the next version.

An older build ignores the flag.

--- a/gateway/discovery/feed.go
+++ b/gateway/discovery/feed.go
@@ -17,11 +17,8 @@
 	KeysRecorded bool
 }
 
-// RequiringKeys returns the configuration itself if its requests need a key, otherwise a copy in which they do.
-func (c *Configuration) RequiringKeys() *Configuration {
-	if c.Table.KeysRequired() {
-		return c
-	}
+// requiringKeys returns a configuration in which requests need a key.
+func (c *Configuration) requiringKeys() *Configuration {
 	requiring := *c
 	requiring.Table = c.Table.RequiringKeys()
 	return &requiring
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -128,6 +128,9 @@
 		}
 		if newest != nil {
 			f.keysRecorded.Store(newest.KeysRecorded)
+			if newest.KeysRecorded {
+				f.state.RequireKeys()
+			}
 		}
 		if f.state.Offer(newest) {
 			event.Log(f.logger, event.ConfigurationInForce).Uint64("version", newest.Table.Version).
--- a/gateway/discovery/state.go
+++ b/gateway/discovery/state.go
@@ -10,6 +10,8 @@
 type State struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Configuration]
+	// keysRequired is set once a version of the configuration required keys, here or at a peer.
+	keysRequired atomic.Bool
 }
 
 // NewState returns a state without a configuration.
@@ -26,27 +28,37 @@
 	return 0
 }
 
-// KeysRequired reports whether requests need a key by the in-force configuration.
-func (s *State) KeysRequired() bool {
-	current := s.current.Load()
-	return current != nil && current.Table.KeysRequired()
+// KeysRequired reports whether requests need a key.
+func (s *State) KeysRequired() bool { return s.keysRequired.Load() }
+
+// RequireKeys makes requests need a key, by the in-force configuration and all later ones: a version without accounts takes
+// the keys of before away, and not the need for one.
+func (s *State) RequireKeys() {
+	if s.keysRequired.Load() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.current.Load(); current != nil && !current.Table.KeysRequired() {
+		s.current.Store(current.requiringKeys())
+	}
+	s.keysRequired.Store(true)
 }
 
 // Offer puts a configuration into force unless it is nil or an equal or newer version is
-// in force, and reports whether it did. Once requests need a key, they do so by all later versions: one
-// without accounts takes the keys away, and not the need for one. What an equal version says of that counts, too.
+// in force, and reports whether it did. Once requests need a key, they do so by all later versions.
 func (s *State) Offer(configuration *Configuration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if configuration == nil || configuration.Table.Version < s.Version() {
+	if configuration == nil || configuration.Table.Version <= s.Version() {
 		return false
 	}
-	if s.KeysRequired() {
-		configuration = configuration.RequiringKeys()
-	}
-	if configuration.Table.Version == s.Version() && configuration.Table.KeysRequired() == s.KeysRequired() {
-		return false
+	if s.keysRequired.Load() && !configuration.Table.KeysRequired() {
+		configuration = configuration.requiringKeys()
 	}
 	s.current.Store(configuration)
+	if configuration.Table.KeysRequired() {
+		s.keysRequired.Store(true)
+	}
 	return true
 }
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -50,6 +50,7 @@
 	flagRelay
 	flagCutOff
 	flagNamesQuestion
+	flagKeysRequired
 )
 
 // Protobuf field numbers of the nested messages: load, usage, failed and leaving server.
@@ -143,6 +144,9 @@
 	if d.NamesQuestion {
 		flags |= flagNamesQuestion
 	}
+	if d.KeysRequired {
+		flags |= flagKeysRequired
+	}
 	return flags
 }
 
@@ -226,6 +230,7 @@
 			digest.Relay = number&flagRelay != 0
 			digest.CutOff.All = number&flagCutOff != 0
 			digest.NamesQuestion = number&flagNamesQuestion != 0
+			digest.KeysRequired = number&flagKeysRequired != 0
 		case tagAnswerTo:
 			digest.AnswerTo = number
 		case tagCutOffService:
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -39,6 +39,8 @@
 	Probe bool
 	// NamesQuestion is set by senders whose answers to WantedStreams have AnswerTo.
 	NamesQuestion bool
+	// KeysRequired is set when clients' requests need a key at the sender, also by versions without accounts.
+	KeysRequired bool
 	// AnswerTo identifies the receiver's digest that this one answers: the sum of its Incarnation and Sequence, which wraps
 	// around; 0 for none.
 	AnswerTo uint64
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -23,10 +23,6 @@
 	serversPath       = "/v1/servers"
 )
 
-// keysRequiredHeader is set to "true" in the answer with a configuration by whose sender requests need a key, also if it has no
-// accounts. Older builds neither send nor read it.
-const keysRequiredHeader = "Keys-Required"
-
 const (
 	// fetchPeriod is the time between two checks for newer state that no digest triggers.
 	fetchPeriod = 250 * time.Millisecond
@@ -185,17 +181,14 @@
 }
 
 func (s *Service) fetchConfiguration(address netip.Addr) error {
-	got, err := s.get(address, configurationPath+"?after="+strconv.FormatUint(s.options.State.Version(), 10))
-	if err != nil || len(got.body) == 0 {
+	document, err := s.get(address, configurationPath+"?after="+strconv.FormatUint(s.options.State.Version(), 10))
+	if err != nil || len(document) == 0 {
 		return err
 	}
-	configuration, err := s.options.Decode(got.body)
+	configuration, err := s.options.Decode(document)
 	if err != nil {
 		return err
 	}
-	if got.keysRequired {
-		configuration = configuration.RequiringKeys()
-	}
 	if s.options.State.Offer(configuration) {
 		event.Log(s.options.Logger, event.ConfigurationInForce).Uint64("version", configuration.Table.Version).
 			Int("routes", configuration.Table.Routes()).Bool("keys_required", s.options.State.KeysRequired()).Stringer("source", address).Send()
@@ -225,11 +218,11 @@
 // and their number.
 func (s *Service) importServers(source fetchSource, after revision.Revision) (export directory.Export, changed int, err error) {
 	begun := time.Now()
-	got, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
+	body, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
 	if err != nil {
 		return export, 0, err
 	}
-	if err := json.Unmarshal(got.body, &export); err != nil {
+	if err := json.Unmarshal(body, &export); err != nil {
 		return export, 0, fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
 	}
 	export.UnderWay = time.Since(begun)
@@ -257,14 +250,7 @@
 	return true
 }
 
-// peerAnswer is a peer's answer to one call; its body is empty when the peer has nothing newer.
-type peerAnswer struct {
-	body []byte
-	// keysRequired is set when requests need a key by the configuration in the body.
-	keysRequired bool
-}
-
-func (s *Service) get(address netip.Addr, target string) (peerAnswer, error) {
+func (s *Service) get(address netip.Addr, target string) ([]byte, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -273,20 +259,19 @@
 	request.SetConnectionClose()
 	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	if err := s.client.Do(request, response); err != nil {
-		return peerAnswer{}, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
+		return nil, fault.Wrap(fault.PeerUnreachable, "peers", "no answer", err)
 	}
 	switch response.StatusCode() {
 	case fasthttp.StatusOK:
 		body, err := response.BodyUncompressedWithLimit(maxFetchedBytes)
 		if err != nil {
-			return peerAnswer{}, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
+			return nil, fault.Wrap(fault.PeerMessage, "peers", "unpack", err)
 		}
-		required := string(response.Header.Peek(keysRequiredHeader)) == "true"
-		return peerAnswer{body: append([]byte(nil), body...), keysRequired: required}, nil
+		return append([]byte(nil), body...), nil
 	case fasthttp.StatusNoContent:
-		return peerAnswer{}, nil
+		return nil, nil
 	default:
-		return peerAnswer{}, fault.New(fault.PeerUnreachable, "peer answered with status "+strconv.Itoa(response.StatusCode()))
+		return nil, fault.New(fault.PeerUnreachable, "peer answered with status "+strconv.Itoa(response.StatusCode()))
 	}
 }
 
@@ -309,9 +294,6 @@
 			ctx.SetStatusCode(fasthttp.StatusNoContent)
 			return
 		}
-		if current.Table.KeysRequired() {
-			ctx.Response.Header.Set(keysRequiredHeader, "true")
-		}
 		ctx.SetBody(current.Document)
 	case serversPath:
 		body, err := json.Marshal(s.options.Directory.Export(revision.Revision(after)))
--- a/gateway/peers/fetch_test.go
+++ b/gateway/peers/fetch_test.go
@@ -44,12 +44,12 @@
 	}
 	got, err := reader.get(netip.MustParseAddr("127.0.0.1"), configurationPath+"?after=0")
 	is.NoErr(err)
-	is.Equal(string(got.body), string(document))
+	is.Equal(string(got), string(document))
 	t.Logf("%d bytes of %d", received, len(document))
 	is.True(received < len(document)/4)
 	got, err = reader.get(netip.MustParseAddr("127.0.0.1"), configurationPath+"?after=7")
 	is.NoErr(err)
-	is.Equal(len(got.body), 0) // nothing newer
+	is.Equal(len(got), 0) // nothing newer
 }
 
 // countingConn counts the bytes read from a connection.
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -22,6 +22,9 @@
 		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
 		return
 	}
+	if digest.KeysRequired {
+		s.options.State.RequireKeys()
+	}
 	now, address := time.Now(), from.Addr().Unmap()
 	recorded, answer, wanted := s.record(now, address, digest)
 	if wanted {
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -219,7 +219,7 @@
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
-		NamesQuestion: true, Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
+		NamesQuestion: true, KeysRequired: s.options.State.KeysRequired(), Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
 		Rollouts: s.options.Rollouts.News(), RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
 		RequestRates: requestRateReports(now, s.options.Ledger.RequestRates()),
 		Poison:       reportsOf(now, s.options.Poison.News(rand.IntN(completeNewsSpacing) == 0)),
