Follow the quarantines that others write into the store

What callers and servers saw: an instance whose links to the others are cut finds that a request crashes servers, rejects it and writes that into the store.

Cause: the archive of quarantines reads the store until its first success after the start of a process; later ones travel by digests alone.

Change: the instance that writes for its data centre also follows the objects of all data centres, by a watch that the store holds for 1.5 s, and tells its peers. Worst case: noticed by its writer within 0.2 s and 1.5 s for a call, by the watch within 0.2 s, or 3 s when an answer is lost: within ContactMs (4,000) together with one digest while the store is stable.

Of its class (read at the start only): the history of software versions, whose news are in the list of servers that all follow, and the records of streams, which are read again when a stream is taken up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -172,6 +172,7 @@
 	now := time.Now()
 	g.startedAt.Store(&now)
 	g.duties.Go("quarantines", g.quarantines.Run)
+	g.duties.Go("quarantines of others", g.quarantines.RunFollow)
 	g.duties.Go("served versions", g.served.Run)
 	g.duties.Go("stream records", g.archive.Run)
 	g.duties.Go("housekeeping", g.runMaintenance)
--- a/gateway/quarantinearchive/archive.go
+++ b/gateway/quarantinearchive/archive.go
@@ -71,7 +71,7 @@
 // load passes the quarantines in the store to Learn, and reports whether they could be read.
 func (a *Archive) load(ctx context.Context) bool {
 	defer a.asked.Store(true)
-	quarantines, err := a.options.Store.Quarantines(ctx)
+	quarantines, _, err := a.options.Store.Quarantines(ctx)
 	if err != nil {
 		event.Log(a.options.Logger, event.QuarantinesNotRead).Err(err).Send()
 		return false
--- a/gateway/quarantinearchive/archive_test.go
+++ b/gateway/quarantinearchive/archive_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
 // memoryStore keeps the quarantines of each data centre. Its fields, and those of the rig, are used with mu held.
@@ -20,6 +21,7 @@
 	mu     sync.Mutex
 	kept   map[string][]poison.Quarantine
 	writes int
+	reads  int
 	down   bool
 }
 
@@ -34,17 +36,30 @@
 	return nil
 }
 
-func (s *memoryStore) Quarantines(context.Context) ([]poison.Quarantine, error) {
+func (s *memoryStore) Quarantines(context.Context) ([]poison.Quarantine, revision.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
-		return nil, fault.New(fault.PlatformUnavailable, "down")
+		return nil, 0, fault.New(fault.PlatformUnavailable, "down")
 	}
 	var all []poison.Quarantine
 	for _, kept := range s.kept {
 		all = append(all, kept...)
 	}
-	return all, nil
+	return all, 1, nil
+}
+
+// watchTime is how long the store holds a watch.
+const watchTime = 1500 * time.Millisecond
+
+func (s *memoryStore) WatchQuarantines(ctx context.Context, after revision.Revision) ([]poison.Quarantine, revision.Revision, error) {
+	if after == 0 {
+		return nil, 0, fault.New(fault.PlatformHistoryGone, "gone")
+	}
+	time.Sleep(watchTime)
+	all, _, err := s.Quarantines(ctx)
+	return all, after + 1, err
 }
 
 // rig is an archive with its store and the quarantines that its instance knows.
@@ -175,6 +190,36 @@
 	})
 }
 
+// Guards against BUDGET: what an instance finds after this one has started doesn't reach it while their links are cut.
+func TestWriterLearnsWhatOthersWriteLater(t *testing.T) {
+	for _, writes := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := &memoryStore{kept: make(map[string][]poison.Quarantine)}
+			r := newRig(store)
+			r.writes = writes
+			r.run(func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() {
+					r.RunFollow(ctx)
+					close(done)
+				}()
+				time.Sleep(time.Minute)
+				store.mu.Lock()
+				store.kept["b"] = []poison.Quarantine{{Keys: []poison.Key{9}, Since: time.Now()}}
+				reads := store.reads
+				store.mu.Unlock()
+				is.True(writes || reads == 1) // the writer of the data centre reads for all of its instances
+				time.Sleep(4 * time.Second)
+				cancel()
+				<-done
+			})
+			is.Equal(len(r.known) > 0, writes)
+		})
+	}
+}
+
 func TestOnlyTheWriterOfADataCentreWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
