Resume a stream only at the service that began it, also when its route is divided

What callers saw: a route divides streams between two services of different software versions.

Cause: the record of the service and the version that began a stream is passed on only while one service has several versions. Without a record, the service is drawn anew, and its only version is taken for the one that began the stream.

Change: records are passed on and archived also while a route divides streams that may resume, and for a minute after a version sends a route's streams to other services (State.StreamServicesVary). For such a route, the only version of a service is no evidence: without a record the stream is rejected at once (software_version_unknown, 503).

What remains: an instance that starts within a minute after a move, asked by a client that doesn't name its first attempt, doesn't know of the move.

--- a/gateway/forward/stream_version.go
+++ b/gateway/forward/stream_version.go
@@ -32,6 +32,9 @@
 	if r.j.origin.source != "" {
 		return r.j.origin.Version, r.j.origin.source
 	}
+	if r.f.state.StreamServiceVaries(r.j.route) {
+		return "", "unknown" // Another service may have begun the stream.
+	}
 	// A client that doesn't name its first attempt is not looked up anywhere, so that waiting tells nothing.
 	trusted := r.f.untilListTrusted() == 0 && r.j.origin.inStep || r.j.request.FirstAttempt == ""
 	if version = r.f.onlyVersion(r.service.Name); version != "" && !r.j.origin.severalRecently && trusted {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,7 @@
 	g.archive = streamarchive.New(streamarchive.Options{
 		Guard:    g.guard,
 		Instance: s.Instance, Store: adapters.Streams, Directory: g.directory, Logger: logger,
-		SeveralLately: g.served.HasSeveral,
+		SeveralLately: g.severalOrigins,
 		Writes:        func() bool { return g.peers.RelayRole() == discovery.Primary },
 		Learn:         g.forwarder.StreamVersions().Learn,
 	})
@@ -200,7 +200,7 @@
 	return peers.Options{
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Regions: gatewaySettings.Regions(), Address: address, Seeds: seedAddresses(gatewaySettings),
 		State: g.state, Directory: g.directory, Follower: g.follower, Ledger: g.forwarder.Ledger(),
-		StreamVersions: g.forwarder.StreamVersions(), SeveralLately: func() bool { return g.served.HasSeveral() }, Poison: g.forwarder.Poison(),
+		StreamVersions: g.forwarder.StreamVersions(), SeveralLately: g.severalOrigins, Poison: g.forwarder.Poison(),
 		Rollouts: g.rollouts, Decode: g.adapters.Decode, Logger: g.logger, Guard: g.guard,
 	}
 }
@@ -223,6 +223,10 @@
 // which requests are quarantined.
 const quarantineWait = 500 * time.Millisecond
 
+// severalOrigins reports whether streams that clients resume now may have begun at another software version of their service,
+// or at another service.
+func (g *Gateway) severalOrigins() bool { return g.served.HasSeveral() || g.state.StreamServicesVary() }
+
 // knowsQuarantines reports whether the quarantined requests were read from the store, or can't be had soon.
 func (g *Gateway) knowsQuarantines() bool {
 	started := g.startedAt.Load()
--- a/gateway/peers/options.go
+++ b/gateway/peers/options.go
@@ -70,7 +70,7 @@
 	// StreamVersions holds the records of streams of this instance and its peers.
 	StreamVersions StreamVersions
 	// SeveralLately reports whether a service had several software versions lately, also before this instance
-	// started; nil if that isn't known.
+	// started, or a route sent streams to several services; nil if that isn't known.
 	SeveralLately func() bool
 	// Poison holds what is known about requests that crash backend servers.
 	Poison PoisonTable
--- a/gateway/route/route.go
+++ b/gateway/route/route.go
@@ -57,6 +57,23 @@
 	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
+// Services returns the services to which the route sends requests, sorted by name.
+func (r *Route) Services() []string {
+	var services []string
+	for _, share := range r.Split {
+		if share.Weight > 0 {
+			services = append(services, share.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// DividesStreams reports whether the route sends streams that may resume to several services.
+func (r *Route) DividesStreams() bool {
+	return r.Kind == Stream && r.Resumable && len(r.Services()) > 1
+}
+
 // ChooseService returns the service for a random number in [0, 1), in proportion to the weights of the split; empty when none
 // has a weight above 0.
 func (r *Route) ChooseService(draw float64) string {
--- a/gateway/route/table.go
+++ b/gateway/route/table.go
@@ -22,6 +22,8 @@
 	accounts   map[string]*Account
 	hosts      map[string][]*Route
 	routeCount int
+	// dividesStreams is set when a route sends streams that may resume to several services.
+	dividesStreams bool
 	// ranks holds the ranks of the requests of each service.
 	ranks map[string]rank.Order
 }
@@ -54,6 +56,7 @@
 		if r.Host != "" && r.PathPrefix != "" {
 			host := strings.ToLower(r.Host)
 			table.hosts[host] = append(table.hosts[host], r)
+			table.dividesStreams = table.dividesStreams || r.DividesStreams()
 		}
 	}
 	for _, list := range table.hosts {
@@ -63,6 +66,34 @@
 	return table
 }
 
+// DividesStreams reports whether a route sends streams that may resume to several services.
+func (t *Table) DividesStreams() bool { return t.dividesStreams }
+
+// MovedStreams returns the routes of streams that may resume whose requests, or a part of them, an earlier table sent to other
+// services.
+func (t *Table) MovedStreams(before *Table) []*Route {
+	var moved []*Route
+	for host, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Kind == Stream && r.Resumable && before.sendsElsewhere(host, r) {
+				moved = append(moved, r)
+			}
+		}
+	}
+	return moved
+}
+
+// sendsElsewhere reports whether requests that match a route of another table go to other services by this one.
+func (t *Table) sendsElsewhere(host string, r *Route) bool {
+	services := r.Services()
+	if matched := t.Match(host, r.PathPrefix); matched != nil && !slices.Equal(matched.Services(), services) {
+		return true
+	}
+	return slices.ContainsFunc(t.hosts[host], func(other *Route) bool {
+		return strings.HasPrefix(other.PathPrefix, r.PathPrefix) && !slices.Equal(other.Services(), services)
+	})
+}
+
 // Ranks returns the ranks that requests of a service may have.
 func (t *Table) Ranks(service string) rank.Order { return t.ranks[service] }
 
--- a/gateway/route/table_test.go
+++ b/gateway/route/table_test.go
@@ -73,3 +73,31 @@
 	}
 	is.New(t).True(!open.KeysRequired()) // RequiringKeys leaves the table as it is
 }
+
+// Guards against ORDER: a change by which streams go to another service is overlooked, as it concerns another prefix.
+func TestMovedStreamsAreFound(t *testing.T) {
+	stream := func(prefix string, services ...string) *route.Route {
+		r := &route.Route{Host: "H", PathPrefix: prefix, Kind: route.Stream, Resumable: true}
+		for _, service := range services {
+			r.Split = append(r.Split, route.Share{Service: service, Weight: 1})
+		}
+		return r
+	}
+	for name, c := range map[string]struct {
+		before, after []*route.Route
+		moved         int
+	}{
+		"nothing changes":              {[]*route.Route{stream("/", "a", "b")}, []*route.Route{stream("/", "b", "a")}, 0},
+		"another service":              {[]*route.Route{stream("/", "a")}, []*route.Route{stream("/", "b")}, 1},
+		"a service more":               {[]*route.Route{stream("/", "a")}, []*route.Route{stream("/", "a", "b")}, 1},
+		"a longer prefix is added":     {[]*route.Route{stream("/", "a")}, []*route.Route{stream("/", "a"), stream("/x/", "b")}, 1},
+		"a longer prefix is removed":   {[]*route.Route{stream("/", "a"), stream("/x/", "b")}, []*route.Route{stream("/", "a")}, 1},
+		"a new prefix":                 {[]*route.Route{stream("/x/", "a")}, []*route.Route{stream("/x/", "a"), stream("/y/", "b")}, 0},
+		"the same service by a prefix": {[]*route.Route{stream("/", "a")}, []*route.Route{stream("/", "a"), stream("/x/", "a")}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before, after := route.NewTable(1, route.Limits{}, c.before, nil, nil), route.NewTable(2, route.Limits{}, c.after, nil, nil)
+			is.New(t).Equal(len(after.MovedStreams(before)), c.moved)
+		})
+	}
+}
--- a/gateway/streamarchive/archive.go
+++ b/gateway/streamarchive/archive.go
@@ -40,7 +40,8 @@
 	Instance  string
 	Store     Store
 	Directory *directory.Directory
-	// SeveralLately reports whether a service had several versions lately, also before this instance started.
+	// SeveralLately reports whether a service had several versions lately, also before this instance started, or a route sent
+	// streams to several services.
 	SeveralLately func() bool
 	// Writes reports whether this instance writes the records of its data centre.
 	Writes func() bool
