Apply the limits in force to the next request of a kept connection

MaxHeaderBytes had the same fault, and lowered limits weren't applied either.

Cause: a connection read the limits before it waited for its next request.

Change: it reads them when the request has begun to arrive; the wait itself goes by those of its begin and, when it ends, by those in force, as before.

Of its class (judged by the configuration before): keys, routes and ranks are read for each request and again while it waits; the limits of a peer's hand-over use the same code. Nothing else is kept with a connection.

No price: the limits are read once more for a request, which is two atomic loads.

--- a/gateway/ingress/client_conn.go
+++ b/gateway/ingress/client_conn.go
@@ -53,10 +53,10 @@
 // serveNext answers one request and reports whether the connection stays open for
 // another.
 func (c *clientConn) serveNext() bool {
-	limits := c.server.handler.Limits()
-	if !c.awaitRequest(limits) {
+	if !c.awaitRequest() {
 		return false
 	}
+	limits := c.server.handler.Limits() // A configuration may have come into force meanwhile.
 	if !c.state.CompareAndSwap(stateIdle, stateBusy) {
 		return false
 	}
@@ -93,8 +93,8 @@
 // awaitRequest waits for the first byte of a request and reports whether it came.
 // When the idle timeout expires, the limits are read again, because a new
 // configuration may have extended it.
-func (c *clientConn) awaitRequest(limits route.Limits) bool {
-	since := time.Now()
+func (c *clientConn) awaitRequest() bool {
+	since, limits := time.Now(), c.server.handler.Limits()
 	for c.reader.Buffered() == 0 {
 		if err := c.conn.SetReadDeadline(since.Add(limits.IdleTimeout)); err != nil {
 			return false
