Stop a stream that crashes its servers late in its answer

Cause: a run counts as one without a crash half a second after its first event, and what breaks later wasn't looked into.

Change: late crashes count against a key of their own, which only a stream that ends well clears. They count where fewer than two other servers failed at the same time, and against the streams of the server against which most of them count. Quarantines, news and archives are those that there are.

--- a/decision/poison/key.go
+++ b/decision/poison/key.go
@@ -22,6 +22,17 @@
 	return Key(hash.Sum64())
 }
 
+// LateKey returns the key against which the crashes of a request count that come late in its answer, given the key of the
+// request and the id of the last part of its prompt, empty for none. They are counted apart: a run that has begun well shows
+// nothing about them, only one that has ended well does. Many streams run long enough to see a crash, so that requests of the same
+// content with other prompts are told apart.
+func LateKey(request Key, prompt string) Key {
+	hash := xxhash.New()
+	_, _ = hash.WriteString("\x00late\x00" + request.String() + "\x00")
+	_, _ = hash.WriteString(prompt)
+	return Key(hash.Sum64())
+}
+
 // String returns the key as in logs.
 func (k Key) String() string { return strconv.FormatUint(uint64(k), 16) }
 
--- a/decision/poison/table.go
+++ b/decision/poison/table.go
@@ -34,6 +34,26 @@
 	return Verdict{Rejected: true, Until: t.quarantines.until(q), Keys: slices.Clone(q.Keys)}
 }
 
+// Suspects returns those of the runs that a server's crash is put down to: the ones against whose requests most crashes count
+// already. Others ran beside the cause.
+func (t *Table) Suspects(runs []Run) []Run {
+	most := 0
+	counts := make([]int, len(runs))
+	for i, run := range runs {
+		if r := t.records.byKey[run.Request]; r != nil {
+			counts[i] = len(r.crashes)
+		}
+		most = max(most, counts[i])
+	}
+	var suspects []Run
+	for i, run := range runs {
+		if counts[i] == most {
+			suspects = append(suspects, run)
+		}
+	}
+	return suspects
+}
+
 // AddCrash adds a crash and reports whether it was new and counts. One of a request that was quarantined then doesn't.
 func (t *Table) AddCrash(now time.Time, crash Crash) bool {
 	if now.Sub(crash.At) > t.settings.CrashLifetime || t.Check(crash.At, crash.Run).Rejected {
--- a/decision/poison/table_test.go
+++ b/decision/poison/table_test.go
@@ -160,3 +160,14 @@
 	news := table.News(now, true)
 	is.True(len(news.Crashes) <= settings().MaxNews && len(news.Quarantines) <= settings().MaxNews)
 }
+
+// Guards against streams that ran beside the one that crashes servers late in its answer, and are taken for it.
+func TestCrashIsPutDownToTheRequestUnderWhichMostWere(t *testing.T) {
+	is := is.New(t)
+	table, _ := crashed(poison.LateKey(deadly, ""), 2)
+	late, beside := poison.Run{Request: poison.LateKey(deadly, "")}, poison.Run{Request: poison.LateKey(sound, "")}
+	is.Equal(table.Suspects([]poison.Run{beside, late}), []poison.Run{late})
+	is.Equal(len(poison.NewTable(settings()).Suspects([]poison.Run{beside, late})), 2) // nothing tells them apart yet
+	is.True(poison.LateKey(deadly, "a") != poison.LateKey(deadly, "b"))
+	is.True(poison.LateKey(deadly, "") != deadly)
+}
--- a/gateway/forward/crash_detector.go
+++ b/gateway/forward/crash_detector.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// probed holds the running probes, by the id of the server.
 	probed map[string]*serverProbe
+	// failures holds the servers that failed lately, as this instance or a peer has found, by their ids.
+	failures map[string]serverFailure
 }
 
 // serverProbe is the probe of one server, with the runs that broke there.
@@ -33,13 +35,15 @@
 	request string
 	keys    poison.Run
 	at      time.Time
+	// late says that the connection broke late in the answer.
+	late bool
 }
 
 // maxCrashProbes is the number of connection attempts: the first may time out because a packet is lost.
 const maxCrashProbes = 2
 
 func newCrashDetector(f *Forwarder) *crashDetector {
-	return &crashDetector{f: f, probed: make(map[string]*serverProbe)}
+	return &crashDetector{f: f, probed: make(map[string]*serverProbe), failures: make(map[string]serverFailure)}
 }
 
 // crashErrors are the errors with which a run may end because its server ended.
@@ -53,6 +57,15 @@
 // start probes a server whose connection broke while it ran a request, and records a crash if it ended. The
 // channel is closed when that is known.
 func (d *crashDetector) start(j *job, server *directory.Server) <-chan struct{} {
+	return d.probe(server, brokenRun{request: j.request.ID, keys: j.run, at: time.Now()})
+}
+
+// startLate is start for a run that broke late in its answer.
+func (d *crashDetector) startLate(j *job, server *directory.Server) {
+	d.probe(server, brokenRun{request: j.request.ID, keys: j.late, at: time.Now(), late: true})
+}
+
+func (d *crashDetector) probe(server *directory.Server, broken brokenRun) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	probe := d.probed[server.ID]
@@ -61,7 +74,7 @@
 		d.probed[server.ID] = probe
 		go d.f.guard.Run("check", func() { d.run(server, probe) })
 	}
-	probe.broken = append(probe.broken, brokenRun{request: j.request.ID, keys: j.run, at: time.Now()})
+	probe.broken = append(probe.broken, broken)
 	return probe.done
 }
 
@@ -79,9 +92,17 @@
 	if !d.f.selector.reach.reachesServersSince(refusedAt) {
 		return // The links of this instance may have broken, not the server.
 	}
+	var late []brokenRun
 	for _, run := range probe.broken {
+		if run.late {
+			late = append(late, run)
+			continue
+		}
 		d.f.poison.recordCrash(run, server)
 	}
+	if len(late) > 0 {
+		go d.f.guard.Run("check", func() { d.recordLate(server, late) })
+	}
 }
 
 // refuses returns the error of a connection attempt that the server's address refused; nil when it was
--- a/gateway/forward/forwarder.go
+++ b/gateway/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wisteriahaven/wisteriahaven/decision/poison"
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
@@ -90,7 +91,10 @@
 	f.relays = newRelays(options)
 	f.guard = contain.New(options.Logger, options.Metrics)
 	f.liveness = newLivenessChecker(f)
-	f.selector.onPeerFailure = f.liveness.centres.failedAtPeer
+	f.selector.onPeerFailure = func(server string, age time.Duration) {
+		f.liveness.centres.failedAtPeer(server, age)
+		f.crashes.recordFailure(server, time.Now().Add(-age))
+	}
 	f.watch = &loadWatch{f: f}
 	f.prompts = &promptFinder{f: f, sweeps: make(map[string]*promptSweep)}
 	f.adopter.addressReuse.Store(int64(options.AddressReuse))
@@ -109,6 +113,7 @@
 // recordUnreachable records that a server could not be reached or that its stream
 // stalled, and starts looking for its restarted process.
 func (f *Forwarder) recordUnreachable(server *directory.Server, cause error) {
+	f.crashes.recordFailure(server.ID, time.Now())
 	f.selector.recordUnreachable(server, cause)
 	f.adopter.startProbing(server)
 }
@@ -215,6 +220,9 @@
 		j.account = account.Name
 	}
 	j.run = runOf(j)
+	if j.route.Kind == route.Stream {
+		j.late = poison.Run{Request: poison.LateKey(j.run.Request, request.PromptKey)}
+	}
 	f.serveJob(ctx, j)
 }
 
--- a/gateway/forward/job.go
+++ b/gateway/forward/job.go
@@ -23,6 +23,8 @@
 	rank int
 	// run holds the keys of the request's content and of the parts of its prompt.
 	run poison.Run
+	// late holds the key against which crashes late in its answer count; zero for calls.
+	late poison.Run
 	// origin is what is recorded about a stream that the client resumes.
 	origin recordedOrigin
 	// deadline is the latest time of the final answer: the earlier one of the
--- a/gateway/forward/poison_guard.go
+++ b/gateway/forward/poison_guard.go
@@ -54,27 +54,46 @@
 	place := g.place()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Admit(time.Now(), j.run, place)
+	if verdict := g.table.Admit(time.Now(), j.run, place); verdict.Rejected || j.late.Request == 0 {
+		return verdict
+	}
+	return g.table.Admit(time.Now(), j.late, place)
 }
 
 // check returns whether a request is rejected now.
 func (g *poisonGuard) check(j *job) poison.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Check(time.Now(), j.run)
+	if verdict := g.table.Check(time.Now(), j.run); verdict.Rejected || j.late.Request == 0 {
+		return verdict
+	}
+	return g.table.Check(time.Now(), j.late)
+}
+
+// suspects returns those of the runs that the crash of their server is put down to.
+func (g *poisonGuard) suspects(runs []poison.Run) []poison.Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Suspects(runs)
 }
 
-// recordCleanRun records that a server ran a request to its end.
-func (g *poisonGuard) recordCleanRun(j *job) {
+// recordCleanRun records that a server ran a request without a crash: to its end, or a stream for longer than crashTime.
+func (g *poisonGuard) recordCleanRun(j *job) { g.clear(j, j.run) }
+
+// recordCompleteStream records that a server ran a stream to its end.
+func (g *poisonGuard) recordCompleteStream(j *job) { g.clear(j, j.late) }
+
+// clear records a run without a crash for its keys.
+func (g *poisonGuard) clear(j *job, run poison.Run) {
 	now := time.Now()
 	g.mu.Lock()
-	cleared := g.table.AddCleanRun(now, poison.CleanRun{Key: j.run.Request, At: now})
-	for _, part := range j.run.Parts {
+	cleared := g.table.AddCleanRun(now, poison.CleanRun{Key: run.Request, At: now})
+	for _, part := range run.Parts {
 		cleared = g.table.AddCleanRun(now, poison.CleanRun{Key: part, At: now}) || cleared
 	}
 	g.mu.Unlock()
 	if cleared {
-		event.Log(g.logger, event.RequestCleared).Str("request", j.request.ID).Stringer("content", j.run.Request).Send()
+		event.Log(g.logger, event.RequestCleared).Str("request", j.request.ID).Stringer("content", run.Request).Send()
 		g.announce()
 	}
 }
--- a/gateway/forward/run_end.go
+++ b/gateway/forward/run_end.go
@@ -8,8 +8,8 @@
 	"github.com/wisteriahaven/wisteriahaven/fault"
 )
 
-// crashTime is the time after the first event of a stream in which the end of its server may be due to
-// its request. A later one has another cause: many other streams run there.
+// crashTime is the time after the first event of a stream in which the end of its server is put down to
+// its request at once. A later one may have another cause, as many other streams run there: it counts apart (late_crash.go).
 const crashTime = 500 * time.Millisecond
 
 // crashProbeWait is how long a stream waits until it is known whether its server has crashed, before it goes to another
@@ -27,14 +27,20 @@
 // recordRun records at the end of an attempt whether the server ran the request to its end, or may have crashed
 // under it. In the latter case it waits for crashProbeWait until that is known.
 func (a *streamAttempt) recordRun(ctx context.Context, result *streamResult) {
-	if a.ranClean {
+	if result.complete {
+		a.run.f.poison.recordCompleteStream(a.run.j)
+	}
+	if a.ranClean || !a.justBegun() {
+		if !result.complete && ctx.Err() == nil && a.mayHaveCrashed(result) {
+			a.run.f.crashes.startLate(a.run.j, a.server)
+		}
 		return
 	}
 	if result.complete || (result.finalAnswer != nil && !result.finalAnswer.failedAnswer()) {
 		a.run.f.poison.recordCleanRun(a.run.j)
 		return
 	}
-	if ctx.Err() != nil || !a.justBegun() || !a.mayHaveCrashed(result) {
+	if ctx.Err() != nil || !a.mayHaveCrashed(result) {
 		return
 	}
 	select {
