Record a clean run of a stream that ends long after its first event

Change: whether the stream ended well is asked first, then whether its server may have crashed, and last whether that was early or late.

Evidence: TestStreamThatEndsLongAfterItsFirstEventClearsItsRequest fails before (one of two keys cleared) and passes after; the tests of gateway/forward pass.

--- a/gateway/forward/late_crash_test.go
+++ b/gateway/forward/late_crash_test.go
@@ -38,3 +38,16 @@
 		})
 	}
 }
+
+// Guards against a stream that sent nothing between its first event and its end, and whose crashes of before go on counting.
+func TestStreamThatEndsLongAfterItsFirstEventClearsItsRequest(t *testing.T) {
+	is := is.New(t)
+	f := newReachFixture(t, "a")
+	j := &job{run: poison.Run{Request: 7}, late: poison.Run{Request: 8}}
+	for _, keys := range []poison.Run{j.run, j.late} {
+		f.poison.recordCrash(brokenRun{keys: keys, at: time.Now()}, f.servers[0])
+	}
+	attempt := &streamAttempt{run: &streamRun{f: f.Forwarder, j: j}, server: f.servers[0], firstEventAt: time.Now().Add(-2 * crashTime)}
+	attempt.recordRun(t.Context(), &streamResult{complete: true})
+	is.Equal(len(f.poison.News(true).CleanRuns), 2)
+}
--- a/gateway/forward/run_end.go
+++ b/gateway/forward/run_end.go
@@ -30,17 +30,17 @@
 	if result.complete {
 		a.run.f.poison.recordCompleteStream(a.run.j)
 	}
-	if a.ranClean || !a.justBegun() {
-		if !result.complete && ctx.Err() == nil && a.mayHaveCrashed(result) {
-			a.run.f.crashes.startLate(a.run.j, a.server)
+	if result.complete || (result.finalAnswer != nil && !result.finalAnswer.failedAnswer()) {
+		if !a.ranClean {
+			a.run.f.poison.recordCleanRun(a.run.j)
 		}
 		return
 	}
-	if result.complete || (result.finalAnswer != nil && !result.finalAnswer.failedAnswer()) {
-		a.run.f.poison.recordCleanRun(a.run.j)
+	if ctx.Err() != nil || !a.mayHaveCrashed(result) {
 		return
 	}
-	if ctx.Err() != nil || !a.mayHaveCrashed(result) {
+	if a.ranClean || !a.justBegun() {
+		a.run.f.crashes.startLate(a.run.j, a.server)
 		return
 	}
 	select {
