Take no answer for whole whose server reset its connection during the upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer. The same happened to streams (events 1 to 5 of 30, and a proper end) and to requests handed to a peer.

Cause: a request over 4 KB is written by a goroutine of its own while the answer is read. The operating system reports a reset to one system call only. When the blocked write got it, the next read returned the same as at an orderly end, and a body that ends with its connection counted as whole. The result of the write was kept for the pool alone, which asks it whether a connection can be used again.

Change: at the end of such a body the connection asks the write. Bodies with a length or in chunks have an end of their own and are taken as before.

TestAnswerThatEndsWithAReset- ConnectionIsIncomplete shows it for the connection alone, also where the server closes for writing first.

Why it works: every reader of a server's or peer's answer takes its body from the connection, so that the check is in the one place where the end of a connection is taken for the end of a body.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -37,9 +37,9 @@
 	// Reused is set when the connection carried a request before.
 	Reused  bool
 	address string
-	// writeResult receives the result of writing a request concurrently; nil when
-	// the request was written inline.
-	writeResult chan error
+	// write is the concurrent writing of the current request; nil when it was written
+	// inline.
+	write *requestWrite
 	// interimBytes is the size of the interim answers to the current request.
 	interimBytes int
 	timeout      readingTimeout
@@ -53,7 +53,7 @@
 	if c.reader.Buffered() > 0 {
 		return false, ErrExtraBytes
 	}
-	c.interimBytes = 0
+	c.interimBytes, c.write = 0, nil
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return false, err
 	}
@@ -61,19 +61,11 @@
 		n, err := c.conn.Write(append(head, body...))
 		return n > 0, err
 	}
-	c.writeResult = make(chan error, 1)
 	number, err := c.timeout.extend(c.conn)
 	if err != nil {
 		return false, err
 	}
-	go func(written chan<- error) {
-		buffers := net.Buffers{head, body}
-		_, err := buffers.WriteTo(c.conn)
-		written <- err
-		if err == nil {
-			c.timeout.restoreWhenAcknowledged(c.conn, number)
-		}
-	}(c.writeResult)
+	c.write = startWrite(c.conn, net.Buffers{head, body}, func() { c.timeout.restoreWhenAcknowledged(c.conn, number) })
 	return true, nil
 }
 
@@ -117,8 +109,15 @@
 	return err
 }
 
-// Body returns the body of the answer.
-func (c *Conn) Body(response *http1.Response) *http1.Body { return c.reader.Body(response.Framing) }
+// Body returns the body of the answer. One that ends with its connection is complete only if the
+// request could be written until then.
+func (c *Conn) Body(response *http1.Response) *http1.Body {
+	body := c.reader.Body(response.Framing)
+	if c.write != nil {
+		body.CheckEnd(c.write.checkEnd)
+	}
+	return body
+}
 
 // Close closes the connection. Any goroutine may call it, more than once.
 func (c *Conn) Close() {
@@ -128,18 +127,7 @@
 }
 
 // fullyWritten reports whether the request was written completely.
-func (c *Conn) fullyWritten() bool {
-	if c.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-c.writeResult:
-		c.writeResult = nil
-		return err == nil
-	default:
-		return false
-	}
-}
+func (c *Conn) fullyWritten() bool { return c.write == nil || c.write.succeeded() }
 
 // IsReadTimeout reports whether a read ended because of its deadline. The connection may still
 // be sound, unlike after a timeout of the transport.
--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -33,6 +33,8 @@
 	// framingBytes is the size of the chunk lines, chunk ends and trailer lines, less that of the data
 	// after them; at least 0.
 	framingBytes int
+	// checkEnd is called at the end of a FramingClose body; nil for no check.
+	checkEnd func() error
 }
 
 // Body returns the body that follows a head with the given framing.
@@ -42,6 +44,10 @@
 	return body
 }
 
+// CheckEnd sets a function that is called when a FramingClose body has ended, because such a body has no mark of its
+// end. Next returns its error instead of io.EOF.
+func (b *Body) CheckEnd(check func() error) { b.checkEnd = check }
+
 // Ended reports whether the body was read to its end.
 func (b *Body) Ended() bool { return b.ended }
 
@@ -100,15 +106,26 @@
 func (b *Body) readUntilClose() ([]byte, error) {
 	if b.reader.Buffered() == 0 {
 		if err := b.reader.Fill(maxBodyBufferBytes); err != nil {
-			if errors.Is(err, io.EOF) {
-				b.ended = true
-			}
-			return nil, err
+			return nil, b.endAtClose(err)
 		}
 	}
 	return b.consume(b.reader.Buffered()), nil
 }
 
+// endAtClose returns the result of a FramingClose body whose connection returned an error: io.EOF when it is complete.
+func (b *Body) endAtClose(err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	if b.checkEnd != nil {
+		if failure := b.checkEnd(); failure != nil {
+			return failure
+		}
+	}
+	b.ended = true
+	return err
+}
+
 // readChunkStart reads the line with the size of a chunk, and the trailer if it is the last chunk.
 func (b *Body) readChunkStart() error {
 	line, err := b.readLine(maxChunkLineBytes)
