Take an answer whose reason holds a control character for no answer

What callers saw: a status line such as "HTTP/1.1 200 O<NUL>K" or one with an escape sequence was forwarded as it came, so that clients got bytes that are no HTTP.

Cause: http1.ParseResponse checks the status and the fields, not the reason, and the reason is written into the status line that the client gets.

Change: a control character in the reason is an error, as in the value of a field. The server's answer then counts as broken.

Evidence: TestMalformedAnswerIsNoAnswer fails before for "reason with a NUL" and "reason with an escape", over new and kept connections (200 for 502), and passes after.

--- a/transport/http1/response.go
+++ b/transport/http1/response.go
@@ -26,6 +26,9 @@
 	if err != nil || status < 100 || status > 599 || (len(line) > 12 && line[12] != ' ') {
 		return nil, malformed("status line", "no valid status")
 	}
+	if !isFieldValue(reason) {
+		return nil, malformed("status line", "a control character in its reason")
+	}
 	fields, err := parseFields(rest)
 	if err != nil {
 		return nil, err
