Take an answer that switches the protocol for no answer

What callers saw: a server sent "101 Switching Protocols" and then bytes that look like an answer, and the client got these as one.

Cause: all statuses below 200 were skipped as interim answers. After a 101 the connection speaks another protocol, so that nothing after it is HTTP; no request of an instance asks for that, as the field Upgrade isn't forwarded.

Change: http1.ParseResponse takes a 101 for malformed. Other interim answers are skipped as before.

--- a/transport/http1/response.go
+++ b/transport/http1/response.go
@@ -14,8 +14,11 @@
 	Framing Framing
 }
 
+// statusSwitchingProtocols announces that what follows is another protocol.
+const statusSwitchingProtocols = 101
+
 // ParseResponse parses the head of the response to a request with the given
-// method. Errors are *ProtocolError.
+// method that asks for no other protocol. Errors are *ProtocolError.
 func ParseResponse(head, method string) (*Response, error) {
 	line, rest, found := strings.Cut(head, "\r\n")
 	if !found || !strings.HasPrefix(line, "HTTP/1.1 ") || len(line) < len("HTTP/1.1 200") {
@@ -26,6 +29,9 @@
 	if err != nil || status < 100 || status > 599 || (len(line) > 12 && line[12] != ' ') {
 		return nil, malformed("status line", "no valid status")
 	}
+	if status == statusSwitchingProtocols {
+		return nil, malformed("status line", "switches the protocol without a request to do so")
+	}
 	if !isFieldValue(reason) {
 		return nil, malformed("status line", "a control character in its reason")
 	}
