Take a body whose trailer is no header fields for no body

What callers saw: a server ended a chunked body with lines that are no fields (a blank or a control byte in a name, the status line of another answer), and the client got the body as a whole answer, a stream as a complete one.

Cause: the reader skipped all lines after the last chunk up to an empty one.

Change: each of them must be a header field, as in a head; they are dropped as before.

--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -145,17 +145,20 @@
 	return b.readTrailer()
 }
 
-// readTrailer reads and discards the fields after the last chunk.
+// readTrailer reads, checks and discards the fields after the last chunk.
 func (b *Body) readTrailer() error {
 	for {
-		field, err := b.readLine(maxTrailerLineBytes)
+		line, err := b.readLine(maxTrailerLineBytes)
 		if err != nil {
 			return err
 		}
-		if len(field) == 0 {
+		if len(line) == 0 {
 			b.ended = true
 			return nil
 		}
+		if _, err := parseField(string(line)); err != nil {
+			return err
+		}
 	}
 }
 
--- a/transport/http1/parse_fields.go
+++ b/transport/http1/parse_fields.go
@@ -13,19 +13,28 @@
 		if line == "" {
 			return fields, nil
 		}
-		name, value, found := strings.Cut(line, ":")
-		if !found || !isToken(name) {
-			return nil, malformed("header", "a line is not a header field")
+		field, err := parseField(line)
+		if err != nil {
+			return nil, err
 		}
-		value = strings.Trim(value, " \t")
-		if !isFieldValue(value) {
-			return nil, malformed(name, "a control character in its value")
-		}
-		fields = append(fields, Field{Name: name, Value: value})
+		fields = append(fields, field)
 		text = rest
 	}
 }
 
+// parseField parses one header line without its line end.
+func parseField(line string) (Field, error) {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !isToken(name) {
+		return Field{}, malformed("header", "a line is not a header field")
+	}
+	value = strings.Trim(value, " \t")
+	if !isFieldValue(value) {
+		return Field{}, malformed(name, "a control character in its value")
+	}
+	return Field{Name: name, Value: value}, nil
+}
+
 // isToken reports whether a text is a token as defined by RFC 9110.
 func isToken(text string) bool {
 	if text == "" {
