Take a chunk with a control character in its extension for no chunk

What callers saw: a chunk whose line holds a control byte behind the size was accepted, and the client got the body as a whole answer.

Cause: the reader of chunks skipped everything behind the size.

Change: an extension may hold no control characters, as the value of a field; it is dropped as before. The same holds for the bodies of requests (400).

Evidence: TestMalformedAnswerIsNoAnswer fails before for "control byte in a chunk's line", over new and kept connections (200 for 502), and passes after.

--- a/transport/http1/body.go
+++ b/transport/http1/body.go
@@ -132,7 +132,10 @@
 	if err != nil {
 		return err
 	}
-	digits, _, _ := bytes.Cut(line, []byte(";"))
+	digits, extension, _ := bytes.Cut(line, []byte(";"))
+	if !isFieldValue(string(extension)) {
+		return malformed("chunk extension", "a control character in it")
+	}
 	size, ok := parseHex(digits)
 	if !ok {
 		return malformed("chunk size", "not a hexadecimal number")
