Take malformed answers of peers for errors

What would be seen: an instance that reads the configuration or the servers from a peer took an answer with the status 000, with blanks in the names of fields, with folded fields or of another HTTP version for a sound one.

Cause: as for the store, the HTTP client library that reads them.

Change: connections to peers are http1.StrictConn.

Digests are datagrams with a codec of their own and are not touched; requests handed to a peer are read as the answers of servers are.

--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -15,6 +15,7 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
 	"github.com/wisteriahaven/wisteriahaven/ring"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const (
@@ -96,7 +97,7 @@
 		failedServers: ring.New[FailedServer]("lost servers", failureQueueCapacity),
 		client: &fasthttp.Client{
 			ReadTimeout: fetchTimeout, WriteTimeout: fetchTimeout, MaxResponseBodySize: maxFetchedBytes,
-			Dial: dial, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+			Dial: http1.StrictDial(dial), MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		},
 		wake:       make(chan struct{}, 1),
 		poisonNews: make(chan struct{}, 1),
--- a/standin/brokenanswer/malformed.go
+++ b/standin/brokenanswer/malformed.go
@@ -80,16 +80,42 @@
 	half := body[:len(body)/2]
 	chunk := strconv.FormatInt(int64(len(half)), 16) + "\r\n" + half
 	return map[string]string{
-		"nothing":                     "",
-		"part of the status line":     head[:10],
-		"part of a field":             head[:len(head)-3],
-		"no end of the head":          head + "Content-Length: " + length + "\r\n",
-		"no body":                     head + "Content-Length: " + length + "\r\n\r\n",
-		"part of the body":            head + "Content-Length: " + length + "\r\n\r\n" + half,
-		"part of a body without size": head + "\r\n" + half,
-		"no chunk":                    head + "Transfer-Encoding: chunked\r\n\r\n",
-		"part of a chunk":             head + "Transfer-Encoding: chunked\r\n\r\n" + chunk[:len(chunk)-1],
-		"no last chunk":               head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n",
-		"part of the last chunk":      head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n0\r\n",
+		"nothing":                 "",
+		"part of the status line": head[:10],
+		"part of a field":         head[:len(head)-3],
+		"no end of the head":      head + "Content-Length: " + length + "\r\n",
+		"no body":                 head + "Content-Length: " + length + "\r\n\r\n",
+		"part of the body":        head + "Content-Length: " + length + "\r\n\r\n" + half,
+		unsizedPart:               head + "\r\n" + half,
+		"no chunk":                head + "Transfer-Encoding: chunked\r\n\r\n",
+		"part of a chunk":         head + "Transfer-Encoding: chunked\r\n\r\n" + chunk[:len(chunk)-1],
+		"no last chunk":           head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n",
+		"part of the last chunk":  head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n0\r\n",
 	}
 }
+
+// unsizedPart is the key of the part of a body that has neither a length nor chunks.
+const unsizedPart = "part of a body without size"
+
+// All returns ways to answer that can't be trusted, by what is wrong with them: all of Malformed and Cut, with the
+// connection left open, ended or reset. Answers have the given lines in their heads, each with its line end, and a
+// body of at least two bytes. Where a part of a body without a size ends in order, only the body can show that it is
+// a part; such an answer is included if partShows is set.
+func All(fields, body string, partShows bool) map[string]func(*Call) {
+	answers := make(map[string]func(*Call))
+	for name, text := range Malformed(fields, body) {
+		answers[name] = func(c *Call) { c.Write(text) }
+		answers[name+", closed"] = func(c *Call) { c.Write(text); c.Close() }
+	}
+	for name, text := range Cut(fields, body) {
+		if name != unsizedPart || partShows {
+			answers[name+", closed"] = func(c *Call) { c.Write(text); c.Close() }
+		}
+		answers[name+", reset"] = func(c *Call) { c.Write(text); c.Reset() }
+	}
+	answers["body without size, reset"] = func(c *Call) {
+		c.Write("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body)
+		c.Reset()
+	}
+	return answers
+}
