Take malformed answers at the completions interface for errors

What would be seen: an answer of an engine, a service or an instance of another data centre with the status 000 counted as 200 and reached the caller, the answer of a service with the status 999 was recorded and forwarded, and heads with blanks in names, folded fields, another HTTP version or a switched protocol counted as sound.

Change: exchanges, polls of load reports and orders to engines use http1.StrictConn.

Cut and reset answers held before.

--- a/serving/routing/poller.go
+++ b/serving/routing/poller.go
@@ -11,6 +11,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/engineapi"
 	"github.com/wisteriahaven/wisteriahaven/event"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // Limits of polling.
@@ -36,7 +37,9 @@
 func NewPoller(router *Router, interval time.Duration, logger zerolog.Logger) *Poller {
 	return &Poller{
 		router: router, interval: interval, logger: logger,
-		client:     &fasthttp.Client{ReadTimeout: pollTimeout, WriteTimeout: pollTimeout, NoDefaultUserAgentHeader: true},
+		client: &fasthttp.Client{
+			Dial: http1.StrictDial(fasthttp.Dial), ReadTimeout: pollTimeout, WriteTimeout: pollTimeout, NoDefaultUserAgentHeader: true,
+		},
 		polling:    make(map[string]bool),
 		unanswered: make(map[string]bool),
 	}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/engineapi"
 	"github.com/wisteriahaven/wisteriahaven/fault"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 	"github.com/wisteriahaven/wisteriahaven/transport/sse"
 )
 
@@ -24,11 +25,13 @@
 // Client opens and cancels streams on engines and sends orders to them.
 type Client struct {
 	dialer net.Dialer
+	// http sends orders and cancellations.
+	http *fasthttp.Client
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{dialer: net.Dialer{Timeout: dialTimeout}}
+	return &Client{dialer: net.Dialer{Timeout: dialTimeout}, http: &fasthttp.Client{Dial: http1.StrictDial(fasthttp.Dial)}}
 }
 
 // Open sends the request on a new connection and waits for the response header. Cancelling the
@@ -111,7 +114,7 @@
 		request.URI().QueryArgs().Set(engineapi.IdleParameter, "true")
 	}
 	request.SetConnectionClose()
-	if err := fasthttp.DoDeadline(request, response, deadline); err != nil {
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return fault.Wrap(fault.EngineUnreachable, domain, "cancel stream "+streamID, err)
 	}
 	return nil
--- a/transport/engine/orders.go
+++ b/transport/engine/orders.go
@@ -16,7 +16,7 @@
 // OrderState returns what an engine currently serves. Errors are
 // EngineUnreachable and EngineProtocol.
 func (c *Client) OrderState(ctx context.Context, address string) (engineapi.OrderState, error) {
-	return callOrders(ctx, address, fasthttp.MethodGet, nil)
+	return c.callOrders(ctx, address, fasthttp.MethodGet, nil)
 }
 
 // Order sends an order to an engine and returns the engine's state after it.
@@ -27,10 +27,10 @@
 	if err != nil {
 		return engineapi.OrderState{}, fault.Wrap(fault.Internal, domain, "encode order", err)
 	}
-	return callOrders(ctx, address, fasthttp.MethodPost, body)
+	return c.callOrders(ctx, address, fasthttp.MethodPost, body)
 }
 
-func callOrders(ctx context.Context, address, method string, body []byte) (engineapi.OrderState, error) {
+func (c *Client) callOrders(ctx context.Context, address, method string, body []byte) (engineapi.OrderState, error) {
 	var state engineapi.OrderState
 	deadline := time.Now().Add(requestTimeout)
 	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
@@ -44,7 +44,7 @@
 	request.SetRequestURI("http://" + address + ordersPath)
 	request.SetBody(body)
 	request.SetConnectionClose()
-	if err := fasthttp.DoDeadline(request, response, deadline); err != nil {
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
 		return state, fault.Wrap(fault.EngineUnreachable, domain, "orders of "+address, err)
 	}
 	if response.StatusCode() == fasthttp.StatusConflict {
--- a/transport/sse/exchange.go
+++ b/transport/sse/exchange.go
@@ -8,6 +8,8 @@
 	"net"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 // Sizes in bytes of the read buffers, and the largest response body.
@@ -39,10 +41,11 @@
 // PostNotify is Post that calls onConnect when the server has accepted the connection, before
 // the request is sent.
 func PostNotify(ctx context.Context, dialer *net.Dialer, address string, request *fasthttp.Request, onConnect func()) (exchange *Exchange, sent bool, err error) {
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, err
 	}
+	conn := http1.NewStrictConn(opened)
 	onConnect()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	exchange, err = send(conn, request)
