Take a response body over the size limit for an error

What would be seen: a caller of the completions interface got the first 16 MiB of a service's answer as the whole one, and so did the record of an operation with a key.

Cause: Exchange.Body reads through a limited reader, whose end looks like that of the body.

Evidence: TestBodyOverTheLimitIsAnError fails before for a body with a length and one that ends with its connection, and passes after; a body of exactly 16 MiB is returned.

--- a/transport/sse/broken_answers_test.go
+++ b/transport/sse/broken_answers_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +62,26 @@
 		})
 	}
 }
+
+// Guards against the beginning of a body over the size limit that passes for the whole one.
+func TestBodyOverTheLimitIsAnError(t *testing.T) {
+	for name, fields := range map[string]string{"length": "Content-Length: 16777217\r\n\r\n", "end of the connection": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			exchange, err := post(t, func(c *brokenanswer.Call) {
+				c.Write("HTTP/1.1 200 OK\r\n" + fields + strings.Repeat("x", 16<<20+1))
+				c.Close()
+			})
+			if err == nil {
+				_, err = exchange.Body()
+			}
+			is.True(err != nil)
+		})
+	}
+	is := is.New(t)
+	exchange, err := post(t, func(c *brokenanswer.Call) { c.Succeed("", strings.Repeat("x", 16<<20)) })
+	is.NoErr(err)
+	body, err := exchange.Body()
+	is.NoErr(err)
+	is.Equal(len(body), 16<<20)
+}
--- a/transport/sse/exchange.go
+++ b/transport/sse/exchange.go
@@ -6,9 +6,11 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
@@ -94,9 +96,16 @@
 // together with Next.
 func (e *Exchange) Read(buffer []byte) (int, error) { return e.body.Read(buffer) }
 
-// Body reads the rest of the response body, at most maxBodyBytes.
+// errBodyTooLong means that a response body is over maxBodyBytes.
+var errBodyTooLong = fault.New(fault.MessageMalformed, "the response body is over "+strconv.Itoa(maxBodyBytes)+" bytes")
+
+// Body reads the rest of the response body. It returns an error for one over maxBodyBytes.
 func (e *Exchange) Body() ([]byte, error) {
-	return io.ReadAll(io.LimitReader(e.body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(e.body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		return nil, errBodyTooLong
+	}
+	return body, err
 }
 
 // Next returns the next event. It returns io.EOF when the response ends, a network error when
