Don't end a forwarded stream that broke off as a complete one

What would be seen: an instance of another data centre that answers a completion breaks off within the stream, and the caller's connection got the last chunk of a complete body, without [DONE] and without an error event.

Cause: the writer of a streamed body returned at every error of reading, which the HTTP server takes for the end of the body.

Change: the body is handed to the server as a reader. It forwards each part as it arrives, and closes the caller's connection without the last chunk when a read fails.

--- a/transport/caller/overflow.go
+++ b/transport/caller/overflow.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
-	"bufio"
 	"io"
 	"strconv"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,9 +14,6 @@
 // eventStreamType is the content type of a streamed answer.
 const eventStreamType = "text/event-stream"
 
-// copyBufferBytes is the buffer size for reads of a forwarded answer, in bytes.
-const copyBufferBytes = 16 << 10
-
 // forwardedHeaders are the request headers that are sent along with a forwarded request.
 var forwardedHeaders = []string{fasthttp.HeaderAuthorization, IdempotencyKeyHeader, LastEventIDHeader}
 
@@ -64,21 +61,23 @@
 		ctx.SetBody(body)
 		return nil
 	}
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer s.inFlight.Add(-1)
-		defer func() { _ = answer.Body.Close() }()
-		copyAnswer(w, answer.Body)
-	})
+	// The server closes the caller's connection without the last chunk when a read fails.
+	ctx.SetBodyStream(&forwardedBody{ReadCloser: answer.Body, closed: func() { s.inFlight.Add(-1) }}, -1)
 	return nil
 }
 
-// copyAnswer copies an answer as it arrives, until the body ends or either connection fails.
-func copyAnswer(w *bufio.Writer, body io.Reader) {
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		read, err := body.Read(buffer)
-		if _, failed := w.Write(buffer[:read]); failed != nil || w.Flush() != nil || err != nil {
-			return
-		}
-	}
+// forwardedBody is the body of another instance's answer.
+type forwardedBody struct {
+	io.ReadCloser
+	once   sync.Once
+	closed func()
+}
+
+// Close implements io.Closer; later calls do nothing.
+func (b *forwardedBody) Close() (err error) {
+	b.once.Do(func() {
+		err = b.ReadCloser.Close()
+		b.closed()
+	})
+	return err
 }
--- a/transport/caller/overflow_test.go
+++ b/transport/caller/overflow_test.go
@@ -44,6 +44,16 @@
 // postRefusedCompletion posts a completion to a server whose generator refuses it with the
 // code, and returns the status and body of the response.
 func postRefusedCompletion(t *testing.T, code fault.Code, other *remoteInstances) (int, string) {
+	t.Helper()
+	status, body, err := readRefusedCompletion(t, code, other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, body
+}
+
+// readRefusedCompletion is postRefusedCompletion that also returns the error of reading the body.
+func readRefusedCompletion(t *testing.T, code fault.Code, other *remoteInstances) (int, string, error) {
 	t.Helper()
 	b := stubDependencies{generate: func(context.Context, serving.AnswerWriter) (serving.AnswerEnd, error) {
 		return serving.AnswerEnd{}, fault.New(code, "refused").WithExecution(fault.ExecutionNotRun)
@@ -69,10 +79,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(answer.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return answer.StatusCode, string(body)
+	return answer.StatusCode, string(body), err
 }
 
 func TestOverflowForwardsTheAnswer(t *testing.T) {
@@ -103,3 +110,15 @@
 	is.Equal(status, http.StatusBadGateway)
 	is.True(!strings.Contains(body, "a part"))
 }
+
+// Guards against a stream of another instance that breaks off and looks complete.
+func TestOverflowDoesNotEndABrokenStream(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		other := &remoteInstances{contentType: "text/event-stream", body: brokenReader{strings.NewReader("data: a part\n\n")}}
+		status, body, err := readRefusedCompletion(t, fault.Overloaded, other)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "data: a part\n\n")
+		is.True(err != nil)
+	}
+}
