Take malformed answers to operators and of the object API for errors

What would be seen: the command line showed an answer with the status 000, or one whose head is no HTTP, as the state of an instance or the result of a command; the object API and the list of instances were read in the same way, so that such an answer counted as an empty list or an acknowledged write.

--- a/objectstore/httplist/client.go
+++ b/objectstore/httplist/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/objectstore"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const (
@@ -30,6 +31,7 @@
 	return &Client{
 		url: strings.TrimSuffix(base, "/") + objectstore.InstancesPath,
 		client: &fasthttp.Client{
+			Dial:                      http1.StrictDial(fasthttp.Dial),
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       64 << 20,
 		},
--- a/objectstore/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/objectstore"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const domain = "platform/httpstore"
@@ -37,6 +38,7 @@
 	return &Store{
 		base: strings.TrimSuffix(base, "/"),
 		client: &fasthttp.Client{
+			Dial:                      http1.StrictDial(fasthttp.Dial),
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       64 << 20,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriahaven/wisteriahaven/dump"
 	"github.com/wisteriahaven/wisteriahaven/fault"
 	"github.com/wisteriahaven/wisteriahaven/operatorapi"
+	"github.com/wisteriahaven/wisteriahaven/transport/http1"
 )
 
 const (
@@ -41,6 +42,7 @@
 // It makes no retries.
 func NewTransport() *fasthttp.Client {
 	return &fasthttp.Client{
+		Dial:                      http1.StrictDial(fasthttp.Dial),
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxAnswerBytes,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
