Take an unreadable answer to a write or a command for a lost one

What would be seen: an instance or the object API ends its connection within an answer without a length. The command line said that the message is malformed, and the writer of a configuration that the platform is unavailable, as if nothing had been done.

Cause: the error of decoding an answer didn't depend on the method, although such an answer may be a part of a whole one to a request that was carried out.

Change: for a command it is CommandOutcomeUnknown, for a write PlatformAnswerLost, whose callers repeat with the same id or read the object back. Reads keep their errors.

Evidence: "part of a body without size, closed" in TestBrokenAnswersOfInstancesAreErrors and in TestBrokenAnswersAreErrors of objectstore/httpstore fails before, passes after.

--- a/objectstore/httpstore/broken_answers_test.go
+++ b/objectstore/httpstore/broken_answers_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a broken answer that counts as an object, a list, a change or an acknowledged write.
 func TestBrokenAnswersAreErrors(t *testing.T) {
-	for name, answer := range brokenanswer.All("", `{}`, false) {
+	for name, answer := range brokenanswer.All("", `{}`, true) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/objectstore/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -125,19 +125,20 @@
 		if err != nil {
 			return noResponseError(method, err)
 		}
-		return decode(response, answer)
+		return decode(method, response, answer)
 	}
 }
 
-// noResponseError returns the error for a call without a response.
+// noResponseError returns the error for a call without a complete response.
 func noResponseError(method string, cause error) error {
 	if method == fasthttp.MethodGet {
-		return fault.Wrap(fault.PlatformUnavailable, domain, "no response", cause)
+		return fault.Wrap(fault.PlatformUnavailable, domain, "no complete response", cause)
 	}
-	return fault.Wrap(fault.PlatformAnswerLost, domain, "no response to a write", cause)
+	return fault.Wrap(fault.PlatformAnswerLost, domain, "no complete response to a write", cause)
 }
 
-func decode(response *fasthttp.Response, answer any) error {
+// decode decodes the response of a call. One to a write that can't be read counts as lost.
+func decode(method string, response *fasthttp.Response, answer any) error {
 	switch status := response.StatusCode(); status {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusNotFound:
@@ -155,7 +156,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(response.Body(), answer); err != nil {
-		return fault.Wrap(fault.PlatformUnavailable, domain, "decode answer", err)
+		return noResponseError(method, err)
 	}
 	return nil
 }
--- a/operatorclient/broken_answers_test.go
+++ b/operatorclient/broken_answers_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a broken answer that operators see as the state of an instance or the result of a command.
 func TestBrokenAnswersOfInstancesAreErrors(t *testing.T) {
-	for name, answer := range brokenanswer.All("", `{}`, false) {
+	for name, answer := range brokenanswer.All("", `{}`, true) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -58,7 +58,7 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Execute runs one command. The error is CommandOutcomeUnknown when the response is
-// lost: repeat the command with the same id. A response that carries a failure
+// lost or can't be read: repeat the command with the same id. A response that carries a failure
 // is returned without an error; see Response.Err.
 func (c *Client) Execute(ctx context.Context, request operatorapi.Request) (operatorapi.Response, error) {
 	body, err := json.Marshal(request)
@@ -138,11 +138,20 @@
 		return decodeFailure(response.Body())
 	}
 	if err := json.Unmarshal(response.Body(), answer); err != nil {
-		return fault.Wrap(fault.PeerMessage, domain, "decode the response", err)
+		return unreadableAnswer(method, err)
 	}
 	return nil
 }
 
+// unreadableAnswer returns the error of a response that can't be decoded: CommandOutcomeUnknown for a command, of whose
+// response it may be a part, PeerMessage otherwise.
+func unreadableAnswer(method string, cause error) error {
+	if method == fasthttp.MethodPost {
+		return lostAnswer(method, cause)
+	}
+	return fault.Wrap(fault.PeerMessage, domain, "decode the response", cause)
+}
+
 // lostAnswer returns the error of an exchange without a response:
 // CommandOutcomeUnknown for a command, which may have run, PeerUnreachable otherwise.
 func lostAnswer(method string, cause error) error {
