--- a/standin/brokenanswer/server.go
+++ b/standin/brokenanswer/server.go
@@ -16,8 +16,10 @@
 
 // Server is a server on loopback that leaves its answers to a function.
 type Server struct {
-	listener   net.Listener
-	answer     func(*Call)
+	listener net.Listener
+	answer   func(*Call)
+	// early is set when requests are answered before their bodies are read.
+	early      bool
 	mu         sync.Mutex
 	open       map[net.Conn]struct{}
 	closed     bool
@@ -28,6 +30,7 @@
 type Call struct {
 	Conn net.Conn
 	Head *http1.Request
+	// Body is empty where the request is answered before it is read.
 	Body []byte
 	// Number counts the requests on the connection from 1 on.
 	Number int
@@ -38,11 +41,20 @@
 
 // NewServerAt is NewServer at an address, "ip:port".
 func NewServerAt(address string, answer func(*Call)) (*Server, error) {
+	return newServer(address, false, answer)
+}
+
+// NewEarlyServerAt is NewServerAt for a server that answers requests before it reads their bodies.
+func NewEarlyServerAt(address string, answer func(*Call)) (*Server, error) {
+	return newServer(address, true, answer)
+}
+
+func newServer(address string, early bool, answer func(*Call)) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, answer: answer, open: make(map[net.Conn]struct{})}
+	s := &Server{listener: listener, answer: answer, early: early, open: make(map[net.Conn]struct{})}
 	s.goroutines.Go(s.accept)
 	return s, nil
 }
@@ -95,11 +107,16 @@
 		if err != nil {
 			return
 		}
-		body, err := reader.Body(head.Framing).ReadAll(maxBodyBytes)
-		if err != nil {
+		call := &Call{Conn: conn, Head: head, Number: number}
+		if s.early {
+			s.answer(call)
+		}
+		if call.Body, err = reader.Body(head.Framing).ReadAll(maxBodyBytes); err != nil {
 			return
 		}
-		s.answer(&Call{Conn: conn, Head: head, Body: body, Number: number})
+		if !s.early {
+			s.answer(call)
+		}
 	}
 }
 
