--- a/gateway/upstream/request_write.go
+++ b/gateway/upstream/request_write.go
@@ -45,8 +45,8 @@
 }
 
 // checkEnd returns an error if the server has reset the connection rather than ended it. The operating system reports
-// a reset to one system call only: when the write gets it, the next read returns the same as at an orderly end. The
-// write that is still blocked after settleTime is ended, as it has not met a reset.
+// a reset to one system call only: when the write gets it, the next read returns the same as at an orderly end. A
+// write that is still blocked after settleTime has met no reset; it is ended, as the connection has no further use.
 func (w *requestWrite) checkEnd() error {
 	timer := time.NewTimer(settleTime)
 	defer timer.Stop()
