Pass bodies on as they were framed, without the memory of chunks

Change: a body with a length or one that ends with its connection is passed on with the framing that it has; only chunked bodies are written anew, without extensions.

--- a/transport/http1/framing.go
+++ b/transport/http1/framing.go
@@ -49,11 +49,6 @@
 	return Framing{Kind: FramingLength, Length: length}, true, nil
 }
 
-// isFraming reports whether a field declares the framing of a body.
-func isFraming(name string) bool {
-	return strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding")
-}
-
 // parseLength parses a decimal number without a sign.
 func parseLength(text string) (int64, error) {
 	for i := range len(text) {
--- a/transport/http1/strict_conn.go
+++ b/transport/http1/strict_conn.go
@@ -22,7 +22,7 @@
 )
 
 // StrictConn is the connection of an HTTP client library that reads answers less strictly than this package. What is
-// read from it are well-formed answers with chunked bodies, without interim answers and trailers. Where an answer is
+// read from it are well-formed answers without interim answers, chunk extensions and trailers. Where an answer is
 // malformed, Read returns a *ProtocolError, and io.ErrUnexpectedEOF or the error of the connection where its body ends
 // early. Requests must not be pipelined, nor have the method HEAD. One goroutine at a time may read or write.
 type StrictConn struct {
@@ -30,10 +30,11 @@
 	reader *Reader
 	// awaitsHead is set from a request until the head of its answer was read.
 	awaitsHead bool
-	// body is the body of the current answer, nil when all of it was read.
+	// body is the body of the current answer, nil when all of it was read. kind is its framing.
 	body *Body
-	// buffer holds what the last step made of the answer, pending the part of it that was not read yet.
-	buffer, pending []byte
+	kind FramingKind
+	// pending is what was received of the answer and not read yet. buffer holds chunks.
+	pending, buffer []byte
 }
 
 // NewStrictConn returns a strict connection over an open one.
@@ -90,7 +91,7 @@
 	return errExtraBytes
 }
 
-// readHead reads the head of an answer and replaces its framing.
+// readHead reads the head of an answer.
 func (c *StrictConn) readHead() error {
 	for range maxInterimAnswers {
 		head, err := c.reader.Head(maxStrictHeadBytes)
@@ -101,50 +102,38 @@
 		if err != nil {
 			return err
 		}
-		if response.Status >= 200 {
-			c.awaitsHead = false
-			c.startAnswer(response)
-			return nil
+		if response.Status < 200 {
+			continue
 		}
-	}
-	return errInterimAnswers
-}
-
-func (c *StrictConn) startAnswer(response *Response) {
-	c.buffer = append(c.buffer[:0], "HTTP/1.1 "...)
-	c.buffer = strconv.AppendInt(c.buffer, int64(response.Status), 10)
-	c.buffer = append(append(append(c.buffer, ' '), response.Reason...), "\r\n"...)
-	for _, field := range response.Fields {
-		if !isFraming(field.Name) {
-			c.buffer = append(append(append(append(c.buffer, field.Name...), ": "...), field.Value...), "\r\n"...)
+		c.awaitsHead = false
+		c.kind = response.Framing.Kind
+		if body := c.reader.Body(response.Framing); !body.Ended() {
+			c.body = body
 		}
+		c.pending = []byte(head)
+		return nil
 	}
-	switch response.Framing.Kind {
-	case FramingNone:
-	case FramingClose:
-		c.buffer = append(c.buffer, "Connection: close\r\n"...)
-		fallthrough
-	default:
-		c.buffer = append(c.buffer, "Transfer-Encoding: chunked\r\n"...)
-		c.body = c.reader.Body(response.Framing)
-	}
-	c.buffer = append(c.buffer, "\r\n"...)
-	c.pending = c.buffer
+	return errInterimAnswers
 }
 
-// readBody reads a part of the body and makes a chunk of it.
+// readBody reads a part of the body. It returns io.EOF at the end of a body that ends with its connection.
 func (c *StrictConn) readBody() error {
 	data, err := c.body.Next()
 	switch {
-	case errors.Is(err, io.EOF) && c.body.Ended():
+	case errors.Is(err, io.EOF) && c.body.Ended() && c.kind == FramingChunked:
 		c.body = nil
-		c.buffer = append(c.buffer[:0], "0\r\n\r\n"...)
+		c.pending = append(c.buffer[:0], "0\r\n\r\n"...)
 	case err != nil:
 		return err
-	default:
+	case c.kind == FramingChunked:
 		c.buffer = strconv.AppendInt(c.buffer[:0], int64(len(data)), 16)
 		c.buffer = append(append(append(c.buffer, "\r\n"...), data...), "\r\n"...)
+		c.pending = c.buffer
+	default:
+		c.pending = data
+		if c.body.Ended() {
+			c.body = nil
+		}
 	}
-	c.pending = c.buffer
 	return nil
 }
