Derive the framing of a strict connection's answer from its body

StrictConn kept the framing of the current answer beside the body that has it, and its last case asked again whether the body has ended, which io.EOF of a chunked body says. Call.Number of the stand-in for broken answers was never read.

Change: the field, the question and the counter are gone; behaviour and tests are as before.

--- a/standin/brokenanswer/server.go
+++ b/standin/brokenanswer/server.go
@@ -32,8 +32,6 @@
 	Head *http1.Request
 	// Body is empty where the request is answered before it is read.
 	Body []byte
-	// Number counts the requests on the connection from 1 on.
-	Number int
 }
 
 // NewServer starts a server on a free port of loopback.
@@ -98,7 +96,7 @@
 		_ = conn.Close()
 	}()
 	reader := http1.NewReader(conn)
-	for number := 1; ; number++ {
+	for {
 		text, err := reader.Head(maxHeadBytes)
 		if err != nil {
 			return
@@ -107,7 +105,7 @@
 		if err != nil {
 			return
 		}
-		call := &Call{Conn: conn, Head: head, Number: number}
+		call := &Call{Conn: conn, Head: head}
 		if s.early {
 			s.answer(call)
 		}
--- a/transport/http1/strict_conn.go
+++ b/transport/http1/strict_conn.go
@@ -30,9 +30,8 @@
 	reader *Reader
 	// awaitsHead is set from a request until the head of its answer was read.
 	awaitsHead bool
-	// body is the body of the current answer, nil when all of it was read. kind is its framing.
+	// body is the body of the current answer, nil when all of it was read.
 	body *Body
-	kind FramingKind
 	// pending is what was received of the answer and not read yet. buffer holds chunks.
 	pending, buffer []byte
 }
@@ -106,7 +105,6 @@
 			continue
 		}
 		c.awaitsHead = false
-		c.kind = response.Framing.Kind
 		if body := c.reader.Body(response.Framing); !body.Ended() {
 			c.body = body
 		}
@@ -119,13 +117,14 @@
 // readBody reads a part of the body. It returns io.EOF at the end of a body that ends with its connection.
 func (c *StrictConn) readBody() error {
 	data, err := c.body.Next()
+	chunked := c.body.framing.Kind == FramingChunked
 	switch {
-	case errors.Is(err, io.EOF) && c.body.Ended() && c.kind == FramingChunked:
+	case chunked && errors.Is(err, io.EOF):
 		c.body = nil
 		c.pending = append(c.buffer[:0], "0\r\n\r\n"...)
 	case err != nil:
 		return err
-	case c.kind == FramingChunked:
+	case chunked:
 		c.buffer = strconv.AppendInt(c.buffer[:0], int64(len(data)), 16)
 		c.buffer = append(append(append(c.buffer, "\r\n"...), data...), "\r\n"...)
 		c.pending = c.buffer
