--- a/review/15/case.py
+++ b/review/15/case.py
@@ -24,7 +24,7 @@
 async def play(rig):
     rig.configure(3, [r.call_route("plain", "/buy/", "unsafe"), r.call_route("plain", "/read/", "safe")], [r.service("plain")],
                   [{"Name": "shop", "ApiKeys": ["key-of-shop"], "Priority": 1}])
-    workers = [await rig.worker("w-%d" % n, "plain", run, slots=6) for n in (1, 2, 3)]
+    workers = [await rig.worker("w-%d" % n, "plain", run, slots=6) for n in (1, 2, 3, 4, 5)]
     machines = [rig.machine("frontend-a-%d" % n) for n in (1, 2, 3, 4)]
     stores = {m: await rig.own_store_address(m) for m in machines}
     for m in machines:
