--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -567,6 +567,8 @@
     rig = Rig(os.path.dirname(os.path.abspath(case_file)))
 
     async def whole():
+        for number in (signal.SIGTERM, signal.SIGHUP):  # end the processes then too
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             await rig.begin()
             return await asyncio.wait_for(play(rig), 110)
