Let tests play the exchange of servers between instances in virtual time

The merge of lists was tested over single directories only: no test had several instances that follow a store, end and start again beside changes of servers.

Change: the transport of digests and the reading of servers from a peer are fields of peers.Service, so that tests replace them; the reading of servers is a file of its own. Behaviour is unchanged. A virtual estate runs services, followers and directories over a store in virtual time.

--- /dev/null
+++ b/gateway/peers/converging_lists_test.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// settleTime is enough for starting instances to know each other and the store's list.
+const settleTime = 6 * time.Second
+
+var twoCentres = []string{"a", "a", "a", "b", "b", "b"}
+
+// Guards against an instance without servers: it starts while the store is unavailable, and its peers know them.
+func TestInstanceThatStartsInAnOutageGetsTheListOfItsPeers(t *testing.T) {
+	runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
+		time.Sleep(settleTime)
+		e.store.setAway(true)
+		time.Sleep(time.Second)
+		e.restart(e.instances()[:3], 400*time.Millisecond)
+		e.settle(2 * time.Second)
+	})
+}
+
+// Guards against servers that are missing although they run: their entries expired in an outage, and the instances that follow
+// the store are ended beside it. Those that aren't ended keep such servers; the others have them as soon as they are written again.
+func TestEntriesThatExpireInAnOutageAreBackInTime(t *testing.T) {
+	for name, killedAfter := range map[string]time.Duration{"none is ended": -1, "as the store returns": 0, "before it returns": -1200 * time.Millisecond, "after it has returned": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
+				is := is.New(t)
+				time.Sleep(settleTime)
+				relays, others := e.relays()
+				e.store.setAway(true)
+				time.Sleep(4 * time.Second)
+				e.store.lapse("w-1")
+				time.Sleep(2 * time.Second)
+				returned := time.Now().Add(1200 * time.Millisecond)
+				if name != "none is ended" {
+					go func() {
+						time.Sleep(time.Until(returned.Add(killedAfter)))
+						e.restart(relays, 400*time.Millisecond)
+					}()
+				}
+				time.Sleep(time.Until(returned))
+				e.store.setAway(false)
+				for time.Since(returned) < lapsedEntryTime-200*time.Millisecond {
+					for _, i := range others {
+						is.True(i.directory.Snapshot().Find("w-1") != nil)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				e.store.put("w-1")
+				e.settle(drainTimeout)
+			})
+		})
+	}
+}
+
+// Guards against a server that is kept for good: its entry expired in an outage and isn't written again.
+func TestEntryThatStaysMissingAfterAnOutageIsRemoved(t *testing.T) {
+	runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
+		time.Sleep(settleTime)
+		relays, _ := e.relays()
+		e.store.setAway(true)
+		time.Sleep(5 * time.Second)
+		e.store.remove("w-1")
+		time.Sleep(time.Second)
+		e.store.setAway(false)
+		e.restart(relays, 400*time.Millisecond)
+		e.settle(contactTime)
+	})
+}
+
+// Guards against a list that is taken for the store's although it isn't: of an instance that never read it.
+func TestIncompleteListRemovesNobody(t *testing.T) {
+	runVirtualEstate(t, []string{"a", "a", "a"}, func(e *virtualEstate) {
+		is := is.New(t)
+		time.Sleep(settleTime)
+		e.store.setAway(true)
+		time.Sleep(3 * time.Second)
+		e.apart = func(a, b *virtualInstance) bool { return a.number == 3 || b.number == 3 }
+		lonely := e.start(3, "a")
+		time.Sleep(2 * time.Second)
+		is.Equal(len(lonely.directory.Snapshot().All), 0)
+		e.apart = nil
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			for _, i := range e.instances()[:3] {
+				is.Equal(len(i.directory.Snapshot().All), 4)
+			}
+		}
+		is.Equal(len(lonely.directory.Snapshot().All), 4)
+	})
+}
+
+// Guards against two lists after a partition: servers came and left while the groups of instances didn't hear each other, and
+// only one of them read the store.
+func TestPartitionEndsInOneList(t *testing.T) {
+	for name, cutOff := range map[string][]string{"both read the store": nil, "one reads the store": {"b"}} {
+		t.Run(name, func(t *testing.T) {
+			runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
+				time.Sleep(settleTime)
+				e.apart = func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre }
+				for _, dataCentre := range cutOff {
+					e.store.cutOff[dataCentre] = true
+				}
+				time.Sleep(2 * time.Second)
+				e.store.remove("w-3")
+				e.store.put("w-4")
+				e.restart(e.instances()[:2], 400*time.Millisecond)
+				e.store.remove("w-0")
+				time.Sleep(3 * time.Second)
+				e.restart(e.instances()[4:], 400*time.Millisecond)
+				time.Sleep(8 * time.Second)
+				e.apart = nil
+				e.settle(drainTimeout) // also while the store is unavailable to one group
+			})
+		})
+	}
+}
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/wisteriahaven/wisteriahaven/event"
 	"github.com/wisteriahaven/wisteriahaven/fault"
-	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 	"github.com/wisteriahaven/wisteriahaven/internal/pause"
 )
@@ -44,8 +42,6 @@
 	// asked as well. Changes of servers are small.
 	configurationHedgeDelay = 600 * time.Millisecond
 	serversHedgeDelay       = 400 * time.Millisecond
-	// completeListSpacing is the minimum time between two complete lists of servers from peers.
-	completeListSpacing = 10 * time.Second
 )
 
 // RunFetch reads newer configurations and servers from peers until the context
@@ -196,60 +192,6 @@
 	return nil
 }
 
-func (s *Service) fetchServers(source fetchSource) error {
-	export, changed, err := s.importServers(source, s.options.Directory.Revision())
-	if err != nil {
-		return err
-	}
-	if s.needsCompleteList(source, &export) {
-		if export, changed, err = s.importServers(source, 0); err != nil {
-			return err
-		}
-	}
-	s.mu.Lock()
-	s.table.update(source, func(p *peer) { p.fetchedFingerprint = export.Fingerprint })
-	s.mu.Unlock()
-	event.Log(s.options.Logger, event.PeerServersReceived).Str("peer", source.instance).Int("changed", changed).
-		Int("servers", len(s.options.Directory.Snapshot().All)).Stringer("revision", export.Revision).Send()
-	return nil
-}
-
-// importServers fetches and applies the changes of the servers after a revision, and returns them
-// and their number.
-func (s *Service) importServers(source fetchSource, after revision.Revision) (export directory.Export, changed int, err error) {
-	begun := time.Now()
-	body, err := s.get(source.address, serversPath+"?after="+strconv.FormatUint(uint64(after), 10))
-	if err != nil {
-		return export, 0, err
-	}
-	if err := json.Unmarshal(body, &export); err != nil {
-		return export, 0, fault.Wrap(fault.PeerMessage, "peers", "decode servers", err)
-	}
-	export.UnderWay = time.Since(begun)
-	changed, unlisted := s.options.Directory.Import(export)
-	s.options.Follower.ExpectAgain(unlisted)
-	return export, changed, nil
-}
-
-// needsCompleteList reports whether the servers still differ from those of a relay after its
-// changes were applied: it may never have had an entry that was removed before it started.
-// Servers that this instance adopted make them differ for a while without that.
-func (s *Service) needsCompleteList(source fetchSource, export *directory.Export) bool {
-	snapshot := s.options.Directory.Snapshot()
-	adopted := slices.ContainsFunc(snapshot.All, func(server *directory.Server) bool { return server.Adopted })
-	if export.Complete || !source.relay || adopted || snapshot.Fingerprint == export.Fingerprint {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if now.Sub(s.completeListAt) < completeListSpacing {
-		return false
-	}
-	s.completeListAt = now
-	return true
-}
-
 func (s *Service) get(address netip.Addr, target string) ([]byte, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
@@ -296,7 +238,7 @@
 		}
 		ctx.SetBody(current.Document)
 	case serversPath:
-		body, err := json.Marshal(s.options.Directory.Export(revision.Revision(after)))
+		body, err := json.Marshal(s.exportServers(revision.Revision(after)))
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 			return
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -10,13 +10,13 @@
 )
 
 // receive handles one datagram. An unexpected error ends its handling only.
-func (s *Service) receive(transport *datagram.Transport, payload []byte, from netip.AddrPort) {
-	s.options.Guard.Run("message", func() { s.handleDigest(transport, payload, from) })
+func (s *Service) receive(by *datagram.Transport, payload []byte, from netip.AddrPort) {
+	s.options.Guard.Run("message", func() { s.handleDigest(by, payload, from) })
 }
 
 // handleDigest handles one datagram. It uses the given transport for replies, because a
 // datagram may arrive before Listen has stored the transport.
-func (s *Service) handleDigest(transport *datagram.Transport, payload []byte, from netip.AddrPort) {
+func (s *Service) handleDigest(by transport, payload []byte, from netip.AddrPort) {
 	digest, err := Decode(payload)
 	if err != nil {
 		event.Log(s.options.Logger, event.PeerDigestInvalid).Str("from", from.String()).Err(err).Send()
@@ -35,10 +35,10 @@
 		}
 	}
 	if answer != nil {
-		s.sendBy(transport, address, answer)
+		s.sendBy(by, address, answer)
 	}
 	if answer := s.answerWanted(digest); answer != nil {
-		s.sendBy(transport, address, answer)
+		s.sendBy(by, address, answer)
 	}
 	s.learnPoison(now, &digest.Poison)
 	if len(digest.StreamRecords) > 0 {
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/streamversion"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 	"github.com/wisteriahaven/wisteriahaven/ring"
 	"github.com/wisteriahaven/wisteriahaven/transport/datagram"
 	"github.com/wisteriahaven/wisteriahaven/transport/http1"
@@ -51,7 +52,7 @@
 // Service exchanges digests with peers, and reads configurations and servers from them.
 type Service struct {
 	options       Options
-	transport     *datagram.Transport
+	transport     transport
 	incarnation   uint64
 	failedServers *ring.Ring[FailedServer]
 	client        *fasthttp.Client
@@ -87,11 +88,19 @@
 	severalUntil time.Time
 	// completeListAt is when a complete list of servers was last fetched.
 	completeListAt time.Time
+	// readServers reads servers from a peer.
+	readServers func(source fetchSource, after revision.Revision) (directory.Export, error)
+}
+
+// transport sends datagrams to peers.
+type transport interface {
+	Send(to netip.AddrPort, payload []byte)
+	Close() error
 }
 
 // New returns a service that neither listens nor runs yet.
 func New(options Options) *Service {
-	return &Service{
+	s := &Service{
 		options:       options,
 		incarnation:   rand.Uint64(),
 		failedServers: ring.New[FailedServer]("lost servers", failureQueueCapacity),
@@ -106,6 +115,8 @@
 		rejections: make(chan *directory.Server, rejectionQueueCapacity),
 		table:      NewTable(options.Instance, options.Address.Addr(), options.Seeds),
 	}
+	s.readServers = s.getServers
+	return s
 }
 
 // AddSeeds adds addresses of possible peers; unknown ones are probed.
@@ -274,6 +285,6 @@
 	s.sendBy(s.transport, address, payload)
 }
 
-func (s *Service) sendBy(transport *datagram.Transport, address netip.Addr, payload []byte) {
-	transport.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
+func (s *Service) sendBy(by transport, address netip.Addr, payload []byte) {
+	by.Send(netip.AddrPortFrom(address, s.options.Address.Port()), payload)
 }
