Order lists of servers by the revision as of which they are complete

Both instances that follow the store were killed as the entry was removed that had changed last. Started again, they had neither the entry nor its removal.

Cause: an instance stated the revision of the last change that it knew, 13 after the restart, and the others had 14. So the others took the restarted ones for those behind and read nothing from them; after 2.2 s these took the entry from the others, as news, and counted their own watches as stuck. A list of the store without the entry said nothing, as the directory didn't keep its revision.

Change: the directory keeps the revision as of which it is complete (AsOf): that of a list, of the answers of the watch after it, and of a peer's list that is equal. An entry of that revision or before that it lacks was removed, with or without a record, and is not taken from an earlier list. Digests state it in a new field; peers are compared by it, and a relay asks a peer only for changes that are later than its own list. Peers of older builds are treated as before.

--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -27,10 +27,11 @@
 	removed map[string]removal
 	// heldBack holds the entries of removed servers that a later era of the store lists.
 	heldBack map[string]heldEntry
-	// revision is the store's revision up to which no change is missing here.
+	// revision is the store's revision of the last change.
 	revision revision.Revision
-	// listedAt is the revision of the last list of the store.
-	listedAt revision.Revision
+	// asOf is the revision as of which the servers are complete: an entry of that revision or before which is neither listed
+	// nor held back was removed, also where no removal is recorded. It is zero before the first list.
+	asOf revision.Revision
 	// hadServers is set once a server was listed.
 	hadServers atomic.Bool
 	// changed is set when the snapshot is older than the servers. A new snapshot is
@@ -43,7 +44,7 @@
 
 // removal records that a server was removed.
 type removal struct {
-	// revision is the store's revision at the removal. directoryRevision is the revision of
+	// revision is the store's revision at the removal. directoryRevision is the position of
 	// the directory when the removal was applied; it is higher when the removal was
 	// deferred because the server's entry might have been written again.
 	revision          revision.Revision
@@ -129,11 +130,11 @@
 func (d *Directory) Emptied() bool { return d.hadServers.Load() && len(d.Snapshot().All) == 0 }
 
 // Unlisted returns the ids of the servers, listed or held back, that a list of the store as of a
-// revision lacks.
+// revision lacks. The list's entries were applied before.
 func (d *Directory) Unlisted(listed map[string]bool, asOf revision.Revision) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listedAt = max(d.listedAt, asOf)
+	d.asOf = max(d.asOf, asOf)
 	var unlisted []string
 	for id := range d.servers {
 		if !listed[id] {
@@ -185,7 +186,7 @@
 		return false
 	}
 	delete(d.servers, server.ID)
-	d.removed[server.ID] = removal{revision: server.Revision - 1, directoryRevision: d.revision, server: server}
+	d.removed[server.ID] = removal{revision: server.Revision - 1, directoryRevision: d.position(), server: server}
 	d.changed.Store(true)
 	return true
 }
@@ -208,7 +209,7 @@
 		if server == nil {
 			server = before.server
 		}
-		d.removed[id] = removal{revision: at, directoryRevision: d.revision, server: server}
+		d.removed[id] = removal{revision: at, directoryRevision: d.position(), server: server}
 	}
 	if old != nil {
 		delete(d.servers, id)
@@ -242,13 +243,32 @@
 	return &adopted
 }
 
-// Revision returns the store's revision up to which no change is missing.
+// Revision returns the store's revision of the last change.
 func (d *Directory) Revision() revision.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.revision
 }
 
+// AsOf returns the store's revision as of which the servers are complete, 0 before the first list.
+func (d *Directory) AsOf() revision.Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asOf
+}
+
+// Advance records that all changes after the last list up to a revision were applied.
+func (d *Directory) Advance(asOf revision.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.asOf > 0 {
+		d.asOf = max(d.asOf, asOf)
+	}
+}
+
+// position returns the latest revision that the directory knows of; mu is held.
+func (d *Directory) position() revision.Revision { return max(d.revision, d.asOf) }
+
 // buildSnapshot builds the snapshot; mu is held.
 func (d *Directory) buildSnapshot() {
 	// An address belongs to the server with the newest entry.
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -11,9 +11,10 @@
 	Revision revision.Revision
 	// Fingerprint is the fingerprint of all servers of the directory.
 	Fingerprint uint64
-	// Complete is set when Servers holds all servers, as of the revision AsOf.
+	// Complete is set when Servers holds all servers.
 	Complete bool
-	AsOf     revision.Revision
+	// AsOf is the revision as of which the directory is complete, 0 when it never was.
+	AsOf revision.Revision
 	// Servers are the entries that are newer than the peer's revision, and all adopted servers.
 	Servers []*Server
 	// Removed holds the removals that the peer may not have: revisions by server ID.
@@ -27,11 +28,10 @@
 func (d *Directory) Export(after revision.Revision) Export {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	asOf := max(d.revision, d.listedAt)
-	if after.Era() < asOf.Era() {
+	if after.Era() < d.position().Era() {
 		after = 0
 	}
-	export := Export{Complete: after == 0, AsOf: asOf, Revision: d.revision, Fingerprint: d.currentSnapshot().Fingerprint, Removed: make(map[string]revision.Revision)}
+	export := Export{Complete: after == 0, AsOf: d.asOf, Revision: d.revision, Fingerprint: d.currentSnapshot().Fingerprint, Removed: make(map[string]revision.Revision)}
 	for id, removed := range d.removed {
 		if removed.directoryRevision >= after {
 			export.Removed[id] = removed.revision
@@ -54,7 +54,10 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	for _, server := range export.Servers {
-		if server != nil && d.putLocked(server, server.writtenAfter(now, export.UnderWay)) {
+		if server == nil || d.outdated(server, export.AsOf) {
+			continue
+		}
+		if d.putLocked(server, server.writtenAfter(now, export.UnderWay)) {
 			changed++
 		}
 	}
@@ -64,12 +67,28 @@
 		}
 	}
 	d.revision = max(d.revision, export.Revision)
+	if export.AsOf < d.asOf {
+		return changed, nil
+	}
+	if d.currentSnapshot().Fingerprint == export.Fingerprint {
+		d.asOf = export.AsOf
+	}
 	if export.Complete {
 		unlisted = d.missingIn(&export)
 	}
 	return changed, unlisted
 }
 
+// outdated reports whether an entry of a peer's list as of a revision was removed since: the servers here are complete as
+// of a later one and lack it. mu is held.
+func (d *Directory) outdated(server *Server, asOf revision.Revision) bool {
+	if asOf >= d.asOf || server.Revision > d.asOf || server.Adopted {
+		return false
+	}
+	_, held := d.heldBack[server.ID]
+	return !held && d.servers[server.ID] == nil
+}
+
 // missingIn returns the servers that a complete export doesn't list, except those with later
 // entries; mu is held.
 func (d *Directory) missingIn(export *Export) []*Server {
--- a/gateway/directory/held_back.go
+++ b/gateway/directory/held_back.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		delete(d.heldBack, id)
-		held.server.admittedAt = d.revision
+		held.server.admittedAt = d.position()
 		removed := d.removed[id]
 		removed.mayReturn = true
 		d.removed[id] = removed
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -39,7 +39,7 @@
 	// Leaving is set when the server itself stated in an answer that it leaves. It is then
 	// Draining whatever the store says, until another process has its id.
 	Leaving bool
-	// admittedAt is the directory's revision when a held-back entry was admitted.
+	// admittedAt is the directory's position when a held-back entry was admitted.
 	admittedAt revision.Revision
 }
 
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -270,6 +270,7 @@
 	for _, change := range removed {
 		f.removeAfterGrace(change.ID, max(change.Revision, asOf))
 	}
+	f.directory.Advance(asOf)
 }
 
 // lastChanges returns the last change of each server: the entries, and the removals.
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -39,8 +39,11 @@
 	tagRejections
 )
 
-// tagAnswerTo is the field number of Digest.AnswerTo.
-const tagAnswerTo protowire.Number = 31
+// tagAnswerTo is the field number of Digest.AnswerTo, tagAsOf that of Digest.AsOf.
+const (
+	tagAnswerTo protowire.Number = 31
+	tagAsOf     protowire.Number = 32
+)
 
 // Bits of a digest's flags field.
 const (
@@ -78,6 +81,7 @@
 	b = appendNumber(b, tagServers, digest.Servers)
 	b = appendNumber(b, tagFlags, digest.flags())
 	b = appendNumber(b, tagAnswerTo, digest.AnswerTo)
+	b = appendNumber(b, tagAsOf, uint64(digest.AsOf))
 	b = appendCutOff(b, digest.CutOff)
 	b = appendRollouts(b, digest.Rollouts)
 	for i := range digest.FailedServers {
@@ -233,6 +237,8 @@
 			digest.KeysRequired = number&flagKeysRequired != 0
 		case tagAnswerTo:
 			digest.AnswerTo = number
+		case tagAsOf:
+			digest.AsOf = revision.Revision(number)
 		case tagCutOffService:
 			digest.CutOff.decodeService(text)
 		case tagServers:
--- a/gateway/peers/converging_lists_test.go
+++ b/gateway/peers/converging_lists_test.go
@@ -29,7 +29,7 @@
 	for name, killedAfter := range map[string]time.Duration{"none is ended": -1, "as the store returns": 0, "before it returns": -1200 * time.Millisecond, "after it has returned": 300 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
-				is := is.New(t)
+				is := is.New(e.t)
 				time.Sleep(settleTime)
 				relays, others := e.relays()
 				e.store.setAway(true)
@@ -76,7 +76,7 @@
 // Guards against a list that is taken for the store's although it isn't: of an instance that never read it.
 func TestIncompleteListRemovesNobody(t *testing.T) {
 	runVirtualEstate(t, []string{"a", "a", "a"}, func(e *virtualEstate) {
-		is := is.New(t)
+		is := is.New(e.t)
 		time.Sleep(settleTime)
 		e.store.setAway(true)
 		time.Sleep(3 * time.Second)
--- a/gateway/peers/difference.go
+++ b/gateway/peers/difference.go
@@ -16,7 +16,7 @@
 	differs := false
 	for _, p := range t.peers {
 		alive := p.relay && now.Sub(p.lastDigestAt) <= relayTimeout
-		differs = differs || alive && p.servers != own.Servers && p.revision >= own.Revision
+		differs = differs || alive && p.servers != own.Servers && p.position() >= own.position()
 	}
 	return t.difference.update(now, 0, differs)
 }
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -29,8 +29,10 @@
 	// revision that the sender has seen in the entries of backend servers.
 	Version  uint64
 	Revision revision.Revision
-	// Servers is the fingerprint of the sender's list of backend servers.
+	// Servers is the fingerprint of the sender's list of backend servers, AsOf the store's revision as of which the list is
+	// complete: 0 when it never was, and from senders of older builds.
 	Servers uint64
+	AsOf    revision.Revision
 	// Relay is set while the sender follows the object store and the store answers.
 	Relay bool
 	// Leaving is set while the sender stops.
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -85,10 +85,12 @@
 	instance string
 	address  netip.Addr
 	relay    bool
+	// listed is set when the peer states as of which revision its servers are complete.
+	listed bool
 }
 
 func (p *peer) asSource() fetchSource {
-	return fetchSource{instance: p.instance, address: p.address, relay: p.relay}
+	return fetchSource{instance: p.instance, address: p.address, relay: p.relay, listed: p.asOf > 0}
 }
 
 // update changes the record of the peer that is a source, unless another instance has its address now.
--- a/gateway/peers/fetch_servers.go
+++ b/gateway/peers/fetch_servers.go
@@ -16,7 +16,7 @@
 const completeListSpacing = 10 * time.Second
 
 func (s *Service) fetchServers(source fetchSource) error {
-	export, changed, err := s.importServers(source, s.options.Directory.Revision())
+	export, changed, err := s.importServers(source, s.fetchPosition(source))
 	if err != nil {
 		return err
 	}
@@ -29,10 +29,19 @@
 	s.table.update(source, func(p *peer) { p.fetchedFingerprint = export.Fingerprint })
 	s.mu.Unlock()
 	event.Log(s.options.Logger, event.PeerServersReceived).Str("peer", source.instance).Int("changed", changed).
-		Int("servers", len(s.options.Directory.Snapshot().All)).Stringer("revision", export.Revision).Send()
+		Int("servers", len(s.options.Directory.Snapshot().All)).Stringer("revision", export.Revision).Stringer("as_of", export.AsOf).Send()
 	return nil
 }
 
+// fetchPosition returns the revision after which changes are fetched from a peer. A peer of an older build counts by the
+// revision of its last change.
+func (s *Service) fetchPosition(source fetchSource) revision.Revision {
+	if source.listed {
+		return s.options.Directory.AsOf()
+	}
+	return s.options.Directory.Revision()
+}
+
 // importServers fetches and applies the changes of the servers after a revision, and returns them
 // and their number.
 func (s *Service) importServers(source fetchSource, after revision.Revision) (export directory.Export, changed int, err error) {
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -21,6 +21,7 @@
 	version             uint64
 	revision            revision.Revision
 	servers             uint64
+	asOf                revision.Revision
 	relay               bool
 	leaving             bool
 	// cutOff states of which services the peer reaches no backend server.
@@ -49,3 +50,6 @@
 	// fetchedFingerprint is the fingerprint of the servers that were last fetched from the peer.
 	fetchedFingerprint uint64
 }
+
+// position returns the latest revision of the store that the peer's list of servers accounts for.
+func (p *peer) position() revision.Revision { return max(p.revision, p.asOf) }
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -230,7 +230,7 @@
 	return Digest{
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
-		Version: own.Version, Revision: own.Revision, Servers: own.Servers, Relay: own.Relay,
+		Version: own.Version, Revision: own.Revision, Servers: own.Servers, AsOf: own.AsOf, Relay: own.Relay,
 		NamesQuestion: true, KeysRequired: s.options.State.KeysRequired(), Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
 		Rollouts: s.options.Rollouts.News(), RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
 		RequestRates: requestRateReports(now, s.options.Ledger.RequestRates()),
@@ -243,7 +243,7 @@
 	return LocalState{
 		DataCentre: s.options.DataCentre,
 		Version:    s.options.State.Version(), Revision: s.options.Directory.Revision(),
-		Servers: s.options.Directory.Snapshot().Fingerprint, Relay: s.options.Follower.Following(),
+		Servers: s.options.Directory.Snapshot().Fingerprint, AsOf: s.options.Directory.AsOf(), Relay: s.options.Follower.Following(),
 	}
 }
 
@@ -254,6 +254,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	own := s.localState()
+	own.AsOf = 0 // it changes with each call to the store
 	if !own.Relay || own == s.lastAnnounced {
 		return
 	}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -88,7 +88,7 @@
 	}
 	p.dataCentre, p.leaving, p.cutOff, p.lastDigestAt = digest.DataCentre, digest.Leaving, digest.CutOff, now
 	p.incarnation, p.sequence = digest.Incarnation, digest.Sequence
-	p.version, p.revision, p.servers = digest.Version, digest.Revision, digest.Servers
+	p.version, p.revision, p.servers, p.asOf = digest.Version, digest.Revision, digest.Servers, digest.AsOf
 	p.relay = digest.Relay && !digest.Leaving
 	p.namesQuestion = digest.NamesQuestion
 	return true
@@ -155,17 +155,22 @@
 type LocalState struct {
 	DataCentre string
 	// Version is the version of the in-force configuration. Revision is the highest store
-	// revision seen in the entries of backend servers, Servers the fingerprint of all entries.
+	// revision seen in the entries of backend servers, Servers the fingerprint of all entries, and AsOf
+	// the revision as of which they are complete.
 	Version  uint64
 	Revision revision.Revision
 	Servers  uint64
+	AsOf     revision.Revision
 	// Relay is set when this instance follows the object store itself.
 	Relay bool
 }
 
+// position returns the latest revision of the store that the list of servers accounts for.
+func (s LocalState) position() revision.Revision { return max(s.Revision, s.AsOf) }
+
 // FetchSources returns the peer from which a newer configuration is best fetched, and the
 // one from which the list of backend servers is; nil for none. A relay needs a list
-// only when a peer has a higher revision, because its own watch delivers the rest.
+// only when a peer has a change that is later than its own list, because its own watch delivers the rest.
 func (t *Table) FetchSources(now time.Time, own LocalState) (configuration, servers *peer) {
 	for _, p := range t.peers {
 		if now.Sub(p.lastDigestAt) > sourceLifetime || now.Sub(p.fetchFailedAt) < fetchRetryDelay {
@@ -174,10 +179,10 @@
 		if p.version > own.Version && !p.configurationAsked && (configuration == nil || t.betterConfigurationSource(p, configuration, own.DataCentre)) {
 			configuration = p
 		}
-		if p.serversAsked || own.Relay && p.revision <= own.Revision {
+		if p.serversAsked || own.Relay && p.revision <= own.position() {
 			continue
 		}
-		if p.servers == own.Servers || p.servers == p.fetchedFingerprint || p.revision < own.Revision {
+		if p.servers == own.Servers || p.servers == p.fetchedFingerprint || p.position() < own.position() {
 			continue
 		}
 		// Relays have the latest list. Other peers are used while there is no relay,
@@ -240,8 +245,8 @@
 }
 
 // betterServersSource reports whether the first peer is the better source of the server list:
-// it is a relay, or else in the own data centre (the list is long), or else has a higher
-// revision, or else the lower address.
+// it is a relay, or else in the own data centre (the list is long), or else has a later
+// list, or else the lower address.
 func betterServersSource(a, b *peer, dataCentre string) bool {
 	if a.relay != b.relay {
 		return a.relay
@@ -249,8 +254,8 @@
 	if local := a.dataCentre == dataCentre; local != (b.dataCentre == dataCentre) {
 		return local
 	}
-	if a.revision != b.revision {
-		return a.revision > b.revision
+	if a.position() != b.position() {
+		return a.position() > b.position()
 	}
 	return a.address.Less(b.address)
 }
