Remove a server that leaves again while its first removal waits

Found by reading the paths on which an entry stays: an entry that is missing after an outage waits 2.3 s for its return. When the return came by a peer and the server then left within the 2.3 s, the second removal was dropped, since one waited already; the first one ended without effect, as the entry was later. The server was listed until its next change, if there was one.

Change: the waiting removal takes over the revision of the later one.

Evidence: TestServerThatLeavesAgainInTheGraceIsRemoved failed before.

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -360,9 +360,12 @@
 	}
 	inGrace := !available.IsZero() && time.Since(available) < missingEntryGrace
 	if inGrace {
-		if _, waiting := f.missing[id]; !waiting {
-			f.missing[id] = missingEntry{removeAt: available.Add(missingEntryGrace), revision: at}
+		entry, waiting := f.missing[id]
+		if !waiting {
+			entry.removeAt = available.Add(missingEntryGrace)
 		}
+		entry.revision, entry.unlisted = max(entry.revision, at), nil
+		f.missing[id] = entry
 	}
 	f.mu.Unlock()
 	if !inGrace {
--- a/gateway/discovery/follower_test.go
+++ b/gateway/discovery/follower_test.go
@@ -169,3 +169,23 @@
 		is.Equal(countServers(servers), 3)
 	})
 }
+
+// Guards against a server that is kept for good: it left again, beside an instance that got its return from a peer, while its
+// first removal waited for the end of the grace.
+func TestServerThatLeavesAgainInTheGraceIsRemoved(t *testing.T) {
+	is := is.New(t)
+	runFollower(t, func(feed *scriptedFeed, servers *directory.Directory) {
+		feed.listed <- []ServerChange{put("a", 1), put("b", 2)}
+		feed.watched <- nil
+		feed.failing.Store(true)
+		time.Sleep(5 * time.Second)
+		feed.failing.Store(false)
+		feed.listed <- []ServerChange{put("b", 10)}
+		synctest.Wait()
+		servers.Import(directory.Export{Revision: 11, AsOf: 11, Servers: []*directory.Server{put("a", 11).Server}})
+		time.Sleep(time.Second)
+		feed.watched <- []ServerChange{removed("a", 12)}
+		time.Sleep(missingEntryGrace)
+		is.True(servers.Snapshot().Find("a") == nil)
+	})
+}
