Ask a peer again whose list of servers still differs

Cause, the longer part of it: a complete list of a relay shows that an entry is gone, but only one is read in 10 s. When it wasn't read for that, the relay's fingerprint was noted as fetched all the same, and nothing was fetched again until the relay's list changed.

Change: a fetch is noted with the fingerprints of both lists after it, and counts for 10 s at most where they differ. A change of the own list, as by a server that was held back or adopted, has them compared again as well.

Evidence: TestListsThatDifferAfterAFetchAreComparedAgain failed before, with the removed server listed for good.

--- a/gateway/peers/converging_lists_test.go
+++ b/gateway/peers/converging_lists_test.go
@@ -120,3 +120,18 @@
 		})
 	}
 }
+
+// Guards against lists that differ for good: a complete list wasn't read because one had been read shortly before, and the
+// relay's list didn't change again.
+func TestListsThatDifferAfterAFetchAreComparedAgain(t *testing.T) {
+	runVirtualEstate(t, []string{"a", "a", "a", "a"}, func(e *virtualEstate) {
+		time.Sleep(settleTime)
+		for _, id := range []string{"w-0", "w-1"} {
+			relays, _ := e.relays()
+			go e.store.remove(id)
+			e.restart(relays, 400*time.Millisecond)
+			time.Sleep(2 * time.Second)
+		}
+		e.settle(completeListSpacing + contactTime)
+	})
+}
--- a/gateway/peers/fetch_servers.go
+++ b/gateway/peers/fetch_servers.go
@@ -12,7 +12,8 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
-// completeListSpacing is the minimum time between two complete lists of servers from peers.
+// completeListSpacing is the minimum time between two complete lists of servers from peers, and the time after which a peer is
+// asked again although neither list has changed.
 const completeListSpacing = 10 * time.Second
 
 func (s *Service) fetchServers(source fetchSource) error {
@@ -25,9 +26,7 @@
 			return err
 		}
 	}
-	s.mu.Lock()
-	s.table.update(source, func(p *peer) { p.fetchedFingerprint = export.Fingerprint })
-	s.mu.Unlock()
+	s.recordServerFetch(time.Now(), source, &export)
 	event.Log(s.options.Logger, event.PeerServersReceived).Str("peer", source.instance).Int("changed", changed).
 		Int("servers", len(s.options.Directory.Snapshot().All)).Stringer("revision", export.Revision).Stringer("as_of", export.AsOf).Send()
 	return nil
@@ -90,3 +89,11 @@
 	s.completeListAt = now
 	return true
 }
+
+// recordServerFetch records what was fetched from a peer, and when it is asked again if the lists differ nevertheless.
+func (s *Service) recordServerFetch(now time.Time, source fetchSource, export *directory.Export) {
+	fetched := serverFetch{theirs: export.Fingerprint, own: s.options.Directory.Snapshot().Fingerprint, repeatAt: now.Add(completeListSpacing)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.update(source, func(p *peer) { p.lastFetch = fetched })
+}
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -47,9 +47,22 @@
 	serversAsked       bool
 	// fetchFailedAt is when a fetch from the peer last failed.
 	fetchFailedAt time.Time
-	// fetchedFingerprint is the fingerprint of the servers that were last fetched from the peer.
-	fetchedFingerprint uint64
+	// lastFetch is the last fetch of servers from the peer.
+	lastFetch serverFetch
 }
 
 // position returns the latest revision of the store that the peer's list of servers accounts for.
 func (p *peer) position() revision.Revision { return max(p.revision, p.asOf) }
+
+// serverFetch is a fetch of servers from a peer.
+type serverFetch struct {
+	// theirs and own are the fingerprints of both lists after the fetch.
+	theirs, own uint64
+	// repeatAt is when the peer is asked again although both are unchanged.
+	repeatAt time.Time
+}
+
+// covers reports whether a fetch of the same lists would bring nothing new now.
+func (f serverFetch) covers(now time.Time, theirs, own uint64) bool {
+	return theirs == f.theirs && own == f.own && now.Before(f.repeatAt)
+}
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -182,7 +182,7 @@
 		if p.serversAsked || own.Relay && p.revision <= own.position() {
 			continue
 		}
-		if p.servers == own.Servers || p.servers == p.fetchedFingerprint || p.position() < own.position() {
+		if p.servers == own.Servers || p.lastFetch.covers(now, p.servers, own.Servers) || p.position() < own.position() {
 			continue
 		}
 		// Relays have the latest list. Other peers are used while there is no relay,
