Remove at once what a relay's later list lacks

Cause: the instances that follow the store were killed as the entries were removed, so that no instance had the removals on record. The others learned of them from complete lists only: one in 10 s, and with a grace of 2.3 s for servers whose entries expired in an outage, although there was no outage.

What they lack is removed like by the store: at once, or after the grace if the store was unavailable lately. That is known from own calls, from digests of peers that follow the store and get no answer while no other instance does (a new flag), and from what exports say is left of the grace. Servers that were held back are removed in the same way, and adopted ones once their entries are due. A peer of an older build names nothing and is treated as before.

--- a/gateway/directory/as_of_test.go
+++ b/gateway/directory/as_of_test.go
@@ -154,7 +154,7 @@
 	})
 }
 
-// compare reads a peer's changes, and its complete list where both differ nevertheless.
+// compare reads a peer's changes, and the names of its servers and its complete list where both differ nevertheless.
 func compare(t *rapid.T, d, peer *Directory) {
 	if d == peer || peer.AsOf() < d.AsOf() {
 		return
@@ -163,9 +163,11 @@
 	if d.Snapshot().Fingerprint == peer.Snapshot().Fingerprint {
 		return
 	}
-	_, unlisted := d.Import(transferred(t, peer.Export(0)))
-	for _, server := range unlisted {
-		d.Remove(server.ID, peer.AsOf())
+	for _, export := range []Export{peer.ExportNaming(d.AsOf()), peer.Export(0)} {
+		_, unlisted := d.Import(transferred(t, export))
+		for _, server := range unlisted {
+			d.Remove(server.ID, peer.AsOf())
+		}
 	}
 }
 
--- a/gateway/directory/directory.go
+++ b/gateway/directory/directory.go
@@ -234,6 +234,7 @@
 	}
 	adopted := *old
 	adopted.ID, adopted.Incarnation, adopted.Draining, adopted.Leaving, adopted.Adopted = id, 0, false, false, true
+	adopted.AdoptedAt = d.now()
 	if listed := d.servers[old.ID]; listed.Draining || old.Draining {
 		adopted.SoftwareVersion = ""
 	}
--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
@@ -17,15 +18,28 @@
 	AsOf revision.Revision
 	// Servers are the entries that are newer than the peer's revision, and all adopted servers.
 	Servers []*Server
+	// NamesAll is set when Servers and Named together have all servers that the store may list, as of the revision AsOf:
+	// others are removed. Older builds don't set it.
+	NamesAll bool `json:",omitempty"`
+	// Named are the IDs of servers that aren't in Servers.
+	Named []string `json:",omitempty"`
 	// Removed holds the removals that the peer may not have: revisions by server ID.
 	Removed map[string]revision.Revision
+	// GraceLeft is how much longer the entries that expired in an outage of the store may be written again; 0 when there was
+	// no outage.
+	GraceLeft time.Duration `json:",omitempty"`
 	// UnderWay is the longest time for which the export was under way to the peer.
 	UnderWay time.Duration `json:"-"`
 }
 
 // Export returns the changes after the revision that a peer has, from here or from elsewhere;
 // everything for the zero revision and for one of an earlier era.
-func (d *Directory) Export(after revision.Revision) Export {
+func (d *Directory) Export(after revision.Revision) Export { return d.export(after, false) }
+
+// ExportNaming is Export that names all servers, so that the peer finds those whose removal nobody has on record.
+func (d *Directory) ExportNaming(after revision.Revision) Export { return d.export(after, true) }
+
+func (d *Directory) export(after revision.Revision, naming bool) Export {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if after.Era() < d.position().Era() {
@@ -37,17 +51,46 @@
 			export.Removed[id] = removed.revision
 		}
 	}
+	exported := make(map[string]bool)
 	for _, server := range d.servers {
 		admitted := server.admittedAt > 0 && server.admittedAt >= after
 		if server.Revision > after || admitted || server.Adopted {
 			export.Servers = append(export.Servers, server.exported(d.now()))
+			exported[server.ID] = true
 		}
 	}
+	if d.asOf > 0 && (naming || export.Complete) {
+		export.NamesAll, export.Named = true, d.otherNames(exported)
+	}
 	return export
 }
 
+// otherNames returns the IDs of the servers that the store may list, in ascending order, except those that an export holds;
+// mu is held.
+func (d *Directory) otherNames(exported map[string]bool) []string {
+	var names []string
+	add := func(id string) {
+		if !exported[id] {
+			names = append(names, id)
+		}
+	}
+	for id := range d.servers {
+		add(id)
+	}
+	for id := range d.heldBack {
+		add(id)
+	}
+	for id, removed := range d.removed {
+		if !removed.byStore() {
+			add(id)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Import applies the newer entries and removals of a peer's export and returns the
-// number of changes. For a complete export it also returns the servers that the peer doesn't
+// number of changes. For an export that holds or names all servers it also returns those that the peer doesn't
 // have although it has later changes: their entries were removed, or the store has lost them.
 func (d *Directory) Import(export Export) (changed int, unlisted []*Server) {
 	d.mu.Lock()
@@ -57,23 +100,30 @@
 		if server == nil || d.outdated(server, export.AsOf) {
 			continue
 		}
+		if server.Adopted {
+			server.AdoptedAt = now
+		}
 		if d.putLocked(server, server.writtenAfter(now, export.UnderWay)) {
 			changed++
 		}
 	}
+	current := export.AsOf >= d.asOf
+	if current && export.NamesAll && d.knows(export.Named) {
+		d.asOf = export.AsOf
+	}
 	for id, at := range export.Removed {
 		if d.removeLocked(id, at) != nil {
 			changed++
 		}
 	}
 	d.revision = max(d.revision, export.Revision)
-	if export.AsOf < d.asOf {
+	if !current {
 		return changed, nil
 	}
 	if d.currentSnapshot().Fingerprint == export.Fingerprint {
 		d.asOf = export.AsOf
 	}
-	if export.Complete {
+	if export.Complete || export.NamesAll {
 		unlisted = d.missingIn(&export)
 	}
 	return changed, unlisted
@@ -89,20 +139,37 @@
 	return !held && d.servers[server.ID] == nil
 }
 
-// missingIn returns the servers that a complete export doesn't list, except those with later
-// entries; mu is held.
+// knows reports whether each ID is that of a server which is listed, held back or recorded as removed; mu is held.
+func (d *Directory) knows(names []string) bool {
+	return !slices.ContainsFunc(names, func(id string) bool {
+		_, held := d.heldBack[id]
+		_, removed := d.removed[id]
+		return !held && !removed && d.servers[id] == nil
+	})
+}
+
+// missingIn returns the servers that an export neither holds nor names, except those with later
+// entries; mu is held. Adopted servers count only where the export names all that the store may list.
 func (d *Directory) missingIn(export *Export) []*Server {
-	listed := make(map[string]bool, len(export.Servers))
+	listed := make(map[string]bool, len(export.Servers)+len(export.Named))
 	for _, server := range export.Servers {
 		if server != nil {
 			listed[server.ID] = true
 		}
 	}
+	for _, id := range export.Named {
+		listed[id] = true
+	}
 	var missing []*Server
 	for id, server := range d.servers {
-		if !listed[id] && !server.Adopted && server.Revision <= export.AsOf {
+		if !listed[id] && server.Revision <= export.AsOf && (export.NamesAll || !server.Adopted) {
 			missing = append(missing, server)
 		}
 	}
+	for id, held := range d.heldBack {
+		if !listed[id] && held.server.Revision <= export.AsOf && export.NamesAll {
+			missing = append(missing, held.server)
+		}
+	}
 	return missing
 }
--- a/gateway/directory/server.go
+++ b/gateway/directory/server.go
@@ -39,6 +39,8 @@
 	// Leaving is set when the server itself stated in an answer that it leaves. It is then
 	// Draining whatever the store says, until another process has its id.
 	Leaving bool
+	// AdoptedAt is when an adopted server was adopted or received from a peer.
+	AdoptedAt time.Time `json:"-"`
 	// admittedAt is the directory's position when a held-back entry was admitted.
 	admittedAt revision.Revision
 }
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -59,8 +59,9 @@
 	following map[string]bool
 	// answeredAt holds when the store last answered each watch, or when the watch began.
 	answeredAt map[string]time.Time
-	// availableSince is when a call last succeeded after failed ones.
-	availableSince time.Time
+	// availableSince is when a call last succeeded after failed ones. peersAvailableSince is the same by what peers state.
+	availableSince      time.Time
+	peersAvailableSince time.Time
 	// era is the era of the last list of backend servers, eraSince when it was first seen.
 	era      uint64
 	eraSince time.Time
@@ -334,8 +335,8 @@
 	}
 }
 
-// ExpectAgain removes servers that a peer's complete list doesn't hold, unless they are listed
-// again within missingEntryGrace.
+// ExpectAgain removes servers that the complete list of a peer of an older build doesn't hold, unless they are listed
+// again within missingEntryGrace: such a list doesn't say whether the store was unavailable.
 func (f *Follower) ExpectAgain(servers []*directory.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -346,33 +347,6 @@
 	}
 }
 
-// removeAfterGrace removes a server whose entry is missing: at once, or at the end of
-// missingEntryGrace when the store became available again or came back from an older copy less
-// than that ago.
-func (f *Follower) removeAfterGrace(id string, at revision.Revision) {
-	f.mu.Lock()
-	available := f.availableSince
-	if f.failing[watchServers] {
-		available = time.Now() // this call is the first successful one
-	}
-	if f.eraSince.After(available) {
-		available = f.eraSince
-	}
-	inGrace := !available.IsZero() && time.Since(available) < missingEntryGrace
-	if inGrace {
-		entry, waiting := f.missing[id]
-		if !waiting {
-			entry.removeAt = available.Add(missingEntryGrace)
-		}
-		entry.revision, entry.unlisted = max(entry.revision, at), nil
-		f.missing[id] = entry
-	}
-	f.mu.Unlock()
-	if !inGrace {
-		f.removeServer(id, at)
-	}
-}
-
 // removeServer removes a server and logs the change.
 func (f *Follower) removeServer(id string, at revision.Revision) {
 	if f.directory.Remove(id, at) != nil {
--- a/gateway/peers/codec.go
+++ b/gateway/peers/codec.go
@@ -54,6 +54,7 @@
 	flagCutOff
 	flagNamesQuestion
 	flagKeysRequired
+	flagStoreUnavailable
 )
 
 // Protobuf field numbers of the nested messages: load, usage, failed and leaving server.
@@ -151,6 +152,9 @@
 	if d.KeysRequired {
 		flags |= flagKeysRequired
 	}
+	if d.StoreUnavailable {
+		flags |= flagStoreUnavailable
+	}
 	return flags
 }
 
@@ -235,6 +239,7 @@
 			digest.CutOff.All = number&flagCutOff != 0
 			digest.NamesQuestion = number&flagNamesQuestion != 0
 			digest.KeysRequired = number&flagKeysRequired != 0
+			digest.StoreUnavailable = number&flagStoreUnavailable != 0
 		case tagAnswerTo:
 			digest.AnswerTo = number
 		case tagAsOf:
--- a/gateway/peers/converging_lists_test.go
+++ b/gateway/peers/converging_lists_test.go
@@ -1,6 +1,10 @@
 package peers
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,3 +139,94 @@
 		e.settle(completeListSpacing + contactTime)
 	})
 }
+
+// TestListsConvergeToTheStoresWhateverStartsWhen plays random changes of servers beside ends and starts of instances, outages of the
+// store and partitions. Servers that left are used no longer than allowed, and in the end all lists are the store's.
+func TestListsConvergeToTheStoresWhateverStartsWhen(t *testing.T) {
+	for seed := range uint64(150) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			choices := rand.New(rand.NewPCG(seed, 63))
+			dataCentres := twoCentres
+			if seed%2 == 0 {
+				dataCentres = []string{"a", "a", "a", "a"}
+			}
+			runVirtualEstate(t, dataCentres, func(e *virtualEstate) {
+				e.store.staleness = time.Duration(choices.IntN(700)) * time.Millisecond
+				time.Sleep(settleTime)
+				go e.checkLeaving()
+				playRandomly(e, choices)
+				time.Sleep(drainTimeout)
+				e.settle(completeListSpacing + contactTime)
+			})
+		})
+	}
+}
+
+// playRandomly plays some troubles and ends them.
+func playRandomly(e *virtualEstate, choices *rand.Rand) {
+	next := 4
+	for range 25 {
+		time.Sleep(time.Duration(choices.IntN(1200)) * time.Millisecond)
+		listed := slices.Sorted(maps.Keys(e.store.current()))
+		switch choices.IntN(10) {
+		case 0, 1:
+			e.store.put(fmt.Sprint("w-", next))
+			next++
+		case 2, 3, 4:
+			if len(listed) > 1 {
+				e.store.remove(choose(choices, listed))
+			}
+		case 5:
+			if len(listed) > 1 {
+				e.store.drain(choose(choices, listed))
+			}
+		case 6:
+			e.store.writeElsewhere()
+		case 7, 8:
+			e.killSome(choices, listed)
+		case 9:
+			e.disturb(choices)
+		}
+	}
+}
+
+// killSome restarts the instances that follow the store, or others, as servers leave. Ends don't follow each other closely.
+func (e *virtualEstate) killSome(choices *rand.Rand, listed []string) {
+	killed, others := e.relays()
+	switch choices.IntN(4) {
+	case 0:
+		killed = killed[:min(1, len(killed))]
+	case 1:
+		killed = others
+	}
+	if len(listed) > 2 {
+		go func() {
+			time.Sleep(time.Duration(choices.IntN(400)) * time.Millisecond)
+			e.store.remove(choose(choices, listed))
+		}()
+	}
+	time.Sleep(time.Duration(choices.IntN(400)) * time.Millisecond)
+	e.restart(killed, time.Duration(choices.IntN(1500))*time.Millisecond)
+	time.Sleep(drainTimeout)
+}
+
+// disturb makes the store unavailable or the data centres unreachable for a while. Entries of servers that run expire in an outage.
+func (e *virtualEstate) disturb(choices *rand.Rand) {
+	defer e.store.setAway(false)
+	if choices.IntN(2) == 0 {
+		e.apart = func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre }
+		e.store.timeline.add("the data centres are apart")
+		time.Sleep(time.Duration(choices.IntN(6000)) * time.Millisecond)
+		e.store.timeline.add("the data centres aren't apart")
+		e.apart = nil
+		return
+	}
+	e.store.setAway(true)
+	time.Sleep(time.Duration(3600+choices.IntN(3000)) * time.Millisecond)
+	lapsed := choose(choices, slices.Sorted(maps.Keys(e.store.current())))
+	e.store.lapse(lapsed)
+	go func() {
+		time.Sleep(time.Duration(500+choices.IntN(1500)) * time.Millisecond)
+		e.store.put(lapsed)
+	}()
+}
--- a/gateway/peers/digest.go
+++ b/gateway/peers/digest.go
@@ -35,6 +35,8 @@
 	AsOf    revision.Revision
 	// Relay is set while the sender follows the object store and the store answers.
 	Relay bool
+	// StoreUnavailable is set while the sender follows the store and the store doesn't answer.
+	StoreUnavailable bool
 	// Leaving is set while the sender stops.
 	Leaving bool
 	// Probe asks the receiver for a digest in return.
--- a/gateway/peers/fetch.go
+++ b/gateway/peers/fetch.go
@@ -19,6 +19,8 @@
 const (
 	configurationPath = "/v1/configuration"
 	serversPath       = "/v1/servers"
+	// namingParameter asks for the names of all servers besides the changes.
+	namingParameter = "names"
 )
 
 const (
@@ -240,7 +242,7 @@
 		}
 		ctx.SetBody(current.Document)
 	case serversPath:
-		body, err := json.Marshal(s.exportServers(revision.Revision(after)))
+		body, err := json.Marshal(s.exportServers(revision.Revision(after), ctx.QueryArgs().Has(namingParameter)))
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 			return
--- a/gateway/peers/peers_test.go
+++ b/gateway/peers/peers_test.go
@@ -31,7 +31,7 @@
 			Instance: rapid.StringMatching(`[a-z-]{1,30}`).Draw(t, "instance"), DataCentre: rapid.StringMatching(`[a-z-]{0,20}`).Draw(t, "centre"),
 			Incarnation: rapid.Uint64().Draw(t, "incarnation"), Sequence: number.Draw(t, "sequence"),
 			Version: number.Draw(t, "version"), Revision: revision.Revision(number.Draw(t, "revision")), Servers: rapid.Uint64().Draw(t, "servers"), AsOf: revision.Revision(number.Draw(t, "as of")),
-			Relay: rapid.Bool().Draw(t, "relay"), Leaving: rapid.Bool().Draw(t, "leaving"),
+			Relay: rapid.Bool().Draw(t, "relay"), Leaving: rapid.Bool().Draw(t, "leaving"), StoreUnavailable: rapid.Bool().Draw(t, "store unavailable"),
 			Probe: rapid.Bool().Draw(t, "greeting"), HasLoads: rapid.Bool().Draw(t, "has loads"),
 			CutOff: CutOff{All: rapid.Bool().Draw(t, "cut off")},
 		}
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -26,6 +26,9 @@
 		s.options.State.RequireKeys()
 	}
 	now, address := time.Now(), from.Addr().Unmap()
+	if digest.StoreUnavailable && !s.storeAnswers(now) {
+		s.options.Follower.ExpectEntries(now)
+	}
 	recorded, answer, wanted := s.record(now, address, digest)
 	if wanted {
 		select {
@@ -72,6 +75,13 @@
 	}
 }
 
+// storeAnswers reports whether this instance or a peer reads the store.
+func (s *Service) storeAnswers(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Follower.Following() || s.table.hasRelay(now)
+}
+
 // record records a digest in the table. It returns whether it is news of a peer, the datagram that answers a probe, nil for
 // none, and whether a peer has newer state.
 func (s *Service) record(now time.Time, address netip.Addr, digest *Digest) (recorded bool, answer []byte, wanted bool) {
--- a/gateway/peers/service.go
+++ b/gateway/peers/service.go
@@ -86,10 +86,11 @@
 	recentRecords []streamversion.Record
 	// severalUntil is the time until which records are sent to peers.
 	severalUntil time.Time
-	// completeListAt is when a complete list of servers was last fetched.
+	// completeListAt is when a complete list of servers was last fetched, namesAfter when the names of all may be again.
 	completeListAt time.Time
+	namesAfter     time.Time
 	// readServers reads servers from a peer.
-	readServers func(source fetchSource, after revision.Revision) (directory.Export, error)
+	readServers func(source fetchSource, after revision.Revision, naming bool) (directory.Export, error)
 }
 
 // transport sends datagrams to peers.
@@ -231,7 +232,8 @@
 		Instance: s.options.Instance, DataCentre: s.options.DataCentre,
 		Incarnation: s.incarnation, Sequence: s.sequence,
 		Version: own.Version, Revision: own.Revision, Servers: own.Servers, AsOf: own.AsOf, Relay: own.Relay,
-		NamesQuestion: true, KeysRequired: s.options.State.KeysRequired(), Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
+		StoreUnavailable: s.options.Follower.StoreUnavailable(),
+		NamesQuestion:    true, KeysRequired: s.options.State.KeysRequired(), Leaving: s.leaving, CutOff: s.cutOff, LeavingServers: s.currentLeaving(now),
 		Rollouts: s.options.Rollouts.News(), RejectionLimits: limits, Rejections: rejectionReports(now, rejected),
 		RequestRates: requestRateReports(now, s.options.Ledger.RequestRates()),
 		Poison:       reportsOf(now, s.options.Poison.News(rand.IntN(completeNewsSpacing) == 0)),
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -276,6 +276,16 @@
 	relayTimeout = 1300 * time.Millisecond
 )
 
+// hasRelay reports whether a peer of any data centre is alive and reads the store.
+func (t *Table) hasRelay(now time.Time) bool {
+	for _, p := range t.peers {
+		if p.relay && now.Sub(p.lastDigestAt) <= relayTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // substituteDelay is the time between the starts of two substitutes.
 const substituteDelay = 400 * time.Millisecond
 
--- a/gateway/peers/virtual_estate_test.go
+++ b/gateway/peers/virtual_estate_test.go
@@ -1,10 +1,13 @@
 package peers
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -252,9 +255,12 @@
 	running map[netip.Addr]*virtualInstance
 	// apart reports whether two instances can't reach each other; nil for never.
 	apart func(a, b *virtualInstance) bool
-	// fetchedBytes and datagramBytes count what peers sent.
-	fetchedBytes, datagramBytes int
-	ended                       chan struct{}
+	// older reports whether an instance sends as an older build; nil for none.
+	older func(i *virtualInstance) bool
+	// sentBytes counts what peers sent. longestUse is the longest time for which an instance used a server that had left.
+	sentBytes  int
+	longestUse time.Duration
+	ended      chan struct{}
 }
 
 // virtualInstance is the state of a running instance.
@@ -284,9 +290,10 @@
 		if receiver == nil {
 			return
 		}
-		t.estate.mu.Lock()
-		t.estate.datagramBytes += len(payload)
-		t.estate.mu.Unlock()
+		t.estate.countSent(len(payload))
+		if t.estate.isOlder(t.from) {
+			payload = olderDigest(payload)
+		}
 		receiver.service.handleDigest(receiver.service.transport, payload, netip.AddrPortFrom(t.from.address, 1))
 	}()
 }
@@ -339,8 +346,8 @@
 		Follower: i.follower, Ledger: discardingLedger{}, Poison: emptyPoisonTable{}, Logger: zerolog.Nop(),
 	})
 	i.service.transport = virtualTransport{e, i}
-	i.service.readServers = func(source fetchSource, after revision.Revision) (directory.Export, error) {
-		return e.read(i, source.address, after)
+	i.service.readServers = func(source fetchSource, after revision.Revision, naming bool) (directory.Export, error) {
+		return e.read(i, source.address, after, naming)
 	}
 	go func() {
 		time.Sleep(startTime)
@@ -397,24 +404,52 @@
 }
 
 // read reads servers from an instance, as over HTTP.
-func (e *virtualEstate) read(from *virtualInstance, to netip.Addr, after revision.Revision) (export directory.Export, err error) {
+func (e *virtualEstate) read(from *virtualInstance, to netip.Addr, after revision.Revision, naming bool) (export directory.Export, err error) {
 	time.Sleep(peerLatency)
 	source := e.find(from, to)
 	if source == nil {
 		return export, fault.New(fault.PeerUnreachable, "no answer")
 	}
-	text, err := json.Marshal(source.service.exportServers(after))
+	sent := source.service.exportServers(after, naming)
+	if e.isOlder(source) {
+		sent.NamesAll, sent.Named, sent.GraceLeft = false, nil, 0
+	}
+	text, err := json.Marshal(sent)
 	if err != nil {
 		return export, err
 	}
 	time.Sleep(peerLatency)
-	e.mu.Lock()
-	e.fetchedBytes += len(text)
-	e.mu.Unlock()
+	e.countSent(compressedSize(text))
 	e.store.timeline.add("instance %d reads %s", from.number, text)
 	return export, json.Unmarshal(text, &export)
 }
 
+func compressedSize(text []byte) int {
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	_, _ = writer.Write(text)
+	_ = writer.Close()
+	return compressed.Len()
+}
+
+func (e *virtualEstate) isOlder(i *virtualInstance) bool { return e.older != nil && e.older(i) }
+
+// olderDigest returns a digest without what older builds don't send.
+func olderDigest(payload []byte) []byte {
+	digest, err := Decode(payload)
+	if err != nil {
+		return payload
+	}
+	digest.AsOf, digest.StoreUnavailable = 0, false
+	return Encode(digest)
+}
+
+func (e *virtualEstate) countSent(bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sentBytes += bytes
+}
+
 // instances returns the running instances in ascending order.
 func (e *virtualEstate) instances() []*virtualInstance {
 	e.mu.Lock()
@@ -453,7 +488,11 @@
 		for _, i := range e.instances() {
 			for id, at := range left {
 				known := i.directory.Snapshot().Find(id)
-				if known != nil && !known.Draining && at.After(stableSince) && now.Sub(at) > drainTimeout && now.Sub(i.startedAt) > contactTime {
+				if known == nil || known.Draining || at.Before(stableSince) || now.Sub(i.startedAt) <= contactTime {
+					continue
+				}
+				e.longestUse = max(e.longestUse, now.Sub(at))
+				if now.Sub(at) > drainTimeout {
 					e.t.Errorf("instance %d uses %s %v after it left", i.number, id, now.Sub(at))
 					return
 				}
@@ -491,3 +530,6 @@
 		why = e.converged()
 	}
 }
+
+// choose returns one of several values.
+func choose[T any](choices *rand.Rand, values []T) T { return values[choices.IntN(len(values))] }
