Take no order for news that was withdrawn before the start

An instance that started after an order to move a service was withdrawn had neither the order nor its withdrawal, and took it from a peer that hadn't heard of the withdrawal. Both instances that follow the store having been ended, the order went on everywhere until its end.

Change: the manager keeps the revision as of which it knows all orders of the store. An order of that revision or before that the store doesn't list is withdrawn, which peers are then told; one that the store has and that is without effect here isn't.

Evidence: TestOrderThatWasWithdrawnBeforeTheStartIsNoNews failed before, told before and after the list; TestOrderThatIsLaterThanTheListIsNews shows the opposite. Shown by no run of whole instances.

--- a/gateway/rollouts/follow.go
+++ b/gateway/rollouts/follow.go
@@ -34,7 +34,7 @@
 		entries, asOf, err := m.read(ctx, position, listed)
 		switch {
 		case err == nil:
-			m.applyEntries(entries, !listed)
+			m.applyEntries(entries, asOf, !listed)
 			position, listed, failing = asOf, true, false
 			pause.For(ctx, watchPause)
 		case fault.HasCode(err, fault.PlatformHistoryGone):
--- a/gateway/rollouts/manager.go
+++ b/gateway/rollouts/manager.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriahaven/wisteriahaven/decision/rollout"
 	"github.com/wisteriahaven/wisteriahaven/gateway/directory"
 	"github.com/wisteriahaven/wisteriahaven/gateway/discovery"
+	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
 const (
@@ -75,6 +76,9 @@
 	snapshot *directory.Snapshot
 	// invalid holds the revision at which an object was last found invalid, by name.
 	invalid map[string]uint64
+	// asOf is the store's revision as of which the orders are complete: another one of that revision or before was removed. It is
+	// zero before the first list.
+	asOf revision.Revision
 	// unknown holds orders for services that the configuration doesn't have yet, by name: orders may be read before it.
 	unknown map[string]Entry
 }
--- a/gateway/rollouts/manager_test.go
+++ b/gateway/rollouts/manager_test.go
@@ -88,7 +88,7 @@
 	first, second := newRig(store), newRig(store)
 	for _, r := range []*rig{first, second} {
 		r.put("v2", 10)
-		r.applyEntries([]Entry{store.entry}, true)
+		r.applyEntries([]Entry{store.entry}, 5, true)
 	}
 	first.decide(first.moves["s"], rollout.RolledBack, rollout.ReasonBad, "first")
 	second.decide(second.moves["s"], rollout.Completed, rollout.ReasonGood, "second")
@@ -109,16 +109,16 @@
 	r := newRig(&memoryStore{entry: orderTo("v2", 5)})
 	r.options.Known = func(service string) bool { return known && service == "s" }
 	r.put("v2", 10)
-	r.applyEntries([]Entry{orderTo("v2", 5)}, true)
+	r.applyEntries([]Entry{orderTo("v2", 5)}, 5, true)
 	r.evaluate()
 	is.Equal(len(r.moves), 0)
 	known = true
 	r.evaluate()
 	is.True(r.moves["s"] != nil && r.moves["s"].known && r.moves["s"].running())
 	known = false
-	r.applyEntries([]Entry{{Name: "s", Revision: 6, Order: rollout.Order{Service: "s", To: "v3", Duration: time.Second, Created: 2}}}, false)
+	r.applyEntries([]Entry{{Name: "s", Revision: 6, Order: rollout.Order{Service: "s", To: "v3", Duration: time.Second, Created: 2}}}, 6, false)
 	is.Equal(len(r.unknown), 1)
-	r.applyEntries(nil, true) // it was removed
+	r.applyEntries(nil, 7, true) // it was removed
 	known = true
 	r.evaluate()
 	is.Equal(len(r.unknown), 0)
@@ -146,9 +146,9 @@
 	store := &memoryStore{entry: orderTo("v3", 20)}
 	r := newRig(store)
 	r.put("v2", 10)
-	r.applyEntries([]Entry{orderTo("v2", 5)}, true)
+	r.applyEntries([]Entry{orderTo("v2", 5)}, 5, true)
 	second := orderTo("v3", 20)
-	r.applyEntries([]Entry{second}, false)
+	r.applyEntries([]Entry{second}, 20, false)
 	is.Equal(r.moves["s"].order.To, "v2")
 	r.decide(r.moves["s"], rollout.RolledBack, rollout.ReasonBad, "i")
 	r.write(t.Context(), r.dueWrites()[0])
@@ -164,10 +164,49 @@
 	is := is.New(t)
 	r := newRig(nil)
 	r.put("v2", 10)
-	r.applyEntries([]Entry{orderTo("v2", 5)}, true)
-	r.applyEntries([]Entry{{Name: "s", Removed: true, Revision: 8}}, false)
+	r.applyEntries([]Entry{orderTo("v2", 5)}, 5, true)
+	r.applyEntries([]Entry{{Name: "s", Removed: true, Revision: 8}}, 8, false)
 	is.True(!r.admits("v2"))
 	is.True(r.admits("v1"))
 	r.clock = r.clock.Add(time.Minute)
 	is.True(!r.admits("v2"))
 }
+
+// Guards against a withdrawn order that goes on: an instance starts after the withdrawal, and a peer that hasn't heard of it tells
+// the order.
+func TestOrderThatWasWithdrawnBeforeTheStartIsNoNews(t *testing.T) {
+	news := []News{{Order: orderTo("v2", 5).Order, Seen: 5, Age: time.Second}}
+	for name, start := range map[string]func(*rig){
+		"told after the list":  func(r *rig) { r.applyEntries(nil, 9, true); r.Learn("peer/1", news) },
+		"told before the list": func(r *rig) { r.Learn("peer/1", news); r.applyEntries(nil, 9, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			peer, r := newRig(nil), newRig(nil)
+			peer.put("v2", 10)
+			peer.applyEntries([]Entry{orderTo("v2", 5)}, 5, true)
+			r.put("v2", 10)
+			start(r)
+			is.True(!r.moves["s"].running())
+			is.True(!r.admits("v2"))
+			peer.Learn("other/1", r.News())
+			is.True(!peer.moves["s"].running()) // the withdrawal is told
+		})
+	}
+}
+
+// Guards against the opposite: an order that is later than the list, or comes before there is one, is news.
+func TestOrderThatIsLaterThanTheListIsNews(t *testing.T) {
+	is := is.New(t)
+	news := []News{{Order: orderTo("v2", 5).Order, Seen: 5, Age: time.Second}}
+	starting, behind := newRig(nil), newRig(nil)
+	behind.applyEntries(nil, 4, true)
+	for _, r := range []*rig{starting, behind} {
+		r.put("v2", 10)
+		r.Learn("peer/1", news)
+		is.True(r.moves["s"].running())
+	}
+	behind.applyEntries([]Entry{orderTo("v2", 5)}, 6, false)
+	behind.Learn("peer/1", news)
+	is.True(behind.moves["s"].running())
+}
--- a/gateway/rollouts/orders.go
+++ b/gateway/rollouts/orders.go
@@ -10,9 +10,10 @@
 	"github.com/wisteriahaven/wisteriahaven/gateway/revision"
 )
 
-// applyEntries applies orders that were read from the store; complete says that there are no others.
-func (m *Manager) applyEntries(entries []Entry, complete bool) {
+// applyEntries applies orders that were read from the store as of a revision; complete says that there are no others.
+func (m *Manager) applyEntries(entries []Entry, asOf revision.Revision, complete bool) {
 	m.mu.Lock()
+	m.asOf = max(m.asOf, asOf)
 	listed := make(map[string]bool)
 	for i := range entries {
 		listed[entries[i].Name] = true
@@ -21,7 +22,7 @@
 	if complete {
 		maps.DeleteFunc(m.unknown, func(name string, _ Entry) bool { return !listed[name] })
 		for service, found := range m.moves {
-			if !listed[service] && found.running() && found.known {
+			if !listed[service] && found.running() && (found.known || found.seen <= m.asOf) {
 				m.withdraw(found)
 			}
 		}
@@ -225,6 +226,9 @@
 		found.began = began
 	}
 	m.adoptPeer(found, process, news)
+	if m.wasRemoved(found) {
+		m.withdraw(found)
+	}
 	known := found.reports[process]
 	if known == nil {
 		if len(found.reports) >= maxReports {
@@ -244,6 +248,14 @@
 	}
 }
 
+// wasRemoved reports whether the store lacks an order that runs, which peers may not know yet; mu is held. One that the
+// store has and that is without effect here, perhaps in another form, isn't removed.
+func (m *Manager) wasRemoved(found *move) bool {
+	_, unknown := m.unknown[found.order.Service]
+	_, invalid := m.invalid[found.order.Service]
+	return found.running() && !found.known && !unknown && !invalid && found.seen <= m.asOf
+}
+
 // oldStreams returns the number of streams that run here at other versions than the order's; mu is held.
 func (m *Manager) oldStreams(found *move) int {
 	total := 0
