Begin no grace at the first list of an era that is the only one known

Cause: an instance took the first era that it saw for the return of the store from an older copy.

Change: an era counts as a return only after an earlier one, of an own list or of a peer's. An instance that learns of a later era from a peer has the grace as well, which such an entry needs.

Evidence: TestFirstListOfAnEraIsNoReturnOfTheStore failed before; TestFirstListOfALaterEraThanThePeersHasAGrace shows the opposite.

--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -62,7 +62,8 @@
 	// availableSince is when a call last succeeded after failed ones. peersAvailableSince is the same by what peers state.
 	availableSince      time.Time
 	peersAvailableSince time.Time
-	// era is the era of the last list of backend servers, eraSince when it was first seen.
+	// era is the era of the last list of backend servers. eraSince is when it was first seen after an earlier one, zero if none
+	// is known.
 	era      uint64
 	eraSince time.Time
 	// keysRecorded is set while the store has it on record that requests need a key.
@@ -322,15 +323,19 @@
 	}
 }
 
-// recordEra records the era of a list and logs a change: the store came back from an older copy.
+// recordEra records the era of a list and logs a change: the store came back from an older copy. The era before is that of an
+// earlier list, of the store or of a peer.
 func (f *Follower) recordEra(asOf revision.Revision) {
+	known := f.directory.AsOf()
 	f.mu.Lock()
-	before := f.era
-	if asOf.Era() > before {
-		f.era, f.eraSince = asOf.Era(), time.Now()
+	before := max(f.era, known.Era())
+	later := asOf.Era() > before
+	if later && (before > 0 || known > 0) {
+		f.eraSince = time.Now()
 	}
+	f.era = max(before, asOf.Era())
 	f.mu.Unlock()
-	if before > 0 && asOf.Era() > before {
+	if before > 0 && later {
 		event.Log(f.logger, event.StoreEraChanged).Uint64("before", before).Stringer("revision", asOf).Send()
 	}
 }
--- a/gateway/discovery/follower_test.go
+++ b/gateway/discovery/follower_test.go
@@ -189,3 +189,30 @@
 		is.True(servers.Snapshot().Find("a") == nil)
 	})
 }
+
+// Guards against DRAIN: a removal waits as after an outage, because the first list that an instance reads is the first one of its
+// era that it knows.
+func TestFirstListOfAnEraIsNoReturnOfTheStore(t *testing.T) {
+	is := is.New(t)
+	era := func(number revision.Revision) revision.Revision { return 1<<48 | number }
+	runFollower(t, func(feed *scriptedFeed, servers *directory.Directory) {
+		feed.listed <- []ServerChange{put("a", era(1)), put("b", era(2))}
+		feed.watched <- []ServerChange{removed("a", era(3))}
+		synctest.Wait()
+		is.Equal(countServers(servers), 1)
+	})
+}
+
+// Guards against removing running servers whose entries an older copy of the store lacks: an instance has the list of the era before
+// from a peer.
+func TestFirstListOfALaterEraThanThePeersHasAGrace(t *testing.T) {
+	is := is.New(t)
+	runFollower(t, func(feed *scriptedFeed, servers *directory.Directory) {
+		servers.Import(directory.Export{Complete: true, AsOf: 9, NamesAll: true, Servers: []*directory.Server{put("a", 8).Server}})
+		feed.listed <- []ServerChange{put("b", 1<<48|7)}
+		synctest.Wait()
+		is.Equal(countServers(servers), 2)
+		time.Sleep(missingEntryGrace + time.Second)
+		is.Equal(countServers(servers), 1)
+	})
+}
--- a/gateway/discovery/grace.go
+++ b/gateway/discovery/grace.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// ExpectEntries is ExtendGrace for peers that can't read the store now.
+// ExpectEntries is ExtendGrace for an outage of the store that lasts, or has ended just now.
 func (f *Follower) ExpectEntries(now time.Time) { f.ExtendGrace(now, missingEntryGrace) }
 
 // RemoveUnlisted removes servers that a peer's list as of a revision shows to be removed, like removals by the store. A server
--- a/gateway/peers/converging_lists_test.go
+++ b/gateway/peers/converging_lists_test.go
@@ -84,11 +84,11 @@
 		time.Sleep(settleTime)
 		e.store.setAway(true)
 		time.Sleep(3 * time.Second)
-		e.apart = func(a, b *virtualInstance) bool { return a.number == 3 || b.number == 3 }
+		e.setApart(func(a, b *virtualInstance) bool { return a.number == 3 || b.number == 3 })
 		lonely := e.start(3, "a")
 		time.Sleep(2 * time.Second)
 		is.Equal(len(lonely.directory.Snapshot().All), 0)
-		e.apart = nil
+		e.setApart(nil)
 		for range 100 {
 			time.Sleep(20 * time.Millisecond)
 			for _, i := range e.instances()[:3] {
@@ -106,9 +106,9 @@
 		t.Run(name, func(t *testing.T) {
 			runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
 				time.Sleep(settleTime)
-				e.apart = func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre }
+				e.setApart(func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre })
 				for _, dataCentre := range cutOff {
-					e.store.cutOff[dataCentre] = true
+					e.store.cut(dataCentre)
 				}
 				time.Sleep(2 * time.Second)
 				e.store.remove("w-3")
@@ -118,7 +118,7 @@
 				time.Sleep(3 * time.Second)
 				e.restart(e.instances()[4:], 400*time.Millisecond)
 				time.Sleep(8 * time.Second)
-				e.apart = nil
+				e.setApart(nil)
 				e.settle(drainTimeout) // also while the store is unavailable to one group
 			})
 		})
@@ -145,13 +145,14 @@
 func TestListsConvergeToTheStoresWhateverStartsWhen(t *testing.T) {
 	for seed := range uint64(150) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			choices := rand.New(rand.NewPCG(seed, 63))
 			dataCentres := twoCentres
 			if seed%2 == 0 {
 				dataCentres = []string{"a", "a", "a", "a"}
 			}
 			runVirtualEstate(t, dataCentres, func(e *virtualEstate) {
-				e.store.staleness = time.Duration(choices.IntN(700)) * time.Millisecond
+				e.store.setStaleness(time.Duration(choices.IntN(700)) * time.Millisecond)
 				time.Sleep(settleTime)
 				go e.checkLeaving()
 				playRandomly(e, choices)
@@ -200,9 +201,10 @@
 		killed = others
 	}
 	if len(listed) > 2 {
+		after, leaves := time.Duration(choices.IntN(400))*time.Millisecond, choose(choices, listed)
 		go func() {
-			time.Sleep(time.Duration(choices.IntN(400)) * time.Millisecond)
-			e.store.remove(choose(choices, listed))
+			time.Sleep(after)
+			e.store.remove(leaves)
 		}()
 	}
 	time.Sleep(time.Duration(choices.IntN(400)) * time.Millisecond)
@@ -214,19 +216,20 @@
 func (e *virtualEstate) disturb(choices *rand.Rand) {
 	defer e.store.setAway(false)
 	if choices.IntN(2) == 0 {
-		e.apart = func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre }
+		e.setApart(func(a, b *virtualInstance) bool { return a.dataCentre != b.dataCentre })
 		e.store.timeline.add("the data centres are apart")
 		time.Sleep(time.Duration(choices.IntN(6000)) * time.Millisecond)
 		e.store.timeline.add("the data centres aren't apart")
-		e.apart = nil
+		e.setApart(nil)
 		return
 	}
 	e.store.setAway(true)
 	time.Sleep(time.Duration(3600+choices.IntN(3000)) * time.Millisecond)
 	lapsed := choose(choices, slices.Sorted(maps.Keys(e.store.current())))
 	e.store.lapse(lapsed)
+	after := time.Duration(500+choices.IntN(1500)) * time.Millisecond
 	go func() {
-		time.Sleep(time.Duration(500+choices.IntN(1500)) * time.Millisecond)
+		time.Sleep(after)
 		e.store.put(lapsed)
 	}()
 }
--- a/gateway/peers/fetch_servers.go
+++ b/gateway/peers/fetch_servers.go
@@ -61,8 +61,12 @@
 	}
 	now := time.Now()
 	export.UnderWay = now.Sub(begun)
+	before := s.options.Directory.AsOf()
 	changed, unlisted := s.options.Directory.Import(export)
 	s.options.Follower.ExtendGrace(now, export.GraceLeft)
+	if before > 0 && export.AsOf.Era() > before.Era() {
+		s.options.Follower.ExpectEntries(now) // the store came back from an older copy
+	}
 	if !export.NamesAll {
 		s.options.Follower.ExpectAgain(unlisted)
 		return export, changed, nil
--- a/gateway/peers/unrecorded_removals_test.go
+++ b/gateway/peers/unrecorded_removals_test.go
@@ -82,7 +82,7 @@
 		time.Sleep(c.killedAfter)
 		e.restart(killed, c.down)
 	}
-	e.store.staleness = c.staleness
+	e.store.setStaleness(c.staleness)
 	time.Sleep(settleTime)
 	go e.checkLeaving()
 	for n := range c.servers {
@@ -102,6 +102,7 @@
 func TestRemovalThatNobodyHasOnRecordIsAppliedInTime(t *testing.T) {
 	for _, c := range removalCases() {
 		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
 			runVirtualEstate(t, c.dataCentres, c.play)
 		})
 	}
@@ -118,8 +119,8 @@
 				c := removalCase{killedAfter: killedAfter, down: down, bothRelays: true, newest: true, servers: 1, dataCentres: []string{"a", "a", "a", "a"}, staleness: staleness}
 				runVirtualEstate(t, c.dataCentres, func(e *virtualEstate) {
 					c.play(e)
-					if e.longestUse > worst {
-						worst, worstCase = e.longestUse, c
+					if longest := e.longest(); longest > worst {
+						worst, worstCase = longest, c
 					}
 				})
 			}
@@ -134,9 +135,9 @@
 	runVirtualEstate(t, []string{"a", "a", "a", "a"}, func(e *virtualEstate) {
 		time.Sleep(settleTime)
 		relays, others := e.relays()
-		e.older = func(i *virtualInstance) bool {
+		e.setOlder(func(i *virtualInstance) bool {
 			return !slices.ContainsFunc(others, func(other *virtualInstance) bool { return other.number == i.number })
-		}
+		})
 		time.Sleep(time.Second)
 		e.store.put("w-4")
 		e.settle(time.Second)
@@ -154,7 +155,7 @@
 			e.store.put(fmt.Sprint("i-", n*7919%100_000))
 		}
 		time.Sleep(settleTime)
-		begun, before := time.Now(), e.sentBytes
+		begun, before := time.Now(), e.sent()
 		for n := range 10 {
 			relays, _ := e.relays()
 			go e.store.remove(fmt.Sprint("i-", n*7919))
@@ -162,7 +163,7 @@
 			time.Sleep(3600 * time.Millisecond)
 		}
 		e.settle(settleTime)
-		rate := float64(e.sentBytes-before) / time.Since(begun).Seconds() / float64(len(e.instances()))
+		rate := float64(e.sent()-before) / time.Since(begun).Seconds() / float64(len(e.instances()))
 		t.Logf("%.0f bytes a second", rate)
 		is.New(e.t).True(rate < maxBytesPerSecond)
 	})
--- a/gateway/peers/virtual_estate_test.go
+++ b/gateway/peers/virtual_estate_test.go
@@ -40,6 +40,9 @@
 	virtualWatchWait = 1500 * time.Millisecond
 )
 
+// firstRevision is in an era, as of a store that states it.
+const firstRevision = revision.Revision(1<<48 | 10)
+
 var errVirtualStoreAway = fault.New(fault.PlatformUnavailable, "away")
 
 // storedChange is a change in the history of a virtualStore; server is nil for a removal.
@@ -82,7 +85,7 @@
 }
 
 func newVirtualStore() *virtualStore {
-	return &virtualStore{timeline: &timeline{begun: time.Now()}, revision: 10, changed: make(chan struct{}), cutOff: make(map[string]bool), leftAt: make(map[string]time.Time)}
+	return &virtualStore{timeline: &timeline{begun: time.Now()}, revision: firstRevision, changed: make(chan struct{}), cutOff: make(map[string]bool), leftAt: make(map[string]time.Time)}
 }
 
 func (s *virtualStore) record(id string, server *directory.Server) {
@@ -134,6 +137,20 @@
 	}
 }
 
+// cut cuts a data centre off.
+func (s *virtualStore) cut(dataCentre string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff[dataCentre] = true
+}
+
+// setStaleness sets the age of lists that need not be fresh.
+func (s *virtualStore) setStaleness(staleness time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleness = staleness
+}
+
 func (s *virtualStore) unavailable(dataCentre string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -178,7 +195,9 @@
 	}
 	when := time.Now()
 	if !fresh {
+		f.store.mu.Lock()
 		when = when.Add(-f.store.staleness)
+		f.store.mu.Unlock()
 	}
 	listed, asOf := f.store.listedAt(when)
 	var changes []discovery.ServerChange
@@ -222,7 +241,7 @@
 	if f.store.unavailable(f.dataCentre) {
 		return nil, 0, errVirtualStoreAway
 	}
-	return nil, 1, nil
+	return nil, firstRevision, nil
 }
 
 func (f virtualFeed) WatchConfiguration(ctx context.Context, after revision.Revision) (*discovery.Configuration, revision.Revision, error) {
@@ -432,7 +451,39 @@
 	return compressed.Len()
 }
 
-func (e *virtualEstate) isOlder(i *virtualInstance) bool { return e.older != nil && e.older(i) }
+// setApart sets which instances can't reach each other, nil for none.
+func (e *virtualEstate) setApart(apart func(a, b *virtualInstance) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.apart = apart
+}
+
+// setOlder sets which instances send as an older build.
+func (e *virtualEstate) setOlder(older func(i *virtualInstance) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.older = older
+}
+
+func (e *virtualEstate) isOlder(i *virtualInstance) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.older != nil && e.older(i)
+}
+
+// sent returns the number of bytes that peers sent.
+func (e *virtualEstate) sent() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sentBytes
+}
+
+// longest returns longestUse.
+func (e *virtualEstate) longest() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.longestUse
+}
 
 // olderDigest returns a digest without what older builds don't send.
 func olderDigest(payload []byte) []byte {
@@ -491,7 +542,9 @@
 				if known == nil || known.Draining || at.Before(stableSince) || now.Sub(i.startedAt) <= contactTime {
 					continue
 				}
+				e.mu.Lock()
 				e.longestUse = max(e.longestUse, now.Sub(at))
+				e.mu.Unlock()
 				if now.Sub(at) > drainTimeout {
 					e.t.Errorf("instance %d uses %s %v after it left", i.number, id, now.Sub(at))
 					return
