Count the grace of peers from when one of them reads the store again

One that has instances which never tried to read the store failed on the code as it was, too: it counted from the last digest that stated the outage, up to a second before the store's return, and servers that run were missing 1.5 s after the return, 0.5 s and more before their entries are due.

Change: while those that follow the store state that it doesn't answer, an instance takes the outage for one that lasts; the grace counts from the first digest of one that reads it again, or from its own first call.

Evidence: TestInstancesThatReadNoStoreKnowOfItsOutage failed before. The property test of lists lets peers end between two reads and be the earlier ones, and TestLaterListIsTheSource has a later list without a later change.

--- a/gateway/directory/as_of_test.go
+++ b/gateway/directory/as_of_test.go
@@ -154,19 +154,18 @@
 	})
 }
 
-// compare reads a peer's changes, and the names of its servers and its complete list where both differ nevertheless.
+// compare reads a peer's changes, and the names of its servers and its complete list where both differ nevertheless. The peer may
+// end before each of them, and its list may be the earlier one.
 func compare(t *rapid.T, d, peer *Directory) {
-	if d == peer || peer.AsOf() < d.AsOf() {
-		return
-	}
-	d.Import(transferred(t, peer.Export(d.AsOf())))
-	if d.Snapshot().Fingerprint == peer.Snapshot().Fingerprint {
-		return
-	}
-	for _, export := range []Export{peer.ExportNaming(d.AsOf()), peer.Export(0)} {
+	after := d.AsOf()
+	exports := []Export{peer.Export(after), peer.ExportNaming(after), peer.Export(0)}
+	for _, export := range exports[:rapid.IntRange(1, len(exports)).Draw(t, "reads")] {
 		_, unlisted := d.Import(transferred(t, export))
 		for _, server := range unlisted {
-			d.Remove(server.ID, peer.AsOf())
+			d.Remove(server.ID, export.AsOf)
+		}
+		if d.Snapshot().Fingerprint == export.Fingerprint {
+			return
 		}
 	}
 }
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -59,9 +59,11 @@
 	following map[string]bool
 	// answeredAt holds when the store last answered each watch, or when the watch began.
 	answeredAt map[string]time.Time
-	// availableSince is when a call last succeeded after failed ones. peersAvailableSince is the same by what peers state.
+	// availableSince is when a call last succeeded after failed ones. peersAvailableSince is the same by what peers state, and
+	// peersUnavailable is set while they state that the store doesn't answer.
 	availableSince      time.Time
 	peersAvailableSince time.Time
+	peersUnavailable    bool
 	// era is the era of the last list of backend servers. eraSince is when it was first seen after an earlier one, zero if none
 	// is known.
 	era      uint64
@@ -250,6 +252,7 @@
 	defer f.mu.Unlock()
 	if err == nil {
 		f.answeredAt[watch] = time.Now()
+		f.endPeersOutage(f.answeredAt[watch])
 	}
 	if f.failing[watch] == (err != nil) {
 		return
--- a/gateway/discovery/grace.go
+++ b/gateway/discovery/grace.go
@@ -11,7 +11,7 @@
 // never; mu is held.
 func (f *Follower) graceSince(now time.Time) time.Time {
 	since := f.availableSince
-	if f.failing[watchServers] {
+	if f.failing[watchServers] || f.peersUnavailable {
 		since = now // The call that succeeds now is the first one.
 	}
 	for _, other := range []time.Time{f.eraSince, f.peersAvailableSince} {
@@ -52,8 +52,23 @@
 	}
 }
 
-// ExpectEntries is ExtendGrace for an outage of the store that lasts, or has ended just now.
-func (f *Follower) ExpectEntries(now time.Time) { f.ExtendGrace(now, missingEntryGrace) }
+// RecordPeers records whether the store answers those peers that follow it.
+func (f *Follower) RecordPeers(now time.Time, available bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if available {
+		f.endPeersOutage(now)
+	} else {
+		f.peersUnavailable = true
+	}
+}
+
+// endPeersOutage records that the store answers this instance or a peer; mu is held.
+func (f *Follower) endPeersOutage(now time.Time) {
+	if f.peersUnavailable {
+		f.peersUnavailable, f.peersAvailableSince = false, now
+	}
+}
 
 // RemoveUnlisted removes servers that a peer's list as of a revision shows to be removed, like removals by the store. A server
 // that was adopted lately stays, because its own entry may not be written yet; a later list decides.
--- a/gateway/peers/converging_lists_test.go
+++ b/gateway/peers/converging_lists_test.go
@@ -62,6 +62,45 @@
 	}
 }
 
+// Guards against servers that are missing although they run: instances that never tried to read the store don't know that their
+// entries expired in an outage, when all those that did are ended at its return.
+func TestInstancesThatReadNoStoreKnowOfItsOutage(t *testing.T) {
+	runVirtualEstate(t, slices.Repeat([]string{"a"}, 20), func(e *virtualEstate) {
+		is := is.New(e.t)
+		time.Sleep(settleTime)
+		e.store.setAway(true)
+		tried := make(map[*virtualInstance]bool)
+		for range 90 {
+			time.Sleep(50 * time.Millisecond)
+			for _, i := range e.instances() {
+				if i.follower.StoreUnavailable() {
+					tried[i] = true
+				}
+			}
+		}
+		e.store.lapse("w-1")
+		e.store.setAway(false)
+		var others []*virtualInstance
+		for _, i := range e.instances() {
+			if !tried[i] {
+				others = append(others, i)
+			}
+		}
+		is.True(len(others) > 0)
+		go e.restart(slices.Collect(maps.Keys(tried)), 100*time.Millisecond)
+		for range 90 {
+			time.Sleep(20 * time.Millisecond)
+			for _, i := range others {
+				if i.directory.Snapshot().Find("w-1") == nil {
+					e.t.Fatalf("instance %d lacks w-1 %v after the store's return", i.number, time.Since(e.store.returnedAt))
+				}
+			}
+		}
+		e.store.put("w-1")
+		e.settle(drainTimeout)
+	})
+}
+
 // Guards against a server that is kept for good: its entry expired in an outage and isn't written again.
 func TestEntryThatStaysMissingAfterAnOutageIsRemoved(t *testing.T) {
 	runVirtualEstate(t, twoCentres, func(e *virtualEstate) {
--- a/gateway/peers/later_list_test.go
+++ b/gateway/peers/later_list_test.go
@@ -44,7 +44,10 @@
 	is.True(table.ServersDifference(begin.Add(1200*time.Millisecond), behind) > 0)
 	_, servers = table.FetchSources(begin, LocalState{DataCentre: "a", Revision: 13, AsOf: 15, Servers: 1, Relay: true})
 	is.True(servers == nil) // the change of instance 2 is one of before
-	receiveDigest(table, begin.Add(time.Millisecond), 2, func(d *Digest) { d.Revision, d.AsOf, d.Servers = 16, 16, 3 })
+	receiveDigest(table, begin.Add(time.Millisecond), 2, func(d *Digest) { d.Revision, d.AsOf, d.Servers = 14, 20, 2 })
+	_, servers = table.FetchSources(begin, LocalState{DataCentre: "a", Revision: 13, AsOf: 15, Servers: 1, Relay: true})
+	is.True(servers == nil) // nor does its later list have one since
+	receiveDigest(table, begin.Add(2*time.Millisecond), 2, func(d *Digest) { d.Revision, d.AsOf, d.Servers = 16, 20, 3 })
 	_, servers = table.FetchSources(begin, LocalState{DataCentre: "a", Revision: 13, AsOf: 15, Servers: 1, Relay: true})
 	is.True(servers != nil) // it hasn't arrived here
 }
--- a/gateway/peers/receive.go
+++ b/gateway/peers/receive.go
@@ -26,9 +26,7 @@
 		s.options.State.RequireKeys()
 	}
 	now, address := time.Now(), from.Addr().Unmap()
-	if digest.StoreUnavailable && !s.storeAnswers(now) {
-		s.options.Follower.ExpectEntries(now)
-	}
+	s.recordStore(now, digest)
 	recorded, answer, wanted := s.record(now, address, digest)
 	if wanted {
 		select {
@@ -75,11 +73,14 @@
 	}
 }
 
-// storeAnswers reports whether this instance or a peer reads the store.
-func (s *Service) storeAnswers(now time.Time) bool {
+// recordStore records what a digest says about the store, which is unavailable while those that follow it get no answer.
+func (s *Service) recordStore(now time.Time, digest *Digest) {
+	if !digest.StoreUnavailable && !digest.Relay {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.options.Follower.Following() || s.table.hasRelay(now)
+	s.options.Follower.RecordPeers(now, digest.Relay || s.options.Follower.Following() || s.table.hasRelay(now))
 }
 
 // record records a digest in the table. It returns whether it is news of a peer, the datagram that answers a probe, nil for
--- a/gateway/peers/virtual_estate_test.go
+++ b/gateway/peers/virtual_estate_test.go
@@ -357,7 +357,7 @@
 	i.follower = discovery.NewFollower(virtualFeed{store: e.store, dataCentre: dataCentre}, state, i.directory, func() discovery.RelayRole { return i.service.RelayRole() },
 		func() { i.service.Announce() }, zerolog.Nop())
 	var seeds []netip.Addr
-	for n := range 12 {
+	for n := range 24 {
 		seeds = append(seeds, addressOf(n+1))
 	}
 	i.service = New(Options{
