--- a/gateway/directory/as_of_test.go
+++ b/gateway/directory/as_of_test.go
@@ -125,7 +125,7 @@
 		for n := range all {
 			all[n] = New()
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		for range rapid.IntRange(1, 250).Draw(t, "steps") {
 			n := rapid.IntRange(0, len(all)-1).Draw(t, "instance")
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
