Give the checks that the new code repeats one place each

Whether a watch fails was asked in two loops, whether a peer reads the store in three places, and which servers an export holds and a directory holds in two each. The grace after the return of an older copy was a constant of two packages; it is the follower's alone now. IDs are gathered for exports that name servers only.

Evidence: tests of gateway/directory, discovery and peers with the race detector and the linter pass.

--- a/gateway/directory/export.go
+++ b/gateway/directory/export.go
@@ -51,23 +51,21 @@
 			export.Removed[id] = removed.revision
 		}
 	}
-	exported := make(map[string]bool)
 	for _, server := range d.servers {
 		admitted := server.admittedAt > 0 && server.admittedAt >= after
 		if server.Revision > after || admitted || server.Adopted {
 			export.Servers = append(export.Servers, server.exported(d.now()))
-			exported[server.ID] = true
 		}
 	}
 	if d.asOf > 0 && (naming || export.Complete) {
-		export.NamesAll, export.Named = true, d.otherNames(exported)
+		export.NamesAll, export.Named = true, d.otherNames(export.Servers)
 	}
 	return export
 }
 
-// otherNames returns the IDs of the servers that the store may list, in ascending order, except those that an export holds;
-// mu is held.
-func (d *Directory) otherNames(exported map[string]bool) []string {
+// otherNames returns the IDs of the servers that the store may list, in ascending order, except those of some; mu is held.
+func (d *Directory) otherNames(except []*Server) []string {
+	exported := idsOf(except)
 	var names []string
 	add := func(id string) {
 		if !exported[id] {
@@ -135,28 +133,27 @@
 	if asOf >= d.asOf || server.Revision > d.asOf || server.Adopted {
 		return false
 	}
-	_, held := d.heldBack[server.ID]
-	return !held && d.servers[server.ID] == nil
+	return !d.holds(server.ID)
+}
+
+// holds reports whether a server is listed or held back; mu is held.
+func (d *Directory) holds(id string) bool {
+	_, held := d.heldBack[id]
+	return held || d.servers[id] != nil
 }
 
 // knows reports whether each ID is that of a server which is listed, held back or recorded as removed; mu is held.
 func (d *Directory) knows(names []string) bool {
 	return !slices.ContainsFunc(names, func(id string) bool {
-		_, held := d.heldBack[id]
 		_, removed := d.removed[id]
-		return !held && !removed && d.servers[id] == nil
+		return !removed && !d.holds(id)
 	})
 }
 
 // missingIn returns the servers that an export neither holds nor names, except those with later
 // entries; mu is held. Adopted servers count only where the export names all that the store may list.
 func (d *Directory) missingIn(export *Export) []*Server {
-	listed := make(map[string]bool, len(export.Servers)+len(export.Named))
-	for _, server := range export.Servers {
-		if server != nil {
-			listed[server.ID] = true
-		}
-	}
+	listed := idsOf(export.Servers)
 	for _, id := range export.Named {
 		listed[id] = true
 	}
@@ -173,3 +170,14 @@
 	}
 	return missing
 }
+
+// idsOf returns the IDs of servers, of which some may be nil.
+func idsOf(servers []*Server) map[string]bool {
+	ids := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		if server != nil {
+			ids[server.ID] = true
+		}
+	}
+	return ids
+}
--- a/gateway/discovery/follower.go
+++ b/gateway/discovery/follower.go
@@ -107,12 +107,7 @@
 func (f *Follower) Following() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, failing := range f.failing {
-		if failing {
-			return false
-		}
-	}
-	return len(f.following) == len(Watches)
+	return !f.anyFailing() && len(f.following) == len(Watches)
 }
 
 // RunConfiguration keeps the in-force configuration up to date until the context ends.
--- a/gateway/discovery/grace.go
+++ b/gateway/discovery/grace.go
@@ -26,6 +26,11 @@
 func (f *Follower) StoreUnavailable() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.anyFailing()
+}
+
+// anyFailing reports whether the last call of a watch failed; mu is held.
+func (f *Follower) anyFailing() bool {
 	for _, failing := range f.failing {
 		if failing {
 			return true
@@ -52,6 +57,9 @@
 	}
 }
 
+// RecordReturn records that peers know of the store's return from an older copy, whose missing entries have the whole grace.
+func (f *Follower) RecordReturn(now time.Time) { f.ExtendGrace(now, missingEntryGrace) }
+
 // RecordPeers records whether the store answers those peers that follow it.
 func (f *Follower) RecordPeers(now time.Time, available bool) {
 	f.mu.Lock()
--- a/gateway/peers/difference.go
+++ b/gateway/peers/difference.go
@@ -15,8 +15,7 @@
 func (t *Table) ServersDifference(now time.Time, own LocalState) time.Duration {
 	differs := false
 	for _, p := range t.peers {
-		alive := p.relay && now.Sub(p.lastDigestAt) <= relayTimeout
-		differs = differs || alive && p.servers != own.Servers && p.position() >= own.position()
+		differs = differs || p.readsStore(now) && p.servers != own.Servers && p.position() >= own.position()
 	}
 	return t.difference.update(now, 0, differs)
 }
--- a/gateway/peers/fetch_servers.go
+++ b/gateway/peers/fetch_servers.go
@@ -18,8 +18,6 @@
 	completeListSpacing = 10 * time.Second
 	// adoptedServerSpacing replaces it while servers are listed that were adopted: by then their entries are written.
 	adoptedServerSpacing = 2500 * time.Millisecond
-	// storeReturnGrace is the grace for entries that an older copy lacks, from which the store came back.
-	storeReturnGrace = 2300 * time.Millisecond
 	// namesBytesPerSecond bounds what an instance reads of the names of all servers, of compressedNameBytes each.
 	namesBytesPerSecond = 4 << 10
 	compressedNameBytes = 8
@@ -67,7 +65,7 @@
 	changed, unlisted := s.options.Directory.Import(export)
 	s.options.Follower.ExtendGrace(now, export.GraceLeft)
 	if before > 0 && export.AsOf.Era() > before.Era() {
-		s.options.Follower.ExtendGrace(now, storeReturnGrace)
+		s.options.Follower.RecordReturn(now)
 	}
 	if !export.NamesAll {
 		s.options.Follower.ExpectAgain(unlisted)
--- a/gateway/peers/member.go
+++ b/gateway/peers/member.go
@@ -51,6 +51,11 @@
 	lastFetch serverFetch
 }
 
+// readsStore reports whether the peer is alive and follows the store, which answers it.
+func (p *peer) readsStore(now time.Time) bool {
+	return p.relay && now.Sub(p.lastDigestAt) <= relayTimeout
+}
+
 // position returns the latest revision of the store that the peer's list of servers accounts for.
 func (p *peer) position() revision.Revision { return max(p.revision, p.asOf) }
 
--- a/gateway/peers/table.go
+++ b/gateway/peers/table.go
@@ -220,7 +220,7 @@
 		return source
 	}
 	for _, p := range t.peers {
-		if p.relay && p.dataCentre == own.DataCentre && now.Sub(p.lastDigestAt) <= relayTimeout {
+		if p.dataCentre == own.DataCentre && p.readsStore(now) {
 			return nil
 		}
 	}
@@ -279,7 +279,7 @@
 // hasRelay reports whether a peer of any data centre is alive and reads the store.
 func (t *Table) hasRelay(now time.Time) bool {
 	for _, p := range t.peers {
-		if p.relay && now.Sub(p.lastDigestAt) <= relayTimeout {
+		if p.readsStore(now) {
 			return true
 		}
 	}
